--- /dev/null
+++ b/src/agent/core/action.rs
@@ -0,0 +1,80 @@
+//! Outputs of the agent's decision logic.
+
+use std::sync::Arc;
+
+use crate::codes::Code;
+use crate::telemetry::Event;
+use crate::types::{AttemptId, Digest, EndpointId, Generation, TargetId};
+use crate::wire::{ConfigDoc, SettleReply, SyncReply};
+
+/// Something that the agent's shell has to do.
+#[derive(Clone, Debug)]
+pub enum AgentAction {
+    /// Pass the attempt to its endpoint now.
+    Admit {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Rank for the endpoint's own scheduler; a lower number goes first.
+        priority: u8,
+    },
+    /// Refuse the attempt, which the endpoint has not seen.
+    Refuse {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        code: Code,
+        /// Newer configuration for an entry that is behind.
+        config: Option<ConfigDoc>,
+    },
+    /// Answer a keyed attempt with the stored answer of its first run.
+    Replay {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The stored answer.
+        answer: Arc<str>,
+    },
+    /// Cancel a running attempt at its endpoint.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Pause a running attempt at its endpoint.
+    Pause {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Resume a paused attempt at its endpoint.
+    Resume {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Fetch the chunks of a version; fetches of other versions of the model stop.
+    Fetch {
+        /// The model.
+        model: TargetId,
+        /// Digest of the version's manifest.
+        version: Digest,
+    },
+    /// Order an endpoint to switch to a version that the host holds.
+    Load {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Digest of the version's manifest.
+        version: Digest,
+        /// Fencing number of the order.
+        fence: Generation,
+    },
+    /// Answer to a heartbeat.
+    SyncReply(Box<SyncReply>),
+    /// Answer to a settle request.
+    SettleReply(SettleReply),
+    /// Every attempt has ended after [`super::AgentEvent::Stop`]; the process may exit.
+    Drained,
+    /// Log a numbered event.
+    Log {
+        /// The event.
+        event: Event,
+        /// Detail for the reader.
+        detail: String,
+    },
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,3 @@
+//! The agent process: the only gate to the endpoints of its host.
+
+pub mod core;
--- /dev/null
+++ b/src/codes/generated.rs
@@ -0,0 +1,177 @@
+// Generated from schema/ by `cargo run -p limpetloom-codegen`; edits are lost.
+use super::RunState;
+/// Numbered result of an operation; the table is in `docs/CODES.md`.
+#[derive(Clone, Copy, Debug, displaydoc::Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[repr(u16)]
+pub enum Code {
+    /// the request can not be parsed
+    Malformed = 1001,
+    /// the request is larger than the limit
+    TooLarge = 1002,
+    /// no such class of work
+    UnknownClass = 1003,
+    /// no such customer
+    UnknownCustomer = 1004,
+    /// the class needs an idempotency key and the request has none
+    KeyMissing = 1005,
+    /// the idempotency key was used with another body
+    KeyReused = 1006,
+    /// the request body did not arrive in time
+    CallerTooSlow = 1007,
+    /// no such model or service
+    UnknownTarget = 1008,
+    /// the idempotency key is older than the horizon within which keys are kept
+    KeyExpired = 1009,
+    /// the target for the first token can no longer be met
+    DeadlineUnreachable = 2001,
+    /// the queue of the class is full
+    QueueFull = 2002,
+    /// the customer is over its share
+    OverShare = 2003,
+    /// no endpoint is ready for this work
+    NoEndpoint = 2004,
+    /// the availability zone is out
+    ZoneOut = 2005,
+    /// the sender's configuration is older than the receiver's
+    StaleConfiguration = 2006,
+    /// no configuration is known yet
+    NoConfiguration = 2007,
+    /// the process is out of touch with the side that accepts configurations
+    Isolated = 2008,
+    /// the object API does not answer and keyed work needs it
+    StoreUnavailable = 2009,
+    /// this request has crashed endpoints and is not run again
+    Quarantined = 2010,
+    /// the retry budget is spent
+    RetriesSpent = 2011,
+    /// the attempt names another instance of the agent
+    WrongInstance = 2012,
+    /// the endpoint does not hold the version that the attempt names
+    WrongVersion = 2013,
+    /// the power share of the endpoint is in use
+    PowerLimit = 2014,
+    /// the process is stopping
+    Stopping = 2015,
+    /// the attempt was fenced before it arrived
+    Fenced = 2016,
+    /// the endpoint holds as much work as it bears
+    EndpointFull = 2017,
+    /// the endpoint is leaving
+    EndpointLeaving = 2018,
+    /// the request may have run and its outcome is not known
+    OutcomeUnknown = 3001,
+    /// a request with this key is running
+    StillRunning = 3002,
+    /// the answer ended before its end mark
+    AnswerBroken = 3003,
+    /// the answer did not arrive in time
+    AnswerTimeout = 3004,
+}
+impl Code {
+    /// Every code, by number.
+    pub const ALL: &[Self] = &[
+        Self::Malformed,
+        Self::TooLarge,
+        Self::UnknownClass,
+        Self::UnknownCustomer,
+        Self::KeyMissing,
+        Self::KeyReused,
+        Self::CallerTooSlow,
+        Self::UnknownTarget,
+        Self::KeyExpired,
+        Self::DeadlineUnreachable,
+        Self::QueueFull,
+        Self::OverShare,
+        Self::NoEndpoint,
+        Self::ZoneOut,
+        Self::StaleConfiguration,
+        Self::NoConfiguration,
+        Self::Isolated,
+        Self::StoreUnavailable,
+        Self::Quarantined,
+        Self::RetriesSpent,
+        Self::WrongInstance,
+        Self::WrongVersion,
+        Self::PowerLimit,
+        Self::Stopping,
+        Self::Fenced,
+        Self::EndpointFull,
+        Self::EndpointLeaving,
+        Self::OutcomeUnknown,
+        Self::StillRunning,
+        Self::AnswerBroken,
+        Self::AnswerTimeout,
+    ];
+    /// HTTP status that carries the code.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::TooLarge => 413,
+            Self::UnknownClass => 400,
+            Self::UnknownCustomer => 403,
+            Self::KeyMissing => 400,
+            Self::KeyReused => 422,
+            Self::CallerTooSlow => 408,
+            Self::UnknownTarget => 404,
+            Self::KeyExpired => 422,
+            Self::DeadlineUnreachable => 503,
+            Self::QueueFull => 503,
+            Self::OverShare => 429,
+            Self::NoEndpoint => 503,
+            Self::ZoneOut => 503,
+            Self::StaleConfiguration => 409,
+            Self::NoConfiguration => 503,
+            Self::Isolated => 503,
+            Self::StoreUnavailable => 503,
+            Self::Quarantined => 422,
+            Self::RetriesSpent => 503,
+            Self::WrongInstance => 409,
+            Self::WrongVersion => 409,
+            Self::PowerLimit => 503,
+            Self::Stopping => 503,
+            Self::Fenced => 409,
+            Self::EndpointFull => 503,
+            Self::EndpointLeaving => 503,
+            Self::OutcomeUnknown => 502,
+            Self::StillRunning => 409,
+            Self::AnswerBroken => 502,
+            Self::AnswerTimeout => 504,
+        }
+    }
+    /// What is known of the work behind the code.
+    pub fn run_state(self) -> RunState {
+        match self {
+            Self::Malformed => RunState::NotRun,
+            Self::TooLarge => RunState::NotRun,
+            Self::UnknownClass => RunState::NotRun,
+            Self::UnknownCustomer => RunState::NotRun,
+            Self::KeyMissing => RunState::NotRun,
+            Self::KeyReused => RunState::NotRun,
+            Self::CallerTooSlow => RunState::NotRun,
+            Self::UnknownTarget => RunState::NotRun,
+            Self::KeyExpired => RunState::NotRun,
+            Self::DeadlineUnreachable => RunState::NotRun,
+            Self::QueueFull => RunState::NotRun,
+            Self::OverShare => RunState::NotRun,
+            Self::NoEndpoint => RunState::NotRun,
+            Self::ZoneOut => RunState::NotRun,
+            Self::StaleConfiguration => RunState::NotRun,
+            Self::NoConfiguration => RunState::NotRun,
+            Self::Isolated => RunState::NotRun,
+            Self::StoreUnavailable => RunState::NotRun,
+            Self::Quarantined => RunState::NotRun,
+            Self::RetriesSpent => RunState::NotRun,
+            Self::WrongInstance => RunState::NotRun,
+            Self::WrongVersion => RunState::NotRun,
+            Self::PowerLimit => RunState::NotRun,
+            Self::Stopping => RunState::NotRun,
+            Self::Fenced => RunState::NotRun,
+            Self::EndpointFull => RunState::NotRun,
+            Self::EndpointLeaving => RunState::NotRun,
+            Self::OutcomeUnknown => RunState::Unknown,
+            Self::StillRunning => RunState::Running,
+            Self::AnswerBroken => RunState::Unknown,
+            Self::AnswerTimeout => RunState::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! Targets that operators set, and the generation in force.
+
+mod targets;
+
+pub use targets::{Class, Customer, Model, Service, Targets};
--- /dev/null
+++ b/src/entry/core/event.rs
@@ -0,0 +1,136 @@
+//! Inputs of the entry's decision logic.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::types::{AttemptEnd, AttemptId, Generation, HostId, RequestId, RequestMeta, ZoneId};
+use crate::wire::{ConfigDoc, SettleReply, SyncReply};
+
+use super::StoreOp;
+
+/// Something that the entry's shell has seen.
+#[derive(Clone, Debug)]
+pub enum EntryEvent {
+    /// A caller's request was read and parsed.
+    Arrived {
+        /// Number that the shell gave the request.
+        req: RequestId,
+        /// Description of the request.
+        meta: RequestMeta,
+    },
+    /// The caller closed its connection.
+    CallerGone {
+        /// The request.
+        req: RequestId,
+    },
+    /// The first token or byte of the answer arrived.
+    AttemptStarted {
+        /// The request.
+        req: RequestId,
+        /// The attempt; an event for another than the current attempt is ignored.
+        attempt: AttemptId,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        req: RequestId,
+        /// The attempt; an event for another than the current attempt is ignored.
+        attempt: AttemptId,
+        /// How it ended.
+        end: AttemptEnd,
+        /// Whole answer of a keyed request, to be kept for resends.
+        answer: Option<Arc<str>>,
+    },
+    /// The object API answered a call.
+    StoreReplied {
+        /// The call that is answered.
+        op: StoreOp,
+        /// What the object API said.
+        reply: StoreReply,
+    },
+    /// An agent answered a settle request, or could not be asked.
+    SettleReplied {
+        /// The request on whose behalf the agent was asked.
+        req: RequestId,
+        /// The reply; `None` when the agent was not reached.
+        reply: Option<SettleReply>,
+    },
+    /// An agent answered a heartbeat.
+    Synced {
+        /// The agent's host.
+        host: HostId,
+        /// The reply.
+        reply: SyncReply,
+    },
+    /// A heartbeat failed or timed out.
+    SyncFailed {
+        /// The agent's host.
+        host: HostId,
+    },
+    /// The platform's host list was read.
+    HostsListed(Vec<HostEntry>),
+    /// The object API showed a configuration.
+    ConfigSeen(ConfigDoc),
+    /// The object API showed a placement.
+    PlacementSeen(ConfigDoc),
+    /// The object API answered a read or a watch of the configuration, or failed to.
+    StoreContact {
+        /// True when it answered.
+        reached: bool,
+    },
+    /// The process was asked to stop.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// Role of a host in the platform's list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HostRole {
+    /// Runs an entry.
+    Entry,
+    /// Runs an agent beside one or more endpoints.
+    Agent,
+}
+
+/// One line of the platform's host list, which lags.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostEntry {
+    /// Name of the host.
+    pub host: HostId,
+    /// Availability zone of the host.
+    pub zone: ZoneId,
+    /// What runs there.
+    pub role: HostRole,
+    /// Address of the process's control listener.
+    pub control: SocketAddr,
+    /// Address of the process's traffic listener.
+    pub traffic: SocketAddr,
+    /// True when the platform has announced that the host leaves.
+    pub leaving: bool,
+}
+
+/// What became of a call to the object API.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StoreReply {
+    /// The object, with its version.
+    Found {
+        /// Version of the object.
+        version: Generation,
+        /// Value of the object.
+        value: Arc<str>,
+    },
+    /// No such object.
+    Missing,
+    /// The write took effect.
+    Written {
+        /// New version of the object.
+        version: Generation,
+    },
+    /// The condition of the write did not hold; nothing was written.
+    Conflict,
+    /// The call certainly had no effect.
+    Refused,
+    /// The call may have had an effect.
+    Lost,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! Weight distribution and request routing for language-model bursts under a power cap.
+
+#![deny(missing_docs)]
+
+pub mod agent;
+pub mod codes;
+pub mod config;
+pub mod entry;
+pub mod telemetry;
+pub mod types;
+pub mod wire;
+
+pub use codes::Code;
+pub use config::Targets;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `limpetloom` binary.
+
+fn main() {}
--- /dev/null
+++ b/src/telemetry/events/mod.rs
@@ -0,0 +1,22 @@
+//! Numbered log events; the catalogue for operators is `docs/EVENTS.md`.
+
+#[rustfmt::skip]
+mod generated;
+
+pub use generated::Event;
+
+impl Event {
+    /// The number of the event.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// Logs a numbered event with a formatted detail.
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr, $($detail:tt)+) => {{
+        let event: $crate::telemetry::Event = $event;
+        log::log!(event.level(), event = event.number(); "{event}: {}", format_args!($($detail)+));
+    }};
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,5 @@
+//! Logs and metrics.
+
+pub mod events;
+
+pub use events::Event;
--- /dev/null
+++ b/src/wire/generated.rs
@@ -0,0 +1,341 @@
+// Generated from schema/ by `cargo run -p limpetloom-codegen`; edits are lost.
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
+///A configuration with its generation.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigDoc {
+    ///Targets as JSON text.
+    pub body: ::std::string::String,
+    ///Version of the object that holds the configuration.
+    pub generation: u64,
+}
+impl ::std::convert::From<&ConfigDoc> for ConfigDoc {
+    fn from(value: &ConfigDoc) -> Self {
+        value.clone()
+    }
+}
+///Load and state of one endpoint.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EndpointReport {
+    pub endpoint: ::std::string::String,
+    ///Moving average of the time to the first token.
+    pub first_token_ms: u32,
+    pub in_flight: u32,
+    ///Instance of the endpoint's process.
+    pub instance: u64,
+    ///Requests that the endpoint bears at once now.
+    pub limit: u32,
+    ///Draw in milliwatts as modelled.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub power_mw: ::std::option::Option<u64>,
+    ///Verified share of the wanted version's chunks.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub progress_permille: ::std::option::Option<u32>,
+    pub queued: u32,
+    pub state: EndpointState,
+    ///Model or service that the endpoint serves.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub target: ::std::option::Option<::std::string::String>,
+    ///Hexadecimal digest of the active version; absent for a plain service.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub version: ::std::option::Option<::std::string::String>,
+}
+impl ::std::convert::From<&EndpointReport> for EndpointReport {
+    fn from(value: &EndpointReport) -> Self {
+        value.clone()
+    }
+}
+///Life cycle of an endpoint as its agent sees it.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum EndpointState {
+    #[serde(rename = "down")]
+    Down,
+    #[serde(rename = "loading")]
+    Loading,
+    #[serde(rename = "cold")]
+    Cold,
+    #[serde(rename = "ready")]
+    Ready,
+    #[serde(rename = "leaving")]
+    Leaving,
+}
+impl ::std::convert::From<&Self> for EndpointState {
+    fn from(value: &EndpointState) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for EndpointState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Down => f.write_str("down"),
+            Self::Loading => f.write_str("loading"),
+            Self::Cold => f.write_str("cold"),
+            Self::Ready => f.write_str("ready"),
+            Self::Leaving => f.write_str("leaving"),
+        }
+    }
+}
+impl ::std::str::FromStr for EndpointState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "down" => Ok(Self::Down),
+            "loading" => Ok(Self::Loading),
+            "cold" => Ok(Self::Cold),
+            "ready" => Ok(Self::Ready),
+            "leaving" => Ok(Self::Leaving),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for EndpointState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for EndpointState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for EndpointState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A request fingerprint that has crashed endpoints.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct QuarantineEntry {
+    ///Number of endpoint crashes while the request was in flight.
+    pub crashes: u32,
+    ///Hexadecimal BLAKE3 digest of class and body.
+    pub fingerprint: ::std::string::String,
+}
+impl ::std::convert::From<&QuarantineEntry> for QuarantineEntry {
+    fn from(value: &QuarantineEntry) -> Self {
+        value.clone()
+    }
+}
+///Answer to a settle request.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SettleReply {
+    pub agent_instance: u64,
+    ///Stored answer of a completed attempt.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub answer: ::std::option::Option<::std::string::String>,
+    pub state: SettleState,
+}
+impl ::std::convert::From<&SettleReply> for SettleReply {
+    fn from(value: &SettleReply) -> Self {
+        value.clone()
+    }
+}
+///Asks an agent what became of a keyed attempt; an attempt that it does not know is fenced.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SettleRequest {
+    pub attempt: ::std::string::String,
+    pub key: ::std::string::String,
+}
+impl ::std::convert::From<&SettleRequest> for SettleRequest {
+    fn from(value: &SettleRequest) -> Self {
+        value.clone()
+    }
+}
+///What an agent knows of a keyed attempt.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum SettleState {
+    #[serde(rename = "fenced")]
+    Fenced,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::convert::From<&Self> for SettleState {
+    fn from(value: &SettleState) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for SettleState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Fenced => f.write_str("fenced"),
+            Self::Running => f.write_str("running"),
+            Self::Done => f.write_str("done"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for SettleState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "fenced" => Ok(Self::Fenced),
+            "running" => Ok(Self::Running),
+            "done" => Ok(Self::Done),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for SettleState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for SettleState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for SettleState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///What a process knows of the object API.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoreContact {
+    ///Milliseconds since the newest generation was confirmed by the object API, directly or through peers.
+    pub age_ms: u64,
+    ///True while the object API answers this process itself.
+    pub reachable: bool,
+}
+impl ::std::convert::From<&StoreContact> for StoreContact {
+    fn from(value: &StoreContact) -> Self {
+        value.clone()
+    }
+}
+///Answer of an agent to a heartbeat.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncReply {
+    ///Instance of the agent's process.
+    pub agent_instance: u64,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub config: ::std::option::Option<ConfigDoc>,
+    pub endpoints: ::std::vec::Vec<EndpointReport>,
+    pub generation: u64,
+    pub host: ::std::string::String,
+    pub leaving: bool,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub placement: ::std::option::Option<ConfigDoc>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub placement_version: ::std::option::Option<u64>,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub quarantine: ::std::vec::Vec<QuarantineEntry>,
+    pub store: StoreContact,
+    pub zone: ::std::string::String,
+}
+impl ::std::convert::From<&SyncReply> for SyncReply {
+    fn from(value: &SyncReply) -> Self {
+        value.clone()
+    }
+}
+///Heartbeat from an entry to an agent.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncRequest {
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub config: ::std::option::Option<ConfigDoc>,
+    pub entry: ::std::string::String,
+    pub generation: u64,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub placement: ::std::option::Option<ConfigDoc>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub placement_version: ::std::option::Option<u64>,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub quarantine: ::std::vec::Vec<QuarantineEntry>,
+    pub store: StoreContact,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub zone: ::std::option::Option<::std::string::String>,
+}
+impl ::std::convert::From<&SyncRequest> for SyncRequest {
+    fn from(value: &SyncRequest) -> Self {
+        value.clone()
+    }
+}
