Name the version in the order to fetch it

Origin and weight store publish a version by model and name, while the digest only proves it; the agent's shell has no targets to look the name up in.

--- a/src/agent/core/action.rs
+++ b/src/agent/core/action.rs
@@ -52,6 +52,8 @@
     Fetch {
         /// The model.
         model: TargetId,
+        /// Name of the version, under which origin and weight store publish it.
+        name: Arc<str>,
         /// Digest of the version's manifest.
         version: Digest,
     },
