--- /dev/null
+++ b/examples/measure/main.rs
@@ -0,0 +1,62 @@
+//! Measurements on real sockets on loopback: `cargo run --release --example measure -- NAME`.
+//!
+//! Each measurement prints one line for each figure: `name value unit target ok|short`.
+
+#![allow(clippy::print_stdout)]
+
+mod report;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use report::Report;
+
+/// Measure limpetloom against small stand-ins.
+#[derive(Clone, Debug, FromArgs)]
+pub struct Args {
+    /// measurement to run
+    #[argh(positional)]
+    pub name: String,
+    /// seed of every random choice
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print JSON instead of lines
+    #[argh(switch)]
+    pub json: bool,
+    /// baseline policy to run in place of the product's
+    #[argh(option)]
+    pub policy: Option<String>,
+    /// number of hosts
+    #[argh(option)]
+    pub hosts: Option<usize>,
+    /// number of regions
+    #[argh(option, default = "1")]
+    pub regions: usize,
+    /// distribution plan: origin, tree or swarm
+    #[argh(option, default = "String::from(\"swarm\")")]
+    pub plan: String,
+    /// fault to switch on
+    #[argh(option)]
+    pub fault: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    match runtime.block_on(run(&args)) {
+        Some(report) => report.finish(args.json),
+        None => {
+            println!("unknown measurement {:?}", args.name);
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Runs the named measurement; `None` when there is none of that name.
+async fn run(args: &Args) -> Option<Report> {
+    match args.name.as_str() {
+        "nothing" => Some(Report::new("nothing")),
+        _ => None,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod entry;
 pub mod telemetry;
+pub mod timer;
 pub mod types;
 pub mod wire;
 
