Entry core: first version of the public interface

Cause: the shells need the interface of the entry's decision logic. Change: EntryCore with membership from the host list and heartbeats, adoption of a higher generation only, and dispatch to the less loaded of two random endpoints with a free place. Keyed work is refused as not run until claims are in. LoadSeen carries the load that rides on answers. Conclusion: no retry, no fair queue and no suspicion policy beyond silence yet.

--- a/src/entry/core/event.rs
+++ b/src/entry/core/event.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::types::{AttemptEnd, AttemptId, Generation, HostId, RequestId, RequestMeta, ZoneId};
+use crate::types::{
+    AttemptEnd, AttemptId, EndpointId, Generation, HostId, RequestId, RequestMeta, ZoneId,
+};
 use crate::wire::{ConfigDoc, SettleReply, SyncReply};
 
 use super::StoreOp;
@@ -30,6 +32,15 @@
         /// The attempt; an event for another than the current attempt is ignored.
         attempt: AttemptId,
     },
+    /// An answer's header told the load of the endpoint that gave it.
+    LoadSeen {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Requests that its agent counts as in flight there.
+        in_flight: u32,
+        /// Requests that it bears at once now.
+        limit: u32,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// The request.
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -3,7 +3,133 @@
 //! [`EntryEvent`]s go in with the time, [`EntryAction`]s come out.
 
 mod action;
+mod config;
+mod control;
 mod event;
+mod requests;
+mod traffic;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::config::Targets;
+use crate::membership::Membership;
+use crate::routing::Endpoint;
+use crate::types::{EndpointId, RequestId};
+use crate::wire::ConfigDoc;
 
 pub use action::{Dispatch, EntryAction, StoreCall, StoreOp};
+pub use config::EntryCoreConfig;
 pub use event::{EntryEvent, HostEntry, HostRole, StoreReply};
+
+use requests::Request;
+
+/// State of one entry.
+pub struct EntryCore {
+    cfg: EntryCoreConfig,
+    rng: SmallRng,
+    /// Configuration in force with its parsed body.
+    config: Option<(ConfigDoc, Arc<Targets>)>,
+    /// Highest placement seen, passed on to agents.
+    placement: Option<ConfigDoc>,
+    membership: Membership,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    requests: BTreeMap<RequestId, Request>,
+    /// Invariant: each request in it is in `requests` and waits.
+    queue: VecDeque<RequestId>,
+    attempts: u64,
+    stopped: Option<Instant>,
+    store_contact: Option<Instant>,
+    store_reachable: bool,
+    actions: Vec<EntryAction>,
+}
+
+impl EntryCore {
+    /// An entry that knows no configuration and no host.
+    pub fn new(cfg: EntryCoreConfig, seed: u64, _now: Instant) -> Self {
+        Self {
+            cfg,
+            rng: SmallRng::seed_from_u64(seed),
+            config: None,
+            placement: None,
+            membership: Membership::default(),
+            endpoints: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            queue: VecDeque::new(),
+            attempts: 0,
+            stopped: None,
+            store_contact: None,
+            store_reachable: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes in an event and returns what has to be done, in this order.
+    pub fn handle(&mut self, now: Instant, event: EntryEvent) -> Vec<EntryAction> {
+        match event {
+            EntryEvent::Arrived { req, meta } => self.arrived(now, req, meta),
+            EntryEvent::CallerGone { req } => self.caller_gone(req),
+            EntryEvent::AttemptStarted { .. } => {}
+            EntryEvent::LoadSeen {
+                endpoint,
+                in_flight,
+                limit,
+            } => self.load_seen(&endpoint, in_flight, limit),
+            EntryEvent::AttemptEnded {
+                req, attempt, end, ..
+            } => self.attempt_ended(req, &attempt, end),
+            EntryEvent::StoreReplied { .. } | EntryEvent::SettleReplied { .. } => {}
+            EntryEvent::Synced { host, reply } => self.synced(now, &host, reply),
+            EntryEvent::SyncFailed { host } => self.sync_failed(now, &host),
+            EntryEvent::HostsListed(hosts) => self.hosts_listed(now, &hosts),
+            EntryEvent::ConfigSeen(doc) => self.config_seen(now, doc),
+            EntryEvent::PlacementSeen(doc) => self.placement_seen(doc),
+            EntryEvent::StoreContact { reached } => self.store_contact(now, reached),
+            EntryEvent::Stop => self.stopped = self.stopped.or(Some(now)),
+            EntryEvent::Tick => {}
+        }
+        self.send_heartbeats(now);
+        self.pump(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Time at which [`EntryEvent::Tick`] is due at the latest.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        let heartbeat = self.next_heartbeat();
+        let deadline = self.next_deadline();
+        heartbeat.into_iter().chain(deadline).min()
+    }
+
+    /// True when no request is waiting or in flight.
+    pub fn is_drained(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Configuration in force.
+    pub fn targets(&self) -> Option<&Arc<Targets>> {
+        self.config.as_ref().map(|(_, targets)| targets)
+    }
+
+    /// State for operators.
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "entry": &*self.cfg.entry,
+            "zone": &*self.cfg.zone,
+            "generation": self.generation(),
+            "queued": self.queue.len(),
+            "requests": self.requests.len(),
+            "stopping": self.stopped.is_some(),
+            "endpoints": self.endpoints.values().map(|endpoint| serde_json::json!({
+                "endpoint": &*endpoint.id,
+                "state": endpoint.state.to_string(),
+                "limit": endpoint.limit,
+                "own": endpoint.own,
+                "others": endpoint.others,
+            })).collect::<Vec<_>>(),
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod codes;
 pub mod config;
 pub mod entry;
+pub mod membership;
+pub mod routing;
 pub mod telemetry;
 pub mod timer;
 pub mod types;
