Control connections: JSON-RPC over WebSocket with a token

Cause: entries and agents need one control connection per pair, operators need status and dump. Change: RPC traits, listener with bounds and token check, client that reopens broken connections.

--- /dev/null
+++ b/src/control/access.rs
@@ -0,0 +1,87 @@
+//! Check of the token that a control connection must present.
+
+use std::future::{Ready, ready};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use futures_util::future::Either;
+use hyper::header::AUTHORIZATION;
+use hyper::{Request, Response, StatusCode};
+use tower::{Layer, Service};
+
+/// Layer that answers 401 to a connection without the token.
+#[derive(Clone, Debug)]
+pub(super) struct AccessLayer {
+    token: Option<Arc<str>>,
+}
+
+/// Service behind [`AccessLayer`].
+#[derive(Clone, Debug)]
+pub(super) struct Access<S> {
+    inner: S,
+    token: Option<Arc<str>>,
+}
+
+impl AccessLayer {
+    /// A layer that asks for `token`; `None` lets everyone in.
+    pub(super) fn new(token: Option<Arc<str>>) -> Self {
+        Self { token }
+    }
+}
+
+impl<S> Layer<S> for AccessLayer {
+    type Service = Access<S>;
+
+    fn layer(&self, inner: S) -> Self::Service {
+        Access {
+            inner,
+            token: self.token.clone(),
+        }
+    }
+}
+
+impl<S> Access<S> {
+    fn allows<B>(&self, req: &Request<B>) -> bool {
+        let Some(token) = &self.token else {
+            return true;
+        };
+        let presented = req
+            .headers()
+            .get(AUTHORIZATION)
+            .map(|value| value.as_bytes());
+        presented.is_some_and(|value| equals_in_constant_time(value, bearer(token).as_bytes()))
+    }
+}
+
+impl<S, B, R> Service<Request<B>> for Access<S>
+where
+    S: Service<Request<B>, Response = Response<R>>,
+    R: Default,
+{
+    type Response = S::Response;
+    type Error = S::Error;
+    type Future = Either<S::Future, Ready<Result<S::Response, S::Error>>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, req: Request<B>) -> Self::Future {
+        if self.allows(&req) {
+            return Either::Left(self.inner.call(req));
+        }
+        let mut response = Response::new(R::default());
+        *response.status_mut() = StatusCode::UNAUTHORIZED;
+        Either::Right(ready(Ok(response)))
+    }
+}
+
+/// Value of the `authorization` header for a token.
+pub(super) fn bearer(token: &str) -> String {
+    format!("Bearer {token}")
+}
+
+/// Compares two values without revealing by its duration where they differ.
+fn equals_in_constant_time(a: &[u8], b: &[u8]) -> bool {
+    blake3::hash(a) == blake3::hash(b)
+}
--- /dev/null
+++ b/src/control/client.rs
@@ -0,0 +1,103 @@
+//! Control connections to other processes, one for each address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use displaydoc::Display;
+use hyper::header::AUTHORIZATION;
+use hyper::{HeaderMap, http::HeaderValue};
+use jsonrpsee::core::client::Error as RpcError;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+
+use super::access::bearer;
+
+/// Why a control call failed.
+#[derive(Debug, Display)]
+pub enum CallError {
+    /// control connection to {0} was not made: {1}
+    Connect(SocketAddr, String),
+    /// control call to {0} failed: {1}
+    Call(SocketAddr, String),
+}
+
+impl std::error::Error for CallError {}
+
+/// Open control connections.
+#[derive(Clone, Debug)]
+pub struct ControlClients {
+    token: Option<Arc<str>>,
+    timeout: Duration,
+    open: Arc<Mutex<HashMap<SocketAddr, Arc<WsClient>>>>,
+}
+
+impl ControlClients {
+    /// Connections that present `token` and give up on a call after `timeout`.
+    pub fn new(token: Option<Arc<str>>, timeout: Duration) -> Self {
+        Self {
+            token,
+            timeout,
+            open: Arc::default(),
+        }
+    }
+
+    /// Calls a method of the process at `addr`; opens the connection when there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection can not be made, breaks, or the call times out.
+    pub async fn call<T, F, Fut>(&self, addr: SocketAddr, f: F) -> Result<T, CallError>
+    where
+        F: FnOnce(Arc<WsClient>) -> Fut,
+        Fut: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.connection(addr).await?;
+        f(client).await.map_err(|err| {
+            self.forget(addr);
+            CallError::Call(addr, err.to_string())
+        })
+    }
+
+    /// Closes the connection to `addr`.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
+    async fn connection(&self, addr: SocketAddr) -> Result<Arc<WsClient>, CallError> {
+        if let Some(client) = self
+            .lock()
+            .get(&addr)
+            .filter(|client| client.is_connected())
+        {
+            return Ok(client.clone());
+        }
+        let client = Arc::new(self.connect(addr).await?);
+        self.lock().insert(addr, client.clone());
+        Ok(client)
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<WsClient, CallError> {
+        WsClientBuilder::default()
+            .connection_timeout(self.timeout)
+            .request_timeout(self.timeout)
+            .set_headers(self.headers())
+            .set_tcp_no_delay(true)
+            .build(format!("ws://{addr}"))
+            .await
+            .map_err(|err| CallError::Connect(addr, err.to_string()))
+    }
+
+    fn headers(&self) -> HeaderMap {
+        let token = self.token.as_deref().map(bearer);
+        let value = token.and_then(|text| HeaderValue::from_str(&text).ok());
+        value
+            .into_iter()
+            .map(|value| (AUTHORIZATION, value))
+            .collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<WsClient>>> {
+        self.open.lock().expect("no holder of the lock panics")
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod codes;
 pub mod config;
+pub mod control;
 pub mod entry;
 pub mod membership;
 pub mod routing;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -31,6 +31,23 @@
         }
     }
 }
+///A class of work as an entry sees it.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClassStatus {
+    pub answered: u64,
+    pub class: ::std::string::String,
+    ///95th percentile of the recent time to the first token.
+    pub first_token_p95_ms: u32,
+    pub in_flight: u32,
+    pub queued: u32,
+    pub refused: u64,
+}
+impl ::std::convert::From<&ClassStatus> for ClassStatus {
+    fn from(value: &ClassStatus) -> Self {
+        value.clone()
+    }
+}
 ///A configuration with its generation.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -158,6 +175,45 @@
         value.parse()
     }
 }
+///What an entry knows of the system.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EntryStatus {
+    pub classes: ::std::vec::Vec<ClassStatus>,
+    pub entry: ::std::string::String,
+    pub generation: u64,
+    pub hosts: ::std::vec::Vec<HostStatus>,
+    ///False while the entry refuses new work for want of a confirmed configuration.
+    pub in_force: bool,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub quarantine: ::std::vec::Vec<QuarantineEntry>,
+    pub store: StoreContact,
+    pub zone: ::std::string::String,
+}
+impl ::std::convert::From<&EntryStatus> for EntryStatus {
+    fn from(value: &EntryStatus) -> Self {
+        value.clone()
+    }
+}
+///An agent's host as an entry sees it.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HostStatus {
+    ///Milliseconds since the last heartbeat that was answered.
+    pub age_ms: u64,
+    pub endpoints: ::std::vec::Vec<EndpointReport>,
+    pub generation: u64,
+    pub host: ::std::string::String,
+    pub leaving: bool,
+    ///True while heartbeats fail.
+    pub suspect: bool,
+    pub zone: ::std::string::String,
+}
+impl ::std::convert::From<&HostStatus> for HostStatus {
+    fn from(value: &HostStatus) -> Self {
+        value.clone()
+    }
+}
 ///A request fingerprint that has crashed endpoints.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,5 +6,7 @@
 #[allow(missing_docs, clippy::all, unused_qualifications)]
 #[rustfmt::skip]
 mod generated;
+mod rpc;
 
 pub use generated::*;
+pub use rpc::*;
