--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs)]
 
 pub mod agent;
+pub mod answer;
 pub mod codes;
 pub mod config;
 pub mod control;
