--- a/codegen/src/lib.rs
+++ b/codegen/src/lib.rs
@@ -6,6 +6,7 @@
 mod codes;
 mod events;
 mod messages;
+mod settings;
 
 use std::error::Error;
 use std::path::Path;
@@ -27,6 +28,7 @@
     let schema = root.join("schema");
     let mut outputs = codes::outputs(&schema.join("codes.json"))?;
     outputs.extend(events::outputs(&schema.join("events.json"))?);
+    outputs.extend(settings::outputs(&schema.join("settings.json"))?);
     outputs.push(messages::output(&schema.join("messages.json"))?);
     Ok(outputs)
 }
--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -66,6 +66,38 @@
     AnswerBroken = 3003,
     /// the answer did not arrive in time
     AnswerTimeout = 3004,
+    /// the file can not be read
+    FileUnreadable = 4001,
+    /// the line is not INI
+    SyntaxError = 4002,
+    /// the file has no such section
+    UnknownSection = 4003,
+    /// the section has no such key
+    UnknownKey = 4004,
+    /// the value has no unit or a wrong one
+    WrongUnit = 4005,
+    /// the value is out of range
+    OutOfRange = 4006,
+    /// the section or key stands twice
+    Duplicate = 4007,
+    /// a required section or key is missing
+    Missing = 4008,
+    /// the value does not have the expected form
+    BadValue = 4009,
+    /// the value names something that the file does not declare
+    BadReference = 4010,
+    /// another operator's change was accepted first
+    RaceLost = 4011,
+    /// the weight store has no such version of the model
+    VersionUnknown = 4012,
+    /// whether the change was accepted is not known yet
+    WriteUnsettled = 4013,
+    /// the change is accepted and not yet in force everywhere
+    NotInForce = 4014,
+    /// the control token is missing or wrong
+    AccessDenied = 8001,
+    /// too many control calls
+    RateLimited = 8002,
 }
 impl Code {
     /// Every code, by number.
@@ -101,6 +133,22 @@
         Self::StillRunning,
         Self::AnswerBroken,
         Self::AnswerTimeout,
+        Self::FileUnreadable,
+        Self::SyntaxError,
+        Self::UnknownSection,
+        Self::UnknownKey,
+        Self::WrongUnit,
+        Self::OutOfRange,
+        Self::Duplicate,
+        Self::Missing,
+        Self::BadValue,
+        Self::BadReference,
+        Self::RaceLost,
+        Self::VersionUnknown,
+        Self::WriteUnsettled,
+        Self::NotInForce,
+        Self::AccessDenied,
+        Self::RateLimited,
     ];
     /// HTTP status that carries the code.
     pub fn status(self) -> u16 {
@@ -136,6 +184,22 @@
             Self::StillRunning => 409,
             Self::AnswerBroken => 502,
             Self::AnswerTimeout => 504,
+            Self::FileUnreadable => 400,
+            Self::SyntaxError => 400,
+            Self::UnknownSection => 400,
+            Self::UnknownKey => 400,
+            Self::WrongUnit => 400,
+            Self::OutOfRange => 400,
+            Self::Duplicate => 400,
+            Self::Missing => 400,
+            Self::BadValue => 400,
+            Self::BadReference => 400,
+            Self::RaceLost => 409,
+            Self::VersionUnknown => 404,
+            Self::WriteUnsettled => 504,
+            Self::NotInForce => 504,
+            Self::AccessDenied => 403,
+            Self::RateLimited => 429,
         }
     }
     /// What is known of the work behind the code.
@@ -172,6 +236,22 @@
             Self::StillRunning => RunState::Running,
             Self::AnswerBroken => RunState::Unknown,
             Self::AnswerTimeout => RunState::Unknown,
+            Self::FileUnreadable => RunState::NotRun,
+            Self::SyntaxError => RunState::NotRun,
+            Self::UnknownSection => RunState::NotRun,
+            Self::UnknownKey => RunState::NotRun,
+            Self::WrongUnit => RunState::NotRun,
+            Self::OutOfRange => RunState::NotRun,
+            Self::Duplicate => RunState::NotRun,
+            Self::Missing => RunState::NotRun,
+            Self::BadValue => RunState::NotRun,
+            Self::BadReference => RunState::NotRun,
+            Self::RaceLost => RunState::NotRun,
+            Self::VersionUnknown => RunState::NotRun,
+            Self::WriteUnsettled => RunState::NotRun,
+            Self::NotInForce => RunState::NotRun,
+            Self::AccessDenied => RunState::NotRun,
+            Self::RateLimited => RunState::NotRun,
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod membership;
 pub mod routing;
+pub mod settings;
 pub mod telemetry;
 pub mod timer;
 pub mod types;
--- /dev/null
+++ b/src/settings/fault.rs
@@ -0,0 +1,129 @@
+//! Faults of a settings or targets file.
+
+use std::error::Error;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::codes::Code;
+
+/// One fault of a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Name of the file.
+    pub file: Arc<str>,
+    /// Line, from 1; 0 when the fault is of the file as a whole.
+    pub line: usize,
+    /// Section and key, as `section.key` or `section NAME.key`.
+    pub key: Arc<str>,
+    /// Numbered code.
+    pub code: Code,
+    /// What was expected.
+    pub expected: Arc<str>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            file,
+            line,
+            key,
+            code,
+            expected,
+        } = self;
+        let number = code.number();
+        write!(
+            f,
+            "{file}:{line}: {key}: {code} ({number}); expected {expected}"
+        )
+    }
+}
+
+/// Fault in the form that a script reads.
+#[derive(Serialize)]
+struct FaultDoc<'a> {
+    file: &'a str,
+    line: usize,
+    key: &'a str,
+    code: u16,
+    name: String,
+    message: String,
+    expected: &'a str,
+}
+
+impl<'a> From<&'a Fault> for FaultDoc<'a> {
+    fn from(fault: &'a Fault) -> Self {
+        Self {
+            file: &fault.file,
+            line: fault.line,
+            key: &fault.key,
+            code: fault.code.number(),
+            name: format!("{:?}", fault.code),
+            message: fault.code.to_string(),
+            expected: &fault.expected,
+        }
+    }
+}
+
+impl Serialize for Fault {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        FaultDoc::from(self).serialize(serializer)
+    }
+}
+
+/// Every fault of a file, by line.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Faults {
+    #[serde(skip)]
+    file: Arc<str>,
+    /// Invariant: sorted by line.
+    faults: Vec<Fault>,
+}
+
+impl Faults {
+    /// Starts an empty list for `file`.
+    pub fn new(file: &str) -> Self {
+        Self {
+            file: file.into(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Adds a fault.
+    pub fn push(&mut self, line: usize, key: &str, code: Code, expected: &str) {
+        let at = self.faults.partition_point(|fault| fault.line <= line);
+        let fault = Fault {
+            file: self.file.clone(),
+            line,
+            key: key.into(),
+            code,
+            expected: expected.into(),
+        };
+        self.faults.insert(at, fault);
+    }
+
+    /// The faults, by line.
+    pub fn iter(&self) -> impl Iterator<Item = &Fault> {
+        self.faults.iter()
+    }
+
+    /// True when no fault was found.
+    pub fn is_empty(&self) -> bool {
+        self.faults.is_empty()
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, fault) in self.faults.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Faults {}
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -36,3 +36,5 @@
 pub type Key = Arc<str>;
 /// Power in milliwatts.
 pub type Milliwatts = u64;
+/// Energy in millijoules.
+pub type Millijoules = u64;
