Weights: decision logic and service of a swarm over bounded peer sets

Cause: the agent's shell needs the interface of weight transfer. Announcements carry the whole bitmap, so that a newer one replaces an older one.

Only the bitmap has tests so far; no swarm has been run, so there are no figures.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod telemetry;
 pub mod timer;
 pub mod types;
+pub mod weights;
 pub mod wire;
 
 pub use codes::Code;
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -35,6 +35,12 @@
     VersionReady = 600,
     /// chunk failed verification
     ChunkCorrupt = 601,
+    /// version does not fit into the memory for chunks
+    NoRoomForVersion = 602,
+    /// manifest does not have the digest that the targets name
+    ManifestMismatch = 603,
+    /// engine did not take the version's bytes
+    StagingFailed = 604,
 }
 impl Event {
     /// Level at which the event is logged.
@@ -56,6 +62,9 @@
             Self::EndpointRestarted => log::Level::Warn,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
+            Self::NoRoomForVersion => log::Level::Error,
+            Self::ManifestMismatch => log::Level::Error,
+            Self::StagingFailed => log::Level::Warn,
         }
     }
 }
--- /dev/null
+++ b/src/weights/client.rs
@@ -0,0 +1,186 @@
+//! Requests of an agent to peers, origins and engines.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use super::bitmap::ChunkSet;
+use super::core::{Have, Source, Wanted};
+use super::error::FetchError;
+use super::wire::{self, PeerRequest, Sender};
+
+/// Largest manifest in bytes that is read.
+const MANIFEST_LIMIT: usize = 8 << 20;
+/// Largest bitmap in bytes that is read.
+pub(super) const HAVE_LIMIT: usize = 16 << 10;
+/// Time after which a connection attempt is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A chunk as it arrived, not yet verified.
+pub(super) struct Arrived {
+    pub bytes: Bytes,
+    pub have: Option<ChunkSet>,
+    pub took: Duration,
+}
+
+/// HTTP client for the transfer of weights.
+#[derive(Clone, Debug)]
+pub(super) struct WeightsClient {
+    http: Client<HttpConnector, Full<Bytes>>,
+    own: Sender,
+    timeout: Duration,
+}
+
+impl WeightsClient {
+    pub fn new(own: Sender, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Self {
+            http: Client::builder(TokioExecutor::new()).build(connector),
+            own,
+            timeout,
+        }
+    }
+
+    pub async fn manifest(
+        &self,
+        wanted: &Wanted,
+        source: &Source,
+        addr: SocketAddr,
+    ) -> Result<Bytes, FetchError> {
+        let path = match source {
+            Source::Peer(_) => PeerRequest::Manifest(wanted.version.clone()).path(),
+            Source::Origin(_) => format!("/manifests/{}/{}", wanted.model, wanted.name),
+        };
+        let answer = self.call(Method::GET, addr, &path, Bytes::new());
+        let answer = self.in_time(answer).await?;
+        self.in_time(read(check(answer)?, MANIFEST_LIMIT)).await
+    }
+
+    pub async fn chunk(
+        &self,
+        wanted: &Wanted,
+        index: u32,
+        source: &Source,
+        addr: SocketAddr,
+        size: u64,
+    ) -> Result<Arrived, FetchError> {
+        let path = match source {
+            Source::Peer(_) => PeerRequest::Chunk(wanted.version.clone(), index).path(),
+            Source::Origin(_) => format!("/chunks/{}/{}/{index}", wanted.model, wanted.name),
+        };
+        let start = Instant::now();
+        let fetch = async {
+            let answer = self.call(Method::GET, addr, &path, Bytes::new()).await?;
+            let answer = check(answer)?;
+            let have = answer
+                .headers()
+                .get(wire::HAVE)
+                .and_then(|value| wire::parse_have_header(value.to_str().ok()?));
+            // A longer body than the manifest says is corrupt, whatever its bytes.
+            let bytes = read(answer, size as usize).await?;
+            Ok((bytes, have))
+        };
+        let (bytes, have) = self.in_time(fetch).await?;
+        Ok(Arrived {
+            bytes,
+            have,
+            took: start.elapsed(),
+        })
+    }
+
+    pub async fn announce(
+        &self,
+        addr: SocketAddr,
+        path: &PeerRequest,
+        have: &Have,
+    ) -> Result<Have, FetchError> {
+        let body = have_body(have);
+        let call = async {
+            let answer = self.call(Method::POST, addr, &path.path(), body).await?;
+            match answer.status() {
+                StatusCode::NO_CONTENT => Ok(Have::Nothing),
+                StatusCode::OK => {
+                    let buf = read(answer, HAVE_LIMIT).await?;
+                    Ok(Have::Chunks(ChunkSet::from_bytes(&buf)))
+                }
+                _ => Err(FetchError::Unreachable),
+            }
+        };
+        self.in_time(call).await
+    }
+
+    pub async fn stage(
+        &self,
+        engine: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(), FetchError> {
+        let call = async {
+            let answer = check(self.call(Method::PUT, engine, path, body).await?)?;
+            read(answer, HAVE_LIMIT).await
+        };
+        self.in_time(call).await.map(drop)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, FetchError> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .header(wire::HOST, &*self.own.host)
+            .header(wire::ADDR, self.own.addr.to_string())
+            .body(Full::new(body))
+            .map_err(|_| FetchError::Unreachable)?;
+        let answer = self.http.request(req).await;
+        answer.map_err(|_| FetchError::Unreachable)
+    }
+
+    async fn in_time<T>(
+        &self,
+        call: impl Future<Output = Result<T, FetchError>>,
+    ) -> Result<T, FetchError> {
+        tokio::time::timeout(self.timeout, call)
+            .await
+            .unwrap_or(Err(FetchError::TimedOut))
+    }
+}
+
+/// Body of an announcement; empty before the manifest is known, and only then.
+pub(super) fn have_body(have: &Have) -> Bytes {
+    match have {
+        Have::Nothing => Bytes::new(),
+        Have::Chunks(have) if have.memory() == 0 => Bytes::from_static(&[0]),
+        Have::Chunks(have) => Bytes::from(have.to_bytes()),
+    }
+}
+
+fn check(answer: Response<Incoming>) -> Result<Response<Incoming>, FetchError> {
+    match answer.status() {
+        StatusCode::OK => Ok(answer),
+        StatusCode::NOT_FOUND => Err(FetchError::Missing),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(FetchError::Busy),
+        _ => Err(FetchError::Unreachable),
+    }
+}
+
+async fn read(answer: Response<Incoming>, limit: usize) -> Result<Bytes, FetchError> {
+    let body = Limited::new(answer.into_body(), limit).collect().await;
+    match body {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(FetchError::Corrupt),
+        Err(_) => Err(FetchError::Unreachable),
+    }
+}
--- /dev/null
+++ b/src/weights/core/config.rs
@@ -0,0 +1,58 @@
+//! Settings of the decision logic and of the service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::weights::peers::Peer;
+
+/// Settings of weight transfer on one host.
+#[derive(Clone, Debug)]
+pub struct WeightsConfig {
+    /// This host.
+    pub own: Peer,
+    /// Origin and weight store, in the order in which they are asked.
+    pub origins: Vec<SocketAddr>,
+    /// Rings from which peers are taken; a host has up to twice as many peers.
+    pub rings: usize,
+    /// Chunks that are fetched from peers at once.
+    pub downloads: usize,
+    /// Chunks that are fetched from one peer at once.
+    pub per_peer: usize,
+    /// Chunks that are drawn from the origin at once.
+    pub origin_downloads: usize,
+    /// Chunks that are sent to peers at once.
+    pub uploads: usize,
+    /// Shortest time between two announcements to one peer.
+    pub announce_interval: Duration,
+    /// Time without news after which the next host in rank draws a chunk from the origin.
+    pub takeover: Duration,
+    /// Time after which a fetch is given up.
+    pub fetch_timeout: Duration,
+    /// Bound on the memory for chunks in bytes.
+    pub memory: u64,
+    /// Cap on received chunk bytes a second; `None` for no cap.
+    pub download_rate: Option<u64>,
+    /// Cap on sent chunk bytes a second; `None` for no cap.
+    pub upload_rate: Option<u64>,
+}
+
+impl WeightsConfig {
+    /// Defaults for a host.
+    pub fn new(own: Peer, origins: Vec<SocketAddr>) -> Self {
+        Self {
+            own,
+            origins,
+            rings: 4,
+            downloads: 4,
+            per_peer: 2,
+            origin_downloads: 2,
+            uploads: 4,
+            announce_interval: Duration::from_millis(500),
+            takeover: Duration::from_secs(5),
+            fetch_timeout: Duration::from_secs(30),
+            memory: 64 << 30,
+            download_rate: None,
+            upload_rate: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/weights/serve.rs
@@ -0,0 +1,111 @@
+//! Answers to peers' requests.
+
+use std::convert::Infallible;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
+use hyper::{Method, Request, Response, StatusCode};
+
+use super::bitmap::ChunkSet;
+use super::client::{HAVE_LIMIT, have_body};
+use super::core::{Have, WeightsEvent};
+use super::service::{Input, WeightsService};
+use super::wire::{self, PeerRequest, Sender};
+
+/// Answer to a peer.
+pub type PeerResponse = Response<Full<Bytes>>;
+
+impl WeightsService {
+    /// Answers a request under [`wire::PREFIX`].
+    ///
+    /// # Errors
+    ///
+    /// None; what can not be answered gets a status.
+    pub async fn serve<B>(&self, req: Request<B>) -> Result<PeerResponse, Infallible>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let answer = match (req.method(), PeerRequest::parse(req.uri().path())) {
+            (&Method::GET, Some(PeerRequest::Manifest(version))) => {
+                self.inner.store.manifest_bytes(&version).map(ok)
+            }
+            (&Method::GET, Some(PeerRequest::Chunk(version, index))) => {
+                self.serve_chunk(&version, index).await
+            }
+            (&Method::POST, Some(PeerRequest::Have(version))) => {
+                let sender = Sender::from_headers(req.headers());
+                let body = Limited::new(req.into_body(), HAVE_LIMIT).collect().await;
+                let body = body.ok().map(|body| body.to_bytes());
+                Some(self.serve_have(version.as_ref(), sender, body))
+            }
+            _ => None,
+        };
+        Ok(answer.unwrap_or_else(|| status(StatusCode::NOT_FOUND)))
+    }
+
+    async fn serve_chunk(&self, version: &str, index: u32) -> Option<PeerResponse> {
+        let chunk = self.inner.store.chunk(version, index)?;
+        let Ok(_slot) = self.inner.uploads.acquire().await else {
+            return Some(status(StatusCode::SERVICE_UNAVAILABLE));
+        };
+        self.pace_upload(chunk.len() as u64).await;
+        let mut answer = ok(chunk);
+        if let Have::Chunks(have) = self.inner.store.have(version)
+            && let Ok(value) = wire::have_header(&have).parse()
+        {
+            answer.headers_mut().insert(wire::HAVE, value);
+        }
+        Some(answer)
+    }
+
+    async fn pace_upload(&self, bytes: u64) {
+        let Some(limit) = &self.inner.upload_rate else {
+            return;
+        };
+        let until = match limit.lock() {
+            Ok(mut limit) => limit.reserve(Instant::now(), bytes),
+            Err(_) => return,
+        };
+        tokio::time::sleep_until(until.into()).await;
+    }
+
+    fn serve_have(
+        &self,
+        version: &str,
+        sender: Option<Sender>,
+        body: Option<Bytes>,
+    ) -> PeerResponse {
+        let (Some(sender), Some(body)) = (sender, body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let have = match body.is_empty() {
+            true => Have::Nothing,
+            false => Have::Chunks(ChunkSet::from_bytes(&body)),
+        };
+        let event = WeightsEvent::Announced {
+            host: sender.host,
+            addr: sender.addr,
+            version: version.into(),
+            have,
+        };
+        // A full buffer drops the announcement; the next one carries all that it said.
+        let _ = self.inner.events.try_send(Input::Event(event));
+        match self.inner.store.have(version) {
+            Have::Nothing => status(StatusCode::NO_CONTENT),
+            have => ok(have_body(&have)),
+        }
+    }
+}
+
+fn ok(body: Bytes) -> PeerResponse {
+    Response::new(Full::new(body))
+}
+
+fn status(status: StatusCode) -> PeerResponse {
+    let mut answer = ok(Bytes::new());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/src/weights/service.rs
@@ -0,0 +1,141 @@
+//! Shell around the decision logic: the service that an agent runs.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::{Semaphore, mpsc};
+
+use crate::types::{Digest, TargetId};
+
+use super::client::WeightsClient;
+use super::core::{Wanted, WeightsConfig, WeightsEvent};
+use super::driver::Driver;
+use super::error::StageError;
+use super::limit::RateLimit;
+use super::peers::Peer;
+use super::stage;
+use super::store::ChunkStore;
+use super::wire::Sender;
+
+/// Events that wait for the decision logic; peers' announcements beyond are dropped.
+const EVENT_BUFFER: usize = 1024;
+
+/// Weight transfer of one host; clones share it, and it ends when the last clone is dropped.
+#[derive(Clone, Debug)]
+pub struct WeightsService {
+    pub(super) inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub store: Arc<ChunkStore>,
+    pub events: mpsc::Sender<Input>,
+    pub uploads: Semaphore,
+    pub upload_rate: Option<Mutex<RateLimit>>,
+    client: WeightsClient,
+}
+
+/// What the service passes to its decision logic.
+#[derive(Debug)]
+pub(super) enum Input {
+    /// An event.
+    Event(WeightsEvent),
+    /// A question about the state, for the dump and for measurements.
+    Inspect(tokio::sync::oneshot::Sender<WeightsState>),
+}
+
+/// What the service tells its owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum WeightsNotice {
+    /// All chunks of the version are verified and in memory.
+    Held {
+        /// Digest of the manifest.
+        version: Digest,
+    },
+    /// Share of the version's chunks that is verified.
+    Progress {
+        /// Digest of the manifest.
+        version: Digest,
+        /// Share in thousandths.
+        permille: u32,
+    },
+}
+
+/// Size of the service's state.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WeightsState {
+    /// Bytes of control state, without the chunks and the host list.
+    pub control_bytes: usize,
+    /// Bytes of the chunks in memory.
+    pub chunk_bytes: u64,
+    /// Peers that announcements are exchanged with.
+    pub peers: usize,
+    /// Bytes of announcements sent and answered since the start.
+    pub announced_bytes: u64,
+}
+
+impl WeightsService {
+    /// Starts the service on the current runtime.
+    ///
+    /// The notices end when the last clone of the service is dropped.
+    pub fn spawn(cfg: WeightsConfig, seed: u64) -> (Self, mpsc::UnboundedReceiver<WeightsNotice>) {
+        let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+        let (notices, notices_rx) = mpsc::unbounded_channel();
+        let store = Arc::new(ChunkStore::default());
+        let own = Sender {
+            host: cfg.own.host.clone(),
+            addr: cfg.own.addr,
+        };
+        let client = WeightsClient::new(own, cfg.fetch_timeout);
+        let inner = Inner {
+            store: store.clone(),
+            events: tx,
+            uploads: Semaphore::new(cfg.uploads),
+            upload_rate: cfg.upload_rate.map(|rate| Mutex::new(RateLimit::new(rate))),
+            client: client.clone(),
+        };
+        tokio::spawn(Driver::new(cfg, seed, store, client, notices).run(rx));
+        let service = Self {
+            inner: Arc::new(inner),
+        };
+        (service, notices_rx)
+    }
+
+    /// Wants a version; work on an older one of the model stops at once.
+    pub async fn fetch(&self, wanted: Wanted) {
+        self.send(WeightsEvent::Wanted(wanted)).await;
+    }
+
+    /// Wants no version of the model any longer.
+    pub async fn release(&self, model: TargetId) {
+        self.send(WeightsEvent::Unwanted { model }).await;
+    }
+
+    /// Tells who the hosts are, this one included or not.
+    pub async fn set_peers(&self, peers: Vec<Peer>) {
+        self.send(WeightsEvent::PeersListed(peers)).await;
+    }
+
+    /// Puts a held version into an engine's staging.
+    ///
+    /// # Errors
+    ///
+    /// [`StageError`] when the host does not hold the whole version, or the engine refuses.
+    pub async fn stage(&self, engine: SocketAddr, version: &Digest) -> Result<(), StageError> {
+        stage::stage(&self.inner.store, &self.inner.client, engine, version).await
+    }
+
+    /// Size of the state.
+    pub async fn state(&self) -> WeightsState {
+        let (tx, rx) = tokio::sync::oneshot::channel();
+        if self.inner.events.send(Input::Inspect(tx)).await.is_err() {
+            return WeightsState::default();
+        }
+        rx.await.unwrap_or_default()
+    }
+
+    async fn send(&self, event: WeightsEvent) {
+        // The driver lives as long as any clone of the service.
+        let _ = self.inner.events.send(Input::Event(event)).await;
+    }
+}
--- /dev/null
+++ b/src/weights/stage.rs
@@ -0,0 +1,46 @@
+//! Transfer of a held version into an engine's staging.
+
+use std::net::SocketAddr;
+
+use futures_util::{StreamExt, TryStreamExt, stream};
+
+use crate::types::Digest;
+
+use super::client::WeightsClient;
+use super::error::StageError;
+use super::store::ChunkStore;
+
+/// Chunks that are put into one engine's staging at once.
+const PARALLEL_PUTS: usize = 4;
+
+pub(super) async fn stage(
+    store: &ChunkStore,
+    client: &WeightsClient,
+    engine: SocketAddr,
+    version: &Digest,
+) -> Result<(), StageError> {
+    let manifest = store.manifest(version).ok_or(StageError::NotHeld)?;
+    let bytes = store.manifest_bytes(version).ok_or(StageError::NotHeld)?;
+    let path = format!("/admin/staging/{version}/manifest");
+    put(client, engine, &path, bytes).await?;
+    stream::iter(0..manifest.len())
+        .map(Ok)
+        .try_for_each_concurrent(PARALLEL_PUTS, |index| async move {
+            let chunk = store.chunk(version, index).ok_or(StageError::NotHeld)?;
+            let path = format!("/admin/staging/{version}/{index}");
+            put(client, engine, &path, chunk).await
+        })
+        .await
+}
+
+async fn put(
+    client: &WeightsClient,
+    engine: SocketAddr,
+    path: &str,
+    body: bytes::Bytes,
+) -> Result<(), StageError> {
+    client
+        .stage(engine, path, body)
+        .await
+        .map_err(|error| StageError::Engine(format!("{path}: {error}")))
+}
--- /dev/null
+++ b/src/weights/store.rs
@@ -0,0 +1,93 @@
+//! Chunks in memory, shared by the fetches, the peers' requests and the staging of engines.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+
+use crate::types::Digest;
+
+use super::bitmap::ChunkSet;
+use super::core::Have;
+use super::manifest::Manifest;
+
+/// Verified chunks of the versions that the decision logic has opened.
+///
+/// Invariant: a chunk is in the store only after its digest was verified.
+#[derive(Debug, Default)]
+pub struct ChunkStore {
+    versions: Mutex<HashMap<Digest, Version>>,
+}
+
+#[derive(Debug)]
+struct Version {
+    manifest: Arc<Manifest>,
+    manifest_bytes: Bytes,
+    have: ChunkSet,
+    chunks: Vec<Option<Bytes>>,
+}
+
+impl ChunkStore {
+    /// Makes room for a version; what is already held of it stays.
+    pub fn open(&self, version: &Digest, manifest: Arc<Manifest>, manifest_bytes: Bytes) {
+        let chunks = vec![None; manifest.chunks.len()];
+        self.lock().entry(version.clone()).or_insert(Version {
+            manifest,
+            manifest_bytes,
+            have: ChunkSet::default(),
+            chunks,
+        });
+    }
+
+    /// Frees a version's memory.
+    pub fn remove(&self, version: &Digest) {
+        self.lock().remove(version);
+    }
+
+    /// Keeps a verified chunk, unless the version has been dropped.
+    pub fn insert(&self, version: &Digest, index: u32, chunk: Bytes) {
+        let mut versions = self.lock();
+        let Some(version) = versions.get_mut(version) else {
+            return;
+        };
+        if let Some(slot) = version.chunks.get_mut(index as usize) {
+            *slot = Some(chunk);
+            version.have.insert(index);
+        }
+    }
+
+    /// Bytes of a chunk.
+    pub fn chunk(&self, version: &str, index: u32) -> Option<Bytes> {
+        let versions = self.lock();
+        versions.get(version)?.chunks.get(index as usize)?.clone()
+    }
+
+    /// Bytes of a manifest.
+    pub fn manifest_bytes(&self, version: &str) -> Option<Bytes> {
+        Some(self.lock().get(version)?.manifest_bytes.clone())
+    }
+
+    /// The manifest of an open version.
+    pub fn manifest(&self, version: &str) -> Option<Arc<Manifest>> {
+        Some(self.lock().get(version)?.manifest.clone())
+    }
+
+    /// What the host holds of a version.
+    pub fn have(&self, version: &str) -> Have {
+        match self.lock().get(version) {
+            Some(version) => Have::Chunks(version.have.clone()),
+            None => Have::Nothing,
+        }
+    }
+
+    /// Bytes of the chunks in memory.
+    pub fn bytes(&self) -> u64 {
+        let versions = self.lock();
+        let chunks = versions.values().flat_map(|version| &version.chunks);
+        chunks.flatten().map(|chunk| chunk.len() as u64).sum()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Digest, Version>> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/weights/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of weight distribution.
+
+mod bitmap;
--- /dev/null
+++ b/src/weights/wire.rs
@@ -0,0 +1,89 @@
+//! Requests between agents about weights, over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::types::{Digest, HostId};
+
+use super::bitmap::ChunkSet;
+
+/// Path under which an agent answers its peers.
+pub const PREFIX: &str = "/weights/";
+/// Header that names the host of the sender.
+pub const HOST: &str = "x-limpetloom-host";
+/// Header with the address of the sender's traffic listener.
+pub const ADDR: &str = "x-limpetloom-addr";
+/// Header of a chunk with the chunks that the sender holds, as hexadecimal words.
+pub const HAVE: &str = "x-limpetloom-have";
+
+/// A request from a peer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PeerRequest {
+    /// `GET /weights/DIGEST/manifest`
+    Manifest(Digest),
+    /// `GET /weights/DIGEST/chunks/INDEX`
+    Chunk(Digest, u32),
+    /// `POST /weights/DIGEST/have`; the body is a bitmap, or empty before the manifest is known.
+    Have(Digest),
+}
+
+impl PeerRequest {
+    /// Reads the path of a request.
+    pub fn parse(path: &str) -> Option<Self> {
+        let mut parts = path.strip_prefix(PREFIX)?.split('/');
+        let version: Digest = Arc::from(parts.next()?);
+        match (parts.next()?, parts.next(), parts.next()) {
+            ("manifest", None, None) => Some(Self::Manifest(version)),
+            ("chunks", Some(index), None) => Some(Self::Chunk(version, index.parse().ok()?)),
+            ("have", None, None) => Some(Self::Have(version)),
+            _ => None,
+        }
+    }
+
+    /// Path of the request.
+    pub fn path(&self) -> String {
+        match self {
+            Self::Manifest(version) => format!("{PREFIX}{version}/manifest"),
+            Self::Chunk(version, index) => format!("{PREFIX}{version}/chunks/{index}"),
+            Self::Have(version) => format!("{PREFIX}{version}/have"),
+        }
+    }
+}
+
+/// Sender of an announcement.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Sender {
+    /// Host of the sender.
+    pub host: HostId,
+    /// Address of its traffic listener.
+    pub addr: SocketAddr,
+}
+
+impl Sender {
+    /// Reads the sender from the headers of a request.
+    pub fn from_headers(headers: &hyper::HeaderMap) -> Option<Self> {
+        let host = headers.get(HOST)?.to_str().ok()?;
+        let addr = headers.get(ADDR)?.to_str().ok()?.parse().ok()?;
+        Some(Self {
+            host: Arc::from(host),
+            addr,
+        })
+    }
+}
+
+/// Writes a set as header text.
+pub fn have_header(have: &ChunkSet) -> String {
+    have.to_bytes()
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+/// Reads a set from header text.
+pub fn parse_have_header(text: &str) -> Option<ChunkSet> {
+    let digits = text.as_bytes().chunks(2);
+    let bytes: Option<Vec<u8>> = digits
+        .map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok())
+        .collect();
+    Some(ChunkSet::from_bytes(&bytes?))
+}
