Platform clients, and stand-ins for object API, host list and origin

Cause: the shells and the measures need the platform's interfaces. Change: narrow traits with hyper clients whose errors separate calls that certainly had no effect from those whose effect is not known; stand-ins with switchable faults; contract tests with fault cases in tables.

--- /dev/null
+++ b/fakes/src/origin.rs
@@ -0,0 +1,273 @@
+//! Stand-in for the origin and for the weight store, which speak the same protocol.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::reply::{Body, Reply, answer, unescape};
+use crate::server::{ANY_PORT, Server};
+
+/// Bytes sent at a time, so that parallel answers share the link.
+const PIECE_BYTES: usize = 16 << 10;
+
+/// Configuration of the stand-in.
+#[derive(Clone, Debug)]
+pub struct OriginConfig {
+    /// Address to listen on.
+    pub addr: SocketAddr,
+    /// Rate of the link that all answers share, in bytes a second.
+    pub link_bytes_per_s: u64,
+}
+
+impl Default for OriginConfig {
+    fn default() -> Self {
+        Self {
+            addr: ANY_PORT,
+            link_bytes_per_s: u64::MAX,
+        }
+    }
+}
+
+/// Faults that are in force.
+#[derive(Clone, Debug, Default)]
+pub struct OriginFaults {
+    /// Answers with status 503.
+    pub outage: bool,
+    /// Holds back chunks that are being sent.
+    pub stalled: bool,
+    /// Corrupts each so-many-th chunk; 0 for none.
+    pub corrupt_every: u64,
+}
+
+/// What was served so far.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct OriginCounters {
+    /// Manifests served.
+    pub manifests: u64,
+    /// Chunks asked for.
+    pub chunks: u64,
+    /// Chunk bytes sent.
+    pub bytes: u64,
+    /// Chunks that were corrupted.
+    pub corrupted: u64,
+}
+
+/// Running stand-in for the origin or the weight store.
+#[derive(Debug)]
+pub struct Origin {
+    server: Server,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    link_bytes_per_s: u64,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    versions: HashMap<(String, String), Version>,
+    faults: OriginFaults,
+    counters: OriginCounters,
+    /// Time until which the link is taken.
+    link_free: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct Version {
+    seed: u64,
+    size: u64,
+    chunk_size: u32,
+    manifest: Bytes,
+}
+
+impl Origin {
+    /// Starts the stand-in without any version.
+    ///
+    /// # Errors
+    /// The system's error when the address can not be bound.
+    pub fn spawn(cfg: OriginConfig) -> io::Result<Self> {
+        let state = Arc::new(State {
+            link_bytes_per_s: cfg.link_bytes_per_s.max(1),
+            inner: Mutex::default(),
+        });
+        let shared = Arc::clone(&state);
+        let server = Server::spawn(cfg.addr, move |req| handle(Arc::clone(&shared), req))?;
+        Ok(Self { server, state })
+    }
+
+    /// Address of the origin.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Takes the origin off the network, or back.
+    pub fn set_up(&self, up: bool) {
+        self.server.set_up(up);
+    }
+
+    /// Changes the faults.
+    pub fn faults(&self, change: impl FnOnce(&mut OriginFaults)) {
+        change(&mut self.state.lock().faults);
+    }
+
+    /// What was served so far.
+    pub fn counters(&self) -> OriginCounters {
+        self.state.lock().counters.clone()
+    }
+
+    /// Publishes a version, in place of one with the same name, and returns its manifest's digest.
+    ///
+    /// The content follows from the seed; another seed under the same name is another version.
+    pub fn publish(
+        &self,
+        model: &str,
+        version: &str,
+        seed: u64,
+        size: u64,
+        chunk_size: u32,
+    ) -> String {
+        let manifest = manifest(model, version, seed, size, chunk_size);
+        let digest = blake3::hash(&manifest).to_hex().to_string();
+        let published = Version {
+            seed,
+            size,
+            chunk_size,
+            manifest: manifest.into(),
+        };
+        self.state
+            .lock()
+            .versions
+            .insert((model.to_owned(), version.to_owned()), published);
+        digest
+    }
+}
+
+fn manifest(model: &str, version: &str, seed: u64, size: u64, chunk_size: u32) -> Vec<u8> {
+    let chunks = (0..size.div_ceil(u64::from(chunk_size)))
+        .map(|index| chunk(seed, size, chunk_size, index))
+        .map(|bytes| blake3::hash(&bytes).to_hex().to_string())
+        .collect::<Vec<_>>();
+    json!({
+        "model": model,
+        "version": version,
+        "size": size,
+        "chunk_size": chunk_size,
+        "chunks": chunks,
+    })
+    .to_string()
+    .into_bytes()
+}
+
+/// Content of one chunk.
+fn chunk(seed: u64, size: u64, chunk_size: u32, index: u64) -> Vec<u8> {
+    let start = index * u64::from(chunk_size);
+    let len = size.saturating_sub(start).min(u64::from(chunk_size));
+    let mut buf = vec![0; usize::try_from(len).unwrap_or_default()];
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&seed.to_le_bytes());
+    hasher.update(&index.to_le_bytes());
+    hasher.finalize_xof().fill(&mut buf);
+    buf
+}
+
+impl State {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the link for a number of bytes and returns the time at which they have passed.
+    fn take_link(&self, bytes: usize) -> Instant {
+        let nanos = (bytes as u128 * 1_000_000_000) / u128::from(self.link_bytes_per_s);
+        let cost = Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX));
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let start = inner.link_free.map_or(now, |free| free.max(now));
+        inner.link_free = Some(start + cost);
+        inner.counters.bytes += bytes as u64;
+        start + cost
+    }
+}
+
+async fn handle(state: Arc<State>, req: Request<Incoming>) -> Reply {
+    if state.lock().faults.outage {
+        return Some(answer(StatusCode::SERVICE_UNAVAILABLE, ""));
+    }
+    let parts = req
+        .uri()
+        .path()
+        .split('/')
+        .skip(1)
+        .map(unescape)
+        .collect::<Vec<_>>();
+    let found = match parts.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        ["manifests", model, version] => serve_manifest(&state, model, version),
+        ["chunks", model, version, index] => serve_chunk(&state, model, version, index),
+        _ => None,
+    };
+    Some(found.unwrap_or_else(|| answer(StatusCode::NOT_FOUND, "")))
+}
+
+fn serve_manifest(state: &State, model: &str, version: &str) -> Option<Response<Body>> {
+    let mut inner = state.lock();
+    let key = (model.to_owned(), version.to_owned());
+    let manifest = inner.versions.get(&key)?.manifest.clone();
+    inner.counters.manifests += 1;
+    Some(answer(StatusCode::OK, manifest))
+}
+
+fn serve_chunk(
+    state: &Arc<State>,
+    model: &str,
+    version: &str,
+    index: &str,
+) -> Option<Response<Body>> {
+    let index = index.parse().ok()?;
+    let mut inner = state.lock();
+    let key = (model.to_owned(), version.to_owned());
+    let found = inner.versions.get(&key)?.clone();
+    if index >= found.size.div_ceil(u64::from(found.chunk_size)) {
+        return None;
+    }
+    inner.counters.chunks += 1;
+    let every = inner.faults.corrupt_every;
+    let is_corrupt = every > 0 && inner.counters.chunks.is_multiple_of(every);
+    inner.counters.corrupted += u64::from(is_corrupt);
+    drop(inner);
+    let mut bytes = chunk(found.seed, found.size, found.chunk_size, index);
+    if let Some(first) = bytes.first_mut().filter(|_| is_corrupt) {
+        *first ^= 0xff;
+    }
+    Some(paced(Arc::clone(state), bytes.into()))
+}
+
+/// Sends bytes at the pace of the link.
+fn paced(state: Arc<State>, bytes: Bytes) -> Response<Body> {
+    let len = bytes.len();
+    let pieces = stream::unfold((state, bytes), |(state, mut rest)| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        while state.lock().faults.stalled {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+        let passed = state.take_link(piece.len());
+        tokio::time::sleep_until(passed).await;
+        Some((Ok(Frame::data(piece)), (state, rest)))
+    });
+    let mut res = Response::new(StreamBody::new(pieces).boxed_unsync());
+    res.headers_mut().insert("content-length", len.into());
+    res
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod entry;
 pub mod membership;
+pub mod platform;
 pub mod routing;
 pub mod settings;
 pub mod telemetry;
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,157 @@
+//! HTTP client with time-outs and a size limit that the platform's clients share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+
+use super::PlatformError;
+
+/// Largest answer that is read: the largest object, with room for its JSON escapes.
+const DEFAULT_ANSWER_LIMIT_BYTES: usize = 64 << 20;
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Characters that stay as they are in a path.
+const PATH: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'~');
+
+/// Time limits of one call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HttpTimeouts {
+    /// Limit for opening a connection.
+    pub connect: Duration,
+    /// Limit for the whole call.
+    pub total: Duration,
+}
+
+impl Default for HttpTimeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            total: Duration::from_secs(2),
+        }
+    }
+}
+
+/// HTTP client that pools connections; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeouts: HttpTimeouts,
+    answer_limit_bytes: usize,
+}
+
+impl HttpClient {
+    /// Makes a client with the given time-outs.
+    pub fn new(timeouts: HttpTimeouts) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeouts.connect));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Self {
+            client,
+            timeouts,
+            answer_limit_bytes: DEFAULT_ANSWER_LIMIT_BYTES,
+        }
+    }
+
+    /// Sets the largest answer that is read.
+    pub fn with_answer_limit(mut self, bytes: usize) -> Self {
+        self.answer_limit_bytes = bytes;
+        self
+    }
+
+    /// Sends a request and reads the whole answer, whatever its status.
+    ///
+    /// # Errors
+    /// `Refused` when no connection was made, `Lost` when the call broke or timed out later.
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, PlatformError> {
+        self.send_within(req, self.timeouts.total).await
+    }
+
+    /// Like [`HttpClient::send`], with another limit for the whole call.
+    ///
+    /// # Errors
+    /// As [`HttpClient::send`].
+    pub async fn send_within(
+        &self,
+        req: Request<Full<Bytes>>,
+        total: Duration,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        tokio::time::timeout(total, self.exchange(req))
+            .await
+            .unwrap_or_else(|_| Err(PlatformError::Lost(format!("no answer in {total:?}"))))
+    }
+
+    /// Limit for a whole call.
+    pub fn total_timeout(&self) -> Duration {
+        self.timeouts.total
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, PlatformError> {
+        let res = self.client.request(req).await.map_err(|e| {
+            if e.is_connect() {
+                PlatformError::Refused(e.to_string())
+            } else {
+                PlatformError::Lost(e.to_string())
+            }
+        })?;
+        let (parts, body) = res.into_parts();
+        let body = Limited::new(body, self.answer_limit_bytes)
+            .collect()
+            .await
+            .map_err(|e| PlatformError::Lost(e.to_string()))?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
+    }
+}
+
+/// Builds a request to a path on a host.
+pub(super) fn request(
+    method: Method,
+    addr: SocketAddr,
+    path_and_query: &str,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, PlatformError> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path_and_query}"))
+        .body(Full::new(body.into()))
+        .map_err(|e| PlatformError::Refused(e.to_string()))
+}
+
+/// Escapes a name for use in a path or a query.
+pub(super) fn escape(name: &str) -> String {
+    utf8_percent_encode(name, PATH).to_string()
+}
+
+/// Passes on an answer with status 200 and turns any other into an error.
+pub(super) fn expect_ok(res: Response<Bytes>) -> Result<Response<Bytes>, PlatformError> {
+    match res.status() {
+        StatusCode::OK => Ok(res),
+        StatusCode::NOT_FOUND => Err(PlatformError::Missing),
+        status @ (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => {
+            Err(PlatformError::Refused(status.to_string()))
+        }
+        status => Err(PlatformError::Invalid(status.to_string())),
+    }
+}
+
+/// Parses a JSON answer.
+pub(super) fn parse<T: serde::de::DeserializeOwned>(
+    res: &Response<Bytes>,
+) -> Result<T, PlatformError> {
+    serde_json::from_slice(res.body()).map_err(|e| PlatformError::Invalid(e.to_string()))
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,19 @@
+//! Clients of the object API, the host list, the weight store, the origin and the endpoints.
+//!
+//! Each client stands behind a narrow trait, so that tests can put another in its place. The
+//! protocols are those of `docs/design/shape.md`.
+
+mod endpoint;
+mod error;
+mod hosts;
+mod http;
+mod objects;
+mod weights;
+mod wire;
+
+pub use endpoint::{EndpointAdmin, HttpEndpoint, JobState};
+pub use error::PlatformError;
+pub use hosts::{HostList, HttpHostList};
+pub use http::{HttpClient, HttpTimeouts};
+pub use objects::{Change, HttpObjectApi, Object, ObjectApi};
+pub use weights::{HttpWeightSource, WeightSource};
