Configuration state: adoption, store contact through peers, isolation

A process must not act on a configuration that may have been replaced out of its reach, and must serve on while the object API is down. ConfigState adopts higher generations only, learns through peers how long ago the object API confirmed what it holds (bounded by echoed stamps, so that a heartbeat held up on a stalled link is not taken for news), and tells a store outage from isolation: in an outage every listed entry in the region of the object API says that it gets no answer.

--- a/src/config/targets.rs
+++ b/src/config/targets.rs
@@ -21,6 +21,9 @@
     pub models: Vec<Model>,
     /// Plain services.
     pub services: Vec<Service>,
+    /// Every availability zone; empty when the operators do not list them.
+    #[serde(default)]
+    pub zones: BTreeSet<ZoneId>,
     /// Availability zones that take no new work.
     pub zones_out: BTreeSet<ZoneId>,
 }
--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,260 @@
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::*;
+use crate::codes::Code;
+use crate::wire::ConfigDoc;
+
+const ISOLATION_AFTER: Duration = Duration::from_secs(5);
+
+fn doc(generation: u64) -> ConfigDoc {
+    let targets = Targets {
+        site_power: generation,
+        ..Targets::default()
+    };
+    let body = serde_json::to_string(&targets).unwrap();
+    ConfigDoc { generation, body }
+}
+
+/// Processes with an own clock each, and the messages between them.
+struct Fleet {
+    now: Instant,
+    states: Vec<ConfigState>,
+}
+
+impl Fleet {
+    /// Processes in the given regions; the object API is in region `a`.
+    fn new(regions: &[&str]) -> Self {
+        let now = Instant::now() + Duration::from_secs(1_000);
+        let state = |(i, region): (usize, &&str)| {
+            let params = ConfigParams {
+                name: name(i),
+                region: (*region).into(),
+                store_region: "a".into(),
+                isolation_after: ISOLATION_AFTER,
+            };
+            ConfigState::new(params, now)
+        };
+        let states = regions.iter().enumerate().map(state).collect();
+        Self { now, states }
+    }
+
+    /// `from` sends a heartbeat to `to`, which arrives after `delay`; `to` answers at once.
+    fn sync(&mut self, from: usize, to: usize, delay: Duration) {
+        let request = self.message(from, to);
+        self.now += delay;
+        self.deliver(from, to, &request);
+        let reply = self.message(to, from);
+        self.deliver(to, from, &reply);
+    }
+
+    fn message(
+        &mut self,
+        from: usize,
+        to: usize,
+    ) -> (u64, Option<ConfigDoc>, crate::wire::StoreContact) {
+        let known = self.states[to].generation();
+        let state = &mut self.states[from];
+        let contact = state.sync_fields(self.now, &name(to));
+        (state.generation(), state.doc_for(known), contact)
+    }
+
+    fn deliver(
+        &mut self,
+        from: usize,
+        to: usize,
+        message: &(u64, Option<ConfigDoc>, crate::wire::StoreContact),
+    ) {
+        let (generation, doc, contact) = message;
+        if let Some(doc) = doc {
+            self.states[to].observe(doc);
+        }
+        self.states[to].peer_contact(self.now, &name(from), *generation, contact);
+    }
+
+    /// Heartbeats along `links` and calls to the object API by `entries` for some seconds.
+    fn run(&mut self, seconds: u64, links: &[(usize, usize)], entries: &[(usize, bool)]) {
+        for _ in 0..seconds {
+            self.now += Duration::from_secs(1);
+            for (entry, reached) in entries {
+                self.states[*entry].store_contact(self.now, *reached);
+            }
+            for (from, to) in links {
+                self.sync(*from, *to, Duration::ZERO);
+            }
+        }
+    }
+
+    fn in_force(&self, process: usize) -> Result<u64, Code> {
+        self.states[process]
+            .in_force(self.now)
+            .map(|held| held.generation)
+    }
+}
+
+fn name(process: usize) -> std::sync::Arc<str> {
+    format!("p{process}").into()
+}
+
+#[rstest]
+#[case::higher(5, 6, Observation::Adopted, 6)]
+#[case::same(5, 5, Observation::Known, 5)]
+#[case::stale_read(5, 4, Observation::Older, 5)]
+fn only_a_higher_generation_is_adopted(
+    #[case] held: u64,
+    #[case] seen: u64,
+    #[case] expected: Observation,
+    #[case] generation: u64,
+) {
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.states[0].observe(&doc(held));
+    assert_eq!(fleet.states[0].observe(&doc(seen)), expected);
+    assert_eq!(fleet.states[0].generation(), generation);
+}
+
+#[test]
+fn an_invalid_body_leaves_the_one_held() {
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    let broken = ConfigDoc {
+        generation: 6,
+        body: "{".to_owned(),
+    };
+    assert_eq!(fleet.states[0].observe(&broken), Observation::Invalid);
+    assert_eq!(fleet.in_force(0), Ok(5));
+}
+
+#[test]
+fn nothing_is_in_force_before_the_first_configuration() {
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.states[0].store_contact(fleet.now, true);
+    assert_eq!(fleet.in_force(0), Err(Code::NoConfiguration));
+}
+
+#[test]
+fn a_stale_read_is_no_contact() {
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.states[0].store_read(fleet.now, &doc(6));
+    fleet.now += Duration::from_secs(6);
+    fleet.states[0].store_contact(fleet.now, true);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    assert_eq!(fleet.in_force(0), Err(Code::Isolated));
+}
+
+/// Processes 0 and 1 are entries in region a, 2 an entry in region b, 3 an agent in a, 4 in b.
+const REGIONS: &[&str] = &["a", "a", "b", "a", "b"];
+const LINKS: &[(usize, usize)] = &[(0, 3), (1, 3), (2, 3), (0, 4), (2, 4)];
+/// The same without the links between the regions.
+const CUT_LINKS: &[(usize, usize)] = &[(0, 3), (1, 3), (2, 4)];
+/// The same without entry 1, which is dead.
+const LINKS_WITHOUT_1: &[(usize, usize)] = &[(0, 3), (2, 3), (0, 4), (2, 4)];
+const STORE_UP: &[(usize, bool)] = &[(0, true), (1, true), (2, true)];
+const STORE_OUT: &[(usize, bool)] = &[(0, false), (1, false), (2, false)];
+/// The object API answers in its own region only.
+const REGION_CUT: &[(usize, bool)] = &[(0, true), (1, true), (2, false)];
+/// One entry of its region lost the object API.
+const ONE_BLIND: &[(usize, bool)] = &[(0, false), (1, true), (2, false)];
+const ONE_DEAD: &[(usize, bool)] = &[(0, false), (2, false)];
+
+type Verdict = Result<u64, Code>;
+const SERVES: Verdict = Ok(5);
+const REFUSES: Verdict = Err(Code::Isolated);
+
+#[rstest]
+#[case::ordinary(LINKS, STORE_UP, [SERVES, SERVES, SERVES, SERVES, SERVES])]
+#[case::store_outage(LINKS, STORE_OUT, [SERVES, SERVES, SERVES, SERVES, SERVES])]
+#[case::region_cut(CUT_LINKS, REGION_CUT, [SERVES, SERVES, REFUSES, SERVES, REFUSES])]
+#[case::region_cut_in_outage(CUT_LINKS, STORE_OUT, [SERVES, SERVES, REFUSES, SERVES, REFUSES])]
+#[case::one_blind(LINKS, ONE_BLIND, [SERVES, SERVES, SERVES, SERVES, SERVES])]
+#[case::one_blind_alone(&[(1, 3)], ONE_BLIND, [REFUSES, SERVES, REFUSES, SERVES, REFUSES])]
+#[case::dead_entry_still_listed(LINKS_WITHOUT_1, ONE_DEAD, [REFUSES, REFUSES, REFUSES, SERVES, SERVES])]
+#[case::alone(&[], STORE_OUT, [REFUSES, REFUSES, REFUSES, REFUSES, REFUSES])]
+fn a_process_out_of_touch_refuses_and_a_store_outage_is_served_through(
+    #[case] links: &[(usize, usize)],
+    #[case] store: &[(usize, bool)],
+    #[case] expected: [Verdict; 5],
+) {
+    let mut fleet = Fleet::new(REGIONS);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    for entry in 0..3 {
+        fleet.states[entry].set_store_entries([name(0), name(1)]);
+    }
+    fleet.run(5, LINKS, STORE_UP);
+    fleet.run(20, links, store);
+    let found: [Verdict; 5] = std::array::from_fn(|process| fleet.in_force(process));
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_dead_entry_that_leaves_the_list_no_longer_counts() {
+    let mut fleet = Fleet::new(REGIONS);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    fleet.run(5, LINKS, STORE_UP);
+    for entry in [0, 2] {
+        fleet.states[entry].set_store_entries([name(0)]);
+    }
+    fleet.run(20, LINKS_WITHOUT_1, ONE_DEAD);
+    assert_eq!([fleet.in_force(0), fleet.in_force(2)], [SERVES, SERVES]);
+}
+
+#[test]
+fn a_change_reaches_a_cut_region_after_the_cut_and_not_as_if_in_force_before() {
+    let mut fleet = Fleet::new(REGIONS);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    fleet.run(5, LINKS, STORE_UP);
+    fleet.states[0].store_read(fleet.now, &doc(6));
+    fleet.run(6, CUT_LINKS, REGION_CUT);
+    assert_eq!(fleet.in_force(2), Err(Code::Isolated));
+    fleet.run(2, LINKS, REGION_CUT);
+    assert_eq!(fleet.in_force(2), Ok(6));
+    assert_eq!(fleet.in_force(4), Ok(6));
+}
+
+#[test]
+fn a_process_restarted_in_an_outage_learns_the_highest_from_peers() {
+    let mut fleet = Fleet::new(REGIONS);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    fleet.run(5, LINKS, STORE_UP);
+    fleet.states[1].store_read(fleet.now, &doc(6));
+    let restarted = Fleet::new(REGIONS);
+    fleet.states[2] = restarted.states.into_iter().nth(2).unwrap();
+    assert_eq!(fleet.in_force(2), Err(Code::NoConfiguration));
+    fleet.run(10, LINKS, STORE_OUT);
+    assert_eq!(fleet.in_force(2), Ok(6));
+}
+
+#[test]
+fn a_peer_that_holds_a_newer_generation_confirms_nothing() {
+    let mut fleet = Fleet::new(&["a", "a"]);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    fleet.states[1].store_read(fleet.now, &doc(6));
+    fleet.now += Duration::from_secs(6);
+    fleet.states[1].store_contact(fleet.now, true);
+    for _ in 0..3 {
+        let (generation, _, contact) = fleet.message(1, 0);
+        fleet.deliver(1, 0, &(generation, None, contact));
+    }
+    assert_eq!(fleet.in_force(0), Err(Code::Isolated));
+}
+
+#[test]
+fn a_heartbeat_that_was_held_up_is_as_old_as_what_it_echoes() {
+    let mut fleet = Fleet::new(&["a", "a"]);
+    fleet.states[0].store_read(fleet.now, &doc(5));
+    fleet.run(3, &[(0, 1)], &[(0, true)]);
+    assert_eq!(fleet.in_force(1), Ok(5));
+    let held_up = fleet.message(0, 1);
+    fleet.now += Duration::from_secs(30);
+    fleet.deliver(0, 1, &held_up);
+    assert_eq!(fleet.in_force(1), Err(Code::Isolated));
+}
+
+#[test]
+fn only_a_peer_that_is_behind_is_taught() {
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.states[0].observe(&doc(5));
+    assert_eq!(fleet.states[0].doc_for(4), Some(doc(5)));
+    assert_eq!(fleet.states[0].doc_for(5), None);
+    assert_eq!(fleet.states[0].doc_for(6), None);
+}
--- a/src/entry/core/control.rs
+++ b/src/entry/core/control.rs
@@ -139,6 +139,9 @@
             store: StoreContact {
                 age_ms: self.store_age(now).as_millis() as u64,
                 reachable: self.store_reachable,
+                outages: Vec::new(),
+                stamp_ms: None,
+                echo_ms: None,
             },
             zone: Some(self.cfg.zone.to_string()),
         }
--- a/src/entry/core/event.rs
+++ b/src/entry/core/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::types::{
-    AttemptEnd, AttemptId, EndpointId, Generation, HostId, RequestId, RequestMeta, ZoneId,
+    AttemptEnd, AttemptId, EndpointId, Generation, HostId, RegionId, RequestId, RequestMeta, ZoneId,
 };
 use crate::wire::{ConfigDoc, SettleReply, SyncReply};
 
@@ -111,6 +111,8 @@
     pub host: HostId,
     /// Availability zone of the host.
     pub zone: ZoneId,
+    /// Region of the availability zone.
+    pub region: RegionId,
     /// What runs there.
     pub role: HostRole,
     /// Address of the process's control listener.
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -338,14 +338,37 @@
 pub struct StoreContact {
     ///Milliseconds since the newest generation was confirmed by the object API, directly or through peers.
     pub age_ms: u64,
+    ///Newest stamp that the sender has from the receiver; bounds the age of the message.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub echo_ms: ::std::option::Option<u64>,
+    ///Entries in the region of the object API that it does not answer.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub outages: ::std::vec::Vec<StoreOutage>,
     ///True while the object API answers this process itself.
     pub reachable: bool,
+    ///Clock of the sender when the message was built.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub stamp_ms: ::std::option::Option<u64>,
 }
 impl ::std::convert::From<&StoreContact> for StoreContact {
     fn from(value: &StoreContact) -> Self {
         value.clone()
     }
 }
+///An entry in the region of the object API that got no answer from it.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StoreOutage {
+    ///Milliseconds since its last failed call.
+    pub age_ms: u64,
+    ///Name of the entry.
+    pub entry: ::std::string::String,
+}
+impl ::std::convert::From<&StoreOutage> for StoreOutage {
+    fn from(value: &StoreOutage) -> Self {
+        value.clone()
+    }
+}
 ///Answer of an agent to a heartbeat.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
