--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -47,6 +47,7 @@
 pub(super) struct WireHost {
     host: String,
     zone: String,
+    region: String,
     role: WireRole,
     control: SocketAddr,
     traffic: SocketAddr,
@@ -67,6 +68,7 @@
         Self {
             host: wire.host.into(),
             zone: wire.zone.into(),
+            region: wire.region.into(),
             role: match wire.role {
                 WireRole::Entry => HostRole::Entry,
                 WireRole::Agent => HostRole::Agent,
