HTTP listener, bodies and refusals; whole-event splitter; stored answers

Cause: entry and agent need one bounded listener, one refusal form and one rule for whole answers. Change: listener with connection and head bounds, drain and kill; channel body that is cut unless finished; splitter and stored form; control listener always asks for the token. After: unit tests of answer and control pass. Conclusion: base of both shells.

--- a/src/answer/tests.rs
+++ b/src/answer/tests.rs
@@ -1,7 +1,11 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use super::EventScanner;
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+
+use super::{EventScanner, EventSplitter, EventTooLong, StoredAnswer};
 
 #[rstest]
 #[case::whole("data: {\"a\":1}\n\ndata: [DONE]\n\n", 1, true)]
@@ -37,3 +41,39 @@
         prop_assert_eq!(whole.is_ended(), parts.is_ended());
     }
 }
+
+#[rstest]
+#[case::whole(&["data: a\n\n"], "data: a\n\n")]
+#[case::cut(&["data: a\n\nda", "ta: b\n\n"], "data: a\n\ndata: b\n\n")]
+#[case::unfinished(&["data: a\n\ndata: b"], "data: a\n\n")]
+#[case::end_in_two_chunks(&["data: a\n", "\ndata"], "data: a\n\n")]
+fn splitter_lets_whole_events_through(#[case] chunks: &[&'static str], #[case] expected: &str) {
+    let mut splitter = EventSplitter::default();
+    let events: Vec<_> = chunks
+        .iter()
+        .map(|chunk| splitter.push(Bytes::from_static(chunk.as_bytes())).unwrap())
+        .collect();
+    assert_eq!(events.concat(), expected.as_bytes());
+}
+
+#[test]
+fn splitter_bounds_an_event() {
+    let mut splitter = EventSplitter::default();
+    let chunk = Bytes::from(vec![b'x'; 600 * 1024]);
+    assert!(splitter.push(chunk.clone()).is_ok());
+    assert_eq!(splitter.push(chunk), Err(EventTooLong));
+}
+
+#[rstest]
+#[case::text(b"{\"booked\":true}")]
+#[case::bytes(&[0xff, 0x00, 0x41])]
+#[case::empty(b"")]
+fn stored_answers_keep_every_byte(#[case] body: &[u8]) {
+    let kind = HeaderValue::from_static("application/json");
+    let stored = StoredAnswer::new(StatusCode::CREATED, Some(&kind), body);
+    let read = StoredAnswer::from_text(&stored.to_text()).unwrap();
+    let response = read.into_response().unwrap();
+    assert_eq!(response.status(), StatusCode::CREATED);
+    assert_eq!(response.headers()["content-type"], "application/json");
+    assert_eq!(&response.body()[..], body);
+}
--- a/src/control/access.rs
+++ b/src/control/access.rs
@@ -1,7 +1,6 @@
 //! Check of the token that a control connection must present.
 
 use std::future::{Ready, ready};
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use futures_util::future::Either;
@@ -9,22 +8,27 @@
 use hyper::{Request, Response, StatusCode};
 use tower::{Layer, Service};
 
+use crate::settings::Secret;
+
+/// Scheme of the `authorization` header.
+const SCHEME: &str = "Bearer ";
+
 /// Layer that answers 401 to a connection without the token.
 #[derive(Clone, Debug)]
 pub(super) struct AccessLayer {
-    token: Option<Arc<str>>,
+    token: Secret,
 }
 
 /// Service behind [`AccessLayer`].
 #[derive(Clone, Debug)]
 pub(super) struct Access<S> {
     inner: S,
-    token: Option<Arc<str>>,
+    token: Secret,
 }
 
 impl AccessLayer {
-    /// A layer that asks for `token`; `None` lets everyone in.
-    pub(super) fn new(token: Option<Arc<str>>) -> Self {
+    /// A layer that asks for `token`.
+    pub(super) fn new(token: Secret) -> Self {
         Self { token }
     }
 }
@@ -42,14 +46,12 @@
 
 impl<S> Access<S> {
     fn allows<B>(&self, req: &Request<B>) -> bool {
-        let Some(token) = &self.token else {
-            return true;
-        };
         let presented = req
             .headers()
             .get(AUTHORIZATION)
-            .map(|value| value.as_bytes());
-        presented.is_some_and(|value| equals_in_constant_time(value, bearer(token).as_bytes()))
+            .and_then(|value| value.to_str().ok());
+        let offered = presented.and_then(|value| value.strip_prefix(SCHEME));
+        offered.is_some_and(|offered| self.token.matches(offered))
     }
 }
 
@@ -77,11 +79,6 @@
 }
 
 /// Value of the `authorization` header for a token.
-pub(super) fn bearer(token: &str) -> String {
-    format!("Bearer {token}")
-}
-
-/// Compares two values without revealing by its duration where they differ.
-fn equals_in_constant_time(a: &[u8], b: &[u8]) -> bool {
-    blake3::hash(a) == blake3::hash(b)
+pub(super) fn bearer(token: &Secret) -> String {
+    format!("{SCHEME}{}", token.expose())
 }
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -11,6 +11,8 @@
 use jsonrpsee::core::client::Error as RpcError;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 
+use crate::settings::Secret;
+
 use super::access::bearer;
 
 /// Why a control call failed.
@@ -27,14 +29,14 @@
 /// Open control connections.
 #[derive(Clone, Debug)]
 pub struct ControlClients {
-    token: Option<Arc<str>>,
+    token: Secret,
     timeout: Duration,
     open: Arc<Mutex<HashMap<SocketAddr, Arc<WsClient>>>>,
 }
 
 impl ControlClients {
     /// Connections that present `token` and give up on a call after `timeout`.
-    pub fn new(token: Option<Arc<str>>, timeout: Duration) -> Self {
+    pub fn new(token: Secret, timeout: Duration) -> Self {
         Self {
             token,
             timeout,
@@ -89,8 +91,8 @@
     }
 
     fn headers(&self) -> HeaderMap {
-        let token = self.token.as_deref().map(bearer);
-        let value = token.and_then(|text| HeaderValue::from_str(&text).ok());
+        // A secret that is not a valid header value is refused by the listener.
+        let value = HeaderValue::from_str(&bearer(&self.token)).ok();
         value
             .into_iter()
             .map(|value| (AUTHORIZATION, value))
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,11 +2,12 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 
+use crate::settings::Secret;
+
 use super::access::AccessLayer;
 
 /// Bounds of a control listener.
@@ -42,7 +43,7 @@
     /// Fails when the address can not be bound.
     pub async fn spawn(
         addr: SocketAddr,
-        token: Option<Arc<str>>,
+        token: Secret,
         limits: ControlLimits,
         methods: RpcModule<()>,
     ) -> io::Result<Self> {
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,5 +1,4 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use jsonrpsee::RpcModule;
@@ -7,6 +6,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::settings::Secret;
 use crate::wire::{ProcessControlClient, ProcessControlServer};
 
 struct Fixed;
@@ -18,28 +18,24 @@
     }
 }
 
-async fn server(token: Option<Arc<str>>) -> ControlServer {
+async fn server(token: &str) -> ControlServer {
     let mut methods = RpcModule::new(());
     methods.merge(Fixed.into_rpc()).unwrap();
     let addr = SocketAddr::from(([127, 0, 0, 1], 0));
-    ControlServer::spawn(addr, token, ControlLimits::default(), methods)
+    ControlServer::spawn(addr, Secret::new(token), ControlLimits::default(), methods)
         .await
         .unwrap()
 }
 
 #[rstest]
-#[case::open(None, None, true)]
-#[case::right(Some("secret"), Some("secret"), true)]
-#[case::wrong(Some("secret"), Some("guess"), false)]
-#[case::missing(Some("secret"), None, false)]
+#[case::right("0123456789abcdef", "0123456789abcdef", true)]
+#[case::wrong("0123456789abcdef", "0123456789abcdeg", false)]
+#[case::prefix("0123456789abcdef", "0123456789abcde", false)]
+#[case::empty("0123456789abcdef", "", false)]
 #[tokio::test]
-async fn token_decides(
-    #[case] wanted: Option<&str>,
-    #[case] presented: Option<&str>,
-    #[case] allowed: bool,
-) {
-    let server = server(wanted.map(Arc::from)).await;
-    let clients = ControlClients::new(presented.map(Arc::from), Duration::from_secs(5));
+async fn token_decides(#[case] wanted: &str, #[case] presented: &str, #[case] allowed: bool) {
+    let server = server(wanted).await;
+    let clients = ControlClients::new(Secret::new(presented), Duration::from_secs(5));
     let dump = clients
         .call(server.addr(), |client| async move { client.dump().await })
         .await;
@@ -48,9 +44,9 @@
 
 #[tokio::test]
 async fn a_broken_connection_is_opened_again() {
-    let first = server(None).await;
+    let first = server("token").await;
     let addr = first.addr();
-    let clients = ControlClients::new(None, Duration::from_secs(5));
+    let clients = ControlClients::new(Secret::new("token"), Duration::from_secs(5));
     clients
         .call(addr, |client| async move { client.dump().await })
         .await
@@ -66,7 +62,7 @@
     let mut methods = RpcModule::new(());
     methods.merge(Fixed.into_rpc()).unwrap();
     let limits = ControlLimits::default();
-    let second = ControlServer::spawn(addr, None, limits, methods)
+    let second = ControlServer::spawn(addr, Secret::new("token"), limits, methods)
         .await
         .unwrap();
     clients
--- /dev/null
+++ b/src/http/listener.rs
@@ -0,0 +1,155 @@
+//! Traffic listener: accepts connections within bounds and drains on request.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::AnswerBody;
+
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Bounds of a traffic listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Connections at once; further ones wait in the accept queue.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Time within which a request's head must arrive.
+    pub header_timeout: Duration,
+}
+
+/// A bound traffic listener.
+#[derive(Debug)]
+pub struct Listener {
+    tcp: TcpListener,
+    limits: ListenerLimits,
+    drain: CancellationToken,
+    kill: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Listener {
+    /// Binds `addr`. Cancelling `drain` ends idle connections and lets the others finish;
+    /// cancelling `kill` cuts all.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can not be bound.
+    pub async fn bind(
+        addr: SocketAddr,
+        limits: ListenerLimits,
+        drain: CancellationToken,
+        kill: CancellationToken,
+    ) -> io::Result<Self> {
+        let tcp = TcpListener::bind(addr).await?;
+        Ok(Self {
+            tcp,
+            limits,
+            drain,
+            kill,
+            tasks: TaskTracker::new(),
+        })
+    }
+
+    /// Address that the listener is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system does not tell.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.tcp.local_addr()
+    }
+
+    /// Serves requests until drained or killed; returns when no connection is left.
+    pub async fn serve<H, F>(self, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        while let Some((stream, permit)) = self.accept(&permits).await {
+            let connection = Connection {
+                limits: self.limits,
+                drain: self.drain.clone(),
+                kill: self.kill.clone(),
+                _permit: permit,
+            };
+            self.tasks.spawn(connection.serve(stream, handler.clone()));
+        }
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    async fn accept(&self, permits: &Arc<Semaphore>) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        tokio::select! {
+            () = self.drain.cancelled() => None,
+            () = self.kill.cancelled() => None,
+            accepted = self.accept_next(permits) => Some(accepted),
+        }
+    }
+
+    async fn accept_next(&self, permits: &Arc<Semaphore>) -> (TcpStream, OwnedSemaphorePermit) {
+        let permit = permits
+            .clone()
+            .acquire_owned()
+            .await
+            .expect("the semaphore is never closed");
+        loop {
+            match self.tcp.accept().await {
+                Ok((stream, _)) => return (stream, permit),
+                Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+            }
+        }
+    }
+}
+
+struct Connection {
+    limits: ListenerLimits,
+    drain: CancellationToken,
+    kill: CancellationToken,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    async fn serve<H, F>(self, stream: TcpStream, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        // Without the option small writes wait; the connection still works.
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(move |req| {
+            let answer = handler(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.header_timeout)
+            .max_buf_size(self.limits.header_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = self.kill.cancelled() => return,
+            () = self.drain.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+        tokio::select! {
+            _ = connection => {}
+            () = self.kill.cancelled() => {}
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod control;
 pub mod entry;
+pub mod http;
 pub mod membership;
 pub mod platform;
 pub mod routing;
