--- a/src/entry/core/control.rs
+++ b/src/entry/core/control.rs
@@ -136,17 +136,21 @@
             placement: self.placement.clone(),
             placement_version: self.placement.as_ref().map(|doc| doc.generation),
             quarantine: Vec::new(),
-            store: StoreContact {
-                age_ms: self.store_age(now).as_millis() as u64,
-                reachable: self.store_reachable,
-                outages: Vec::new(),
-                stamp_ms: None,
-                echo_ms: None,
-            },
+            store: self.store_report(now),
             zone: Some(self.cfg.zone.to_string()),
         }
     }
 
+    pub(super) fn store_report(&self, now: Instant) -> StoreContact {
+        StoreContact {
+            age_ms: self.store_age(now).as_millis() as u64,
+            reachable: self.store_reachable,
+            outages: Vec::new(),
+            stamp_ms: None,
+            echo_ms: None,
+        }
+    }
+
     fn store_age(&self, now: Instant) -> Duration {
         self.store_contact
             .map_or(Duration::from_secs(u64::from(u32::MAX)), |at| {
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod event;
 mod requests;
+mod status;
 mod traffic;
 
 use std::collections::{BTreeMap, VecDeque};
--- /dev/null
+++ b/src/entry/executor.rs
@@ -0,0 +1,107 @@
+//! Carries out the calls that the entry's decision logic asks for.
+
+use std::net::SocketAddr;
+
+use tokio::runtime::Handle;
+
+use crate::control::ControlClients;
+use crate::platform::{HttpObjectApi, ObjectApi, PlatformError};
+use crate::types::{AttemptId, HostId, Key, RequestId};
+use crate::wire::{AgentControlClient, SettleRequest, SyncRequest};
+
+use super::control::Reports;
+use super::core::{EntryEvent, StoreCall, StoreOp, StoreReply};
+
+/// Starts calls on the traffic threads and reports how they end.
+pub(super) struct Executor {
+    /// Runtime of the traffic threads.
+    pub(super) runtime: Handle,
+    /// Object API.
+    pub(super) objects: HttpObjectApi,
+    /// Control connections to agents.
+    pub(super) agents: ControlClients,
+    /// Where the ends are reported.
+    pub(super) reports: Reports,
+}
+
+impl Executor {
+    /// Calls the object API.
+    pub(super) fn store(&self, op: StoreOp, call: StoreCall) {
+        let objects = self.objects.clone();
+        let reports = self.reports.clone();
+        self.runtime.spawn(async move {
+            let reply = call_store(&objects, call).await;
+            reports.event(EntryEvent::StoreReplied { op, reply });
+        });
+    }
+
+    /// Sends a heartbeat.
+    pub(super) fn sync(&self, host: HostId, addr: SocketAddr, request: SyncRequest) {
+        let agents = self.agents.clone();
+        let reports = self.reports.clone();
+        self.runtime.spawn(async move {
+            let reply = agents
+                .call(addr, |agent| async move { agent.sync(request).await })
+                .await;
+            reports.event(match reply {
+                Ok(reply) => EntryEvent::Synced { host, reply },
+                Err(_) => EntryEvent::SyncFailed { host },
+            });
+        });
+    }
+
+    /// Asks an agent what became of an attempt.
+    pub(super) fn settle(&self, req: RequestId, addr: SocketAddr, key: Key, attempt: AttemptId) {
+        let agents = self.agents.clone();
+        let reports = self.reports.clone();
+        let request = SettleRequest {
+            key: key.to_string(),
+            attempt: attempt.to_string(),
+        };
+        self.runtime.spawn(async move {
+            let reply = agents
+                .call(addr, |agent| async move { agent.settle(request).await })
+                .await;
+            reports.event(EntryEvent::SettleReplied {
+                req,
+                reply: reply.ok(),
+            });
+        });
+    }
+}
+
+async fn call_store(objects: &HttpObjectApi, call: StoreCall) -> StoreReply {
+    match call {
+        StoreCall::Get { key } => match objects.get(&key).await {
+            Ok(Some(object)) => StoreReply::Found {
+                version: object.version,
+                value: object.value,
+            },
+            Ok(None) => StoreReply::Missing,
+            Err(err) => failure(&err),
+        },
+        StoreCall::Put {
+            key,
+            value,
+            if_version,
+        } => match objects.put(&key, &value, if_version).await {
+            Ok(version) => StoreReply::Written { version },
+            Err(err) => failure(&err),
+        },
+        StoreCall::Delete { key, if_version } => match objects.delete(&key, if_version).await {
+            Ok(()) => StoreReply::Written {
+                version: if_version,
+            },
+            Err(err) => failure(&err),
+        },
+    }
+}
+
+fn failure(err: &PlatformError) -> StoreReply {
+    match err {
+        PlatformError::Conflict { .. } => StoreReply::Conflict,
+        PlatformError::Refused(_) => StoreReply::Refused,
+        PlatformError::Missing => StoreReply::Missing,
+        _ => StoreReply::Lost,
+    }
+}
--- /dev/null
+++ b/src/entry/rpc.rs
@@ -0,0 +1,44 @@
+//! Control listener of the entry.
+
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::RegisterMethodError;
+use jsonrpsee::types::{ErrorObject, ErrorObjectOwned};
+
+use crate::codes::Code;
+use crate::wire::{EntryControlServer, EntryStatus, ProcessControlServer};
+
+use super::control::Control;
+
+#[derive(Clone)]
+struct Rpc {
+    control: Control,
+}
+
+#[async_trait]
+impl EntryControlServer for Rpc {
+    async fn status(&self) -> RpcResult<EntryStatus> {
+        self.control.status().await.ok_or_else(stopping)
+    }
+}
+
+#[async_trait]
+impl ProcessControlServer for Rpc {
+    async fn dump(&self) -> RpcResult<serde_json::Value> {
+        self.control.dump().await.ok_or_else(stopping)
+    }
+}
+
+/// The calls that an entry answers.
+pub(super) fn methods(control: Control) -> Result<RpcModule<()>, RegisterMethodError> {
+    let rpc = Rpc { control };
+    let mut methods = RpcModule::new(());
+    methods.merge(EntryControlServer::into_rpc(rpc.clone()))?;
+    methods.merge(ProcessControlServer::into_rpc(rpc))?;
+    Ok(methods)
+}
+
+fn stopping() -> ErrorObjectOwned {
+    let code = Code::Stopping;
+    ErrorObject::owned(i32::from(code.number()), code.to_string(), None::<()>)
+}
