--- /dev/null
+++ b/src/agent/attempt.rs
@@ -0,0 +1,290 @@
+//! Carries an admitted attempt to its endpoint and the answer back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+
+use crate::answer::{StoredAnswer, is_event_stream};
+use crate::codes::Code;
+use crate::http::{self, AnswerBody, header_text, names};
+use crate::settings::{EndpointKind, EndpointSettings};
+use crate::types::{AttemptId, Refusal};
+use crate::wire::ConfigDoc;
+
+use super::control::{Control, Decision, Load};
+use super::core::AgentEvent;
+use super::offer::OfferedRequest;
+use super::relay::Relay;
+
+/// HTTP client towards endpoints.
+pub(super) type EndpointClient = Client<HttpConnector, Full<Bytes>>;
+
+/// What every attempt of an agent shares.
+pub(super) struct AttemptContext {
+    pub(super) control: Control,
+    pub(super) client: EndpointClient,
+    pub(super) endpoints: Vec<EndpointSettings>,
+    pub(super) limits: AttemptLimits,
+}
+
+/// Bounds of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptLimits {
+    /// Bytes of an answer that is not streamed.
+    pub(super) answer_bytes: usize,
+    /// Silence of the endpoint after which the attempt is given up.
+    pub(super) silence: Duration,
+}
+
+/// Reports the end of an attempt, whichever way its task ends.
+pub(super) struct AttemptGuard {
+    control: Control,
+    attempt: AttemptId,
+    is_over: bool,
+}
+
+impl AttemptGuard {
+    fn new(control: Control, attempt: AttemptId) -> Self {
+        Self { control, attempt, is_over: false }
+    }
+
+    /// Reports the first byte of the answer.
+    pub(super) fn started(&self) {
+        self.control.event(AgentEvent::Started { attempt: self.attempt.clone() });
+    }
+
+    /// Reports a whole answer.
+    pub(super) fn answered(&mut self, tokens: u64, answer: Option<Arc<str>>) {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        self.end(AgentEvent::Answered { attempt: self.attempt.clone(), tokens, answer });
+    }
+
+    /// Reports that the endpoint did not give a whole answer.
+    pub(super) fn broken(&mut self, sent: bool) {
+        self.end(AgentEvent::Broken { attempt: self.attempt.clone(), sent });
+    }
+
+    /// The decision logic has ended the attempt itself.
+    fn decided(&mut self) {
+        self.is_over = true;
+    }
+
+    fn end(&mut self, event: AgentEvent) {
+        if !self.is_over {
+            self.is_over = true;
+            self.control.event(event);
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.end(AgentEvent::EntryGone { attempt: self.attempt.clone() });
+    }
+}
+
+/// Runs an offered attempt to the head of its answer.
+pub(super) async fn run(cx: &AttemptContext, request: OfferedRequest) -> Response<AnswerBody> {
+    let attempt = request.offer.attempt.clone();
+    let endpoint = request.offer.endpoint.clone();
+    let mut guard = AttemptGuard::new(cx.control.clone(), attempt.clone());
+    let decision = cx.control.offer(request.offer.clone()).await;
+    let response = match decision {
+        Ok(Decision::Admit { priority }) => forward(cx, request, priority, guard).await,
+        Ok(Decision::Refuse { code, config }) => {
+            guard.decided();
+            refuse(code, config.as_ref())
+        }
+        Ok(Decision::Replay(text)) => {
+            guard.decided();
+            replay(&text)
+        }
+        Err(_) => refuse(Code::Stopping, None),
+    };
+    let load = cx.control.load(endpoint).await.unwrap_or_default();
+    label(response, &attempt, load)
+}
+
+async fn forward(
+    cx: &AttemptContext,
+    request: OfferedRequest,
+    priority: u8,
+    mut guard: AttemptGuard,
+) -> Response<AnswerBody> {
+    let endpoint = cx.endpoints.iter().find(|e| e.name == request.offer.endpoint);
+    let req = endpoint.and_then(|endpoint| build(endpoint, &request, priority));
+    let (Some(endpoint), Some(req)) = (endpoint, req) else {
+        guard.broken(false);
+        return refuse(Code::NoEndpoint, None);
+    };
+    match tokio::time::timeout(cx.limits.silence, cx.client.request(req)).await {
+        Ok(Ok(response)) => receive(cx, endpoint, &request, response, guard).await,
+        Ok(Err(err)) if err.is_connect() => {
+            guard.broken(false);
+            refuse(Code::NoEndpoint, None)
+        }
+        Ok(Err(_)) | Err(_) => {
+            guard.broken(true);
+            refuse(Code::OutcomeUnknown, None)
+        }
+    }
+}
+
+fn build(
+    endpoint: &EndpointSettings,
+    request: &OfferedRequest,
+    priority: u8,
+) -> Option<Request<Full<Bytes>>> {
+    let body = match request.resume_from {
+        0 => request.body.clone(),
+        from => with_resume(&request.body, from)?,
+    };
+    let mut builder = Request::builder()
+        .method(request.method.clone())
+        .uri(format!("http://{}{}", endpoint.address, request.path))
+        .header(names::REQUEST_ID, &*request.offer.attempt)
+        .header(names::PRIORITY, priority);
+    if let Some(kind) = &request.content_type {
+        builder = builder.header(CONTENT_TYPE, kind);
+    }
+    if let Some(key) = &request.offer.key {
+        builder = builder.header(names::KEY, &**key);
+    }
+    builder.body(Full::new(body)).ok()
+}
+
+fn with_resume(body: &[u8], from: u64) -> Option<Bytes> {
+    let mut body: serde_json::Value = serde_json::from_slice(body).ok()?;
+    body.as_object_mut()?.insert("resume_from".into(), from.into());
+    serde_json::to_vec(&body).ok().map(Bytes::from)
+}
+
+async fn receive(
+    cx: &AttemptContext,
+    endpoint: &EndpointSettings,
+    request: &OfferedRequest,
+    response: Response<Incoming>,
+    mut guard: AttemptGuard,
+) -> Response<AnswerBody> {
+    if endpoint.kind == EndpointKind::Model && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        // A model engine refuses before it runs anything.
+        guard.broken(false);
+        return refuse(Code::NoEndpoint, None);
+    }
+    if let Err(code) = check(endpoint, request, &response) {
+        guard.broken(true);
+        return refuse(code, None);
+    }
+    if is_event_stream(response.headers()) {
+        stream(request, response, guard)
+    } else {
+        collect(cx, request, response, guard).await
+    }
+}
+
+/// Checks that the answer is one to this attempt and from the pinned version.
+fn check(
+    endpoint: &EndpointSettings,
+    request: &OfferedRequest,
+    response: &Response<Incoming>,
+) -> Result<(), Code> {
+    let headers = response.headers();
+    let echoed = header_text(headers, names::REQUEST_ID);
+    if echoed.is_some_and(|echoed| echoed != &*request.offer.attempt) {
+        return Err(Code::AnswerBroken);
+    }
+    let is_pinned = header_text(headers, names::ENGINE_VERSION) == request.offer.version.as_deref();
+    match endpoint.kind == EndpointKind::Service || is_pinned {
+        true => Ok(()),
+        false => Err(Code::AnswerBroken),
+    }
+}
+
+fn stream(
+    request: &OfferedRequest,
+    response: Response<Incoming>,
+    guard: AttemptGuard,
+) -> Response<AnswerBody> {
+    let (head, body) = response.into_parts();
+    let relay = Relay::new(body, guard).boxed();
+    answer_head(request, head.status, head.headers.get(CONTENT_TYPE)).map(|()| relay)
+}
+
+async fn collect(
+    cx: &AttemptContext,
+    request: &OfferedRequest,
+    response: Response<Incoming>,
+    mut guard: AttemptGuard,
+) -> Response<AnswerBody> {
+    let (head, body) = response.into_parts();
+    guard.started();
+    let body = Limited::new(body, cx.limits.answer_bytes).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(cx.limits.silence, body).await else {
+        guard.broken(true);
+        return refuse(Code::OutcomeUnknown, None);
+    };
+    let body = body.to_bytes();
+    let kind = head.headers.get(CONTENT_TYPE);
+    let is_keyed = request.offer.key.is_some();
+    let record = is_keyed.then(|| StoredAnswer::new(head.status, kind, &body).to_text());
+    guard.answered(u64::from(request.offer.tokens), record);
+    answer_head(request, head.status, kind).map(|()| http::full(body))
+}
+
+fn answer_head(
+    request: &OfferedRequest,
+    status: StatusCode,
+    kind: Option<&HeaderValue>,
+) -> Response<()> {
+    let mut head = Response::new(());
+    *head.status_mut() = status;
+    if let Some(kind) = kind {
+        head.headers_mut().insert(CONTENT_TYPE, kind.clone());
+    }
+    if let Some(version) = &request.offer.version {
+        insert(&mut head, names::VERSION, version);
+    }
+    head
+}
+
+fn refuse(code: Code, config: Option<&ConfigDoc>) -> Response<AnswerBody> {
+    let response = http::refuse(&Refusal::new(code));
+    match config {
+        Some(doc) => {
+            let body = serde_json::to_vec(doc).expect("plain data");
+            response.map(|_| http::full(body))
+        }
+        None => response,
+    }
+}
+
+fn replay(text: &str) -> Response<AnswerBody> {
+    let answer = StoredAnswer::from_text(text).and_then(StoredAnswer::into_response);
+    match answer {
+        Some(response) => response.map(http::full),
+        None => refuse(Code::OutcomeUnknown, None),
+    }
+}
+
+fn label(
+    mut response: Response<AnswerBody>,
+    attempt: &AttemptId,
+    load: Load,
+) -> Response<AnswerBody> {
+    insert(&mut response, names::ATTEMPT, attempt);
+    insert(&mut response, names::LOAD, &format!("{}/{}", load.in_flight, load.limit));
+    response
+}
+
+fn insert<B>(response: &mut Response<B>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/src/agent/offer.rs
@@ -0,0 +1,101 @@
+//! Reads an attempt that an entry offers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request};
+
+use crate::codes::Code;
+use crate::http::{header_number, header_text, names};
+
+use super::core::Offer;
+
+/// Patience of an attempt that names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Bounds of an offer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OfferLimits {
+    /// Bytes of the body.
+    pub(super) bytes: usize,
+    /// Time within which the body must arrive.
+    pub(super) timeout: Duration,
+}
+
+/// An offer with what is passed on to the endpoint.
+#[derive(Debug)]
+pub(super) struct OfferedRequest {
+    /// Description for the decision logic.
+    pub(super) offer: Offer,
+    /// Method towards the endpoint.
+    pub(super) method: Method,
+    /// Path and query towards the endpoint.
+    pub(super) path: String,
+    /// Content type of the body.
+    pub(super) content_type: Option<String>,
+    /// Number of tokens that the caller already has.
+    pub(super) resume_from: u64,
+    /// Body of the caller's request.
+    pub(super) body: Bytes,
+}
+
+/// Reads an offer.
+///
+/// # Errors
+///
+/// Gives the code of the refusal: malformed, too large or too slow.
+pub(super) async fn read(
+    req: Request<Incoming>,
+    limits: OfferLimits,
+) -> Result<OfferedRequest, Code> {
+    let (head, body) = req.into_parts();
+    let offer = offer(&head.headers).ok_or(Code::Malformed)?;
+    let body = tokio::time::timeout(limits.timeout, Limited::new(body, limits.bytes).collect())
+        .await
+        .map_err(|_| Code::CallerTooSlow)?
+        .map_err(|err| match err.is::<LengthLimitError>() {
+            true => Code::TooLarge,
+            false => Code::Malformed,
+        })?
+        .to_bytes();
+    Ok(OfferedRequest {
+        offer,
+        method: head.method.clone(),
+        path: path(&head),
+        content_type: header_text(&head.headers, CONTENT_TYPE.as_str()).map(str::to_owned),
+        resume_from: header_number(&head.headers, names::RESUME_FROM).unwrap_or(0),
+        body,
+    })
+}
+
+fn path(head: &Parts) -> String {
+    head.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.to_string())
+}
+
+fn offer(headers: &HeaderMap) -> Option<Offer> {
+    Some(Offer {
+        attempt: header_text(headers, names::ATTEMPT)?.into(),
+        entry: header_text(headers, names::ENTRY)?.into(),
+        endpoint: header_text(headers, names::ENDPOINT)?.into(),
+        agent_instance: header_number(headers, names::AGENT_INSTANCE)?,
+        generation: header_number(headers, names::GENERATION)?,
+        class: header_text(headers, names::CLASS)?.into(),
+        customer: header_text(headers, names::CUSTOMER)?.into(),
+        key: header_text(headers, names::KEY).map(Into::into),
+        fingerprint: header_text(headers, names::FINGERPRINT)?.into(),
+        version: header_text(headers, names::VERSION).map(Into::into),
+        tokens: header_number(headers, names::TOKENS).unwrap_or(0),
+        patience: patience(headers),
+        suspect: headers.contains_key(names::SUSPECT),
+    })
+}
+
+fn patience(headers: &HeaderMap) -> Duration {
+    header_number::<u64>(headers, names::PATIENCE)
+        .filter(|millis| *millis > 0)
+        .map_or(DEFAULT_PATIENCE, Duration::from_millis)
+}
--- /dev/null
+++ b/src/agent/orders.rs
@@ -0,0 +1,102 @@
+//! Carries out what the agent's decision logic asks of endpoints and of the weight transfer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+
+use crate::platform::{EndpointAdmin, HttpClient, HttpEndpoint};
+use crate::settings::EndpointSettings;
+use crate::types::{AttemptId, Digest, EndpointId, Generation};
+use crate::weights::{Wanted, WeightsService};
+
+use super::control::Reports;
+use super::core::{AgentAction, AgentEvent};
+
+/// Time within which an engine must switch to a staged version.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Starts calls on the traffic threads and reports how they end.
+#[derive(Clone)]
+pub(super) struct Orders {
+    /// Runtime of the traffic threads.
+    pub(super) runtime: Handle,
+    /// Client towards endpoints.
+    pub(super) http: HttpClient,
+    /// Endpoints of the host.
+    pub(super) endpoints: Arc<[EndpointSettings]>,
+    /// Weight transfer of the host.
+    pub(super) weights: WeightsService,
+    /// Where the ends are reported.
+    pub(super) reports: Reports,
+}
+
+#[derive(Clone, Copy)]
+enum JobOrder {
+    Cancel,
+    Pause,
+    Resume,
+}
+
+impl Orders {
+    /// Carries out an order; other actions are none.
+    pub(super) fn carry_out(&self, action: AgentAction) {
+        match action {
+            AgentAction::Cancel { attempt } => self.job(attempt, JobOrder::Cancel),
+            AgentAction::Pause { attempt } => self.job(attempt, JobOrder::Pause),
+            AgentAction::Resume { attempt } => self.job(attempt, JobOrder::Resume),
+            AgentAction::Fetch { model, name, version } => {
+                self.fetch(Wanted { model, name, version, hosts: None });
+            }
+            AgentAction::Load { endpoint, version, fence } => self.load(endpoint, version, fence),
+            _ => {}
+        }
+    }
+
+    fn fetch(&self, wanted: Wanted) {
+        let weights = self.weights.clone();
+        self.runtime.spawn(async move { weights.fetch(wanted).await });
+    }
+
+    /// The order goes to every model engine of the host; one that does not know the attempt
+    /// ignores it.
+    fn job(&self, attempt: AttemptId, order: JobOrder) {
+        for endpoint in self.endpoints.iter() {
+            let engine = HttpEndpoint::new(endpoint.address, self.http.clone());
+            let attempt = attempt.clone();
+            self.runtime.spawn(async move {
+                // A lost order shows in the attempt's own stream.
+                let _ = match order {
+                    JobOrder::Cancel => engine.cancel(&attempt).await,
+                    JobOrder::Pause => engine.pause(&attempt).await,
+                    JobOrder::Resume => engine.resume(&attempt).await,
+                };
+            });
+        }
+    }
+
+    fn load(&self, endpoint: EndpointId, version: Digest, fence: Generation) {
+        let Some(addr) = self.addr(&endpoint) else { return };
+        let orders = self.clone();
+        self.runtime.spawn(async move {
+            let loaded = orders.stage_and_load(addr, &version, fence).await;
+            orders.reports.event(AgentEvent::Loaded { endpoint, version: loaded, fence });
+        });
+    }
+
+    async fn stage_and_load(
+        &self,
+        addr: SocketAddr,
+        version: &Digest,
+        fence: Generation,
+    ) -> Option<Digest> {
+        self.weights.stage(addr, version).await.ok()?;
+        let engine = HttpEndpoint::new(addr, self.http.clone());
+        engine.load(version, fence, LOAD_TIMEOUT).await.ok()
+    }
+
+    fn addr(&self, endpoint: &str) -> Option<SocketAddr> {
+        self.endpoints.iter().find(|e| &*e.name == endpoint).map(|e| e.address)
+    }
+}
--- /dev/null
+++ b/src/agent/process.rs
@@ -0,0 +1,304 @@
+//! Start and stop of an agent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::control::{ControlLimits, ControlServer};
+use crate::http::{Listener, ListenerLimits};
+use crate::log_event;
+use crate::platform::{HttpClient, HttpHostList, HttpTimeouts};
+use crate::settings::{AgentSettings, EndpointKind, EndpointSettings};
+use crate::telemetry::Event;
+use crate::timer::Timer;
+use crate::weights::{WeightsConfig, WeightsNotice, WeightsService};
+
+use super::attempt::{AttemptContext, AttemptLimits, EndpointClient};
+use super::control::{self, Control, ControlInputs};
+use super::core::{AgentCore, AgentCoreConfig, AgentEvent, EndpointConfig};
+use super::offer::OfferLimits;
+use super::orders::Orders;
+use super::traffic::Traffic;
+use super::{followers, rpc};
+
+/// Time within which a connection to an endpoint must open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an unused connection to an endpoint is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which an idle connection from an entry is closed; longer than the entry's own.
+const ENTRY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of an answer that is not streamed.
+const ANSWER_BYTES: usize = 900 * 1024;
+
+/// A running agent. Dropping it cuts everything at once.
+#[derive(Debug)]
+pub struct AgentHandle {
+    traffic: SocketAddr,
+    control: SocketAddr,
+    weights: WeightsService,
+    stop: CancellationToken,
+    kill: CancellationToken,
+    ended: JoinHandle<()>,
+}
+
+impl AgentHandle {
+    /// Address that entries and other agents reach.
+    pub fn traffic(&self) -> SocketAddr {
+        self.traffic
+    }
+
+    /// Address of the control listener.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Weight transfer of the host.
+    pub fn weights(&self) -> &WeightsService {
+        &self.weights
+    }
+
+    /// Stops gracefully: new attempts are refused, and the process ends with its last attempt or
+    /// at the stop deadline.
+    pub async fn stop(mut self) {
+        self.stop.cancel();
+        // The task ends by itself; a panic in it has been reported already.
+        let _ = (&mut self.ended).await;
+    }
+
+    /// Ends at once and cuts every attempt, as a crash does.
+    pub fn kill(self) {
+        self.kill.cancel();
+    }
+}
+
+impl Drop for AgentHandle {
+    fn drop(&mut self) {
+        self.kill.cancel();
+    }
+}
+
+/// Starts an agent on the current runtime.
+///
+/// # Errors
+///
+/// Fails when an address can not be bound or the control thread can not be started.
+pub async fn spawn(settings: AgentSettings) -> io::Result<AgentHandle> {
+    let kill = CancellationToken::new();
+    let drain = CancellationToken::new();
+    let limits = listener_limits(&settings);
+    let listener = Listener::bind(settings.listen.traffic, limits, drain.clone(), kill.clone()).await?;
+    let addr = listener.addr()?;
+    let seed = settings.process.seed.unwrap_or_else(rand::random);
+
+    let (control, inputs) = Control::new();
+    let (weights, notices) = WeightsService::spawn(weights_config(&settings, addr), seed);
+    let rpc = control_server(&settings, &control).await?;
+    start_control_thread(&settings, &control, inputs, &weights)?;
+    start_followers(&settings, seed, &control, &weights, notices);
+
+    let attempts = TaskTracker::new();
+    let traffic = Traffic {
+        cx: Arc::new(attempt_context(&settings, &control)),
+        limits: offer_limits(&settings),
+        weights: weights.clone(),
+        attempts: attempts.clone(),
+        kill: kill.clone(),
+    };
+    let running = Running {
+        name: settings.process.name.clone(),
+        stop: CancellationToken::new(),
+        drain,
+        kill: kill.clone(),
+        deadline: settings.limits.stop_deadline,
+        control,
+    };
+    let control_addr = rpc.addr();
+    let serving = tokio::spawn(listener.serve(move |req| traffic.clone().serve(req)));
+    let stop = running.stop.clone();
+    let ended = tokio::spawn(running.run(serving, rpc));
+    Ok(AgentHandle { traffic: addr, control: control_addr, weights, stop, kill, ended })
+}
+
+struct Running {
+    name: Arc<str>,
+    stop: CancellationToken,
+    drain: CancellationToken,
+    kill: CancellationToken,
+    deadline: Duration,
+    control: Control,
+}
+
+impl Running {
+    async fn run(self, serving: JoinHandle<()>, _rpc: ControlServer) {
+        log_event!(Event::Started, "agent {}", self.name);
+        tokio::select! {
+            () = self.kill.cancelled() => return,
+            () = self.stop.cancelled() => {}
+        }
+        log_event!(Event::Stopping, "agent {}", self.name);
+        self.control.event(AgentEvent::Stop);
+        let drained = async {
+            self.control.drained().await;
+            self.drain.cancel();
+            // The listener's task ends by itself; a panic in it has been reported already.
+            let _ = serving.await;
+        };
+        tokio::select! {
+            () = drained => {}
+            () = tokio::time::sleep(self.deadline) => {}
+            () = self.kill.cancelled() => {}
+        }
+        self.kill.cancel();
+        log_event!(Event::Stopped, "agent {}", self.name);
+    }
+}
+
+async fn control_server(settings: &AgentSettings, control: &Control) -> io::Result<ControlServer> {
+    let methods = rpc::methods(control.clone()).map_err(io::Error::other)?;
+    let limits = ControlLimits {
+        connections: settings.limits.control_connections,
+        message_bytes: u32::try_from(settings.limits.control_bytes).unwrap_or(u32::MAX),
+    };
+    let token = settings.security.token.clone();
+    ControlServer::spawn(settings.listen.control, token, limits, methods).await
+}
+
+fn start_control_thread(
+    settings: &AgentSettings,
+    control: &Control,
+    inputs: ControlInputs,
+    weights: &WeightsService,
+) -> io::Result<()> {
+    let orders = Orders {
+        runtime: Handle::current(),
+        http: endpoint_admin_client(),
+        endpoints: settings.endpoints.clone().into(),
+        weights: weights.clone(),
+        reports: control.reports(),
+    };
+    let cfg = core_config(settings);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+    std::thread::Builder::new().name("agent-control".into()).spawn(move || {
+        let core = AgentCore::new(cfg, Instant::now());
+        runtime.block_on(control::run(core, inputs, orders));
+    })?;
+    Ok(())
+}
+
+fn core_config(settings: &AgentSettings) -> AgentCoreConfig {
+    let process = &settings.process;
+    AgentCoreConfig {
+        endpoints: settings.endpoints.iter().map(EndpointConfig::from).collect(),
+        ..AgentCoreConfig::new(
+            process.host.clone(),
+            process.zone.clone(),
+            process.region.clone(),
+            rand::random(),
+        )
+    }
+}
+
+fn start_followers(
+    settings: &AgentSettings,
+    seed: u64,
+    control: &Control,
+    weights: &WeightsService,
+    notices: mpsc::UnboundedReceiver<WeightsNotice>,
+) {
+    let timer = Timer::spawn(seed);
+    let http = endpoint_admin_client();
+    for endpoint in &settings.endpoints {
+        let ticks = timer.every_jittered(settings.limits.probe_interval);
+        let reports = control.reports();
+        tokio::spawn(followers::follow_endpoint(endpoint.clone(), http.clone(), reports, ticks));
+    }
+    tokio::spawn(followers::follow_weights(notices, control.reports()));
+    if has_models(settings) {
+        let hosts = HttpHostList::new(settings.platform.host_list, http);
+        tokio::spawn(followers::follow_peers(hosts, weights.clone(), control.reports(), timer));
+    }
+}
+
+fn has_models(settings: &AgentSettings) -> bool {
+    settings.endpoints.iter().any(|endpoint| endpoint.kind == EndpointKind::Model)
+}
+
+fn weights_config(settings: &AgentSettings, addr: SocketAddr) -> WeightsConfig {
+    let process = &settings.process;
+    let own = followers::own_peer(&process.host, &process.zone, &process.region, addr);
+    let origins = vec![settings.platform.weight_store, settings.platform.origin];
+    let limits = &settings.limits;
+    WeightsConfig {
+        memory: limits.chunk_memory,
+        download_rate: Some(limits.download_rate),
+        upload_rate: Some(limits.upload_rate),
+        ..WeightsConfig::new(own, origins)
+    }
+}
+
+fn attempt_context(settings: &AgentSettings, control: &Control) -> AttemptContext {
+    AttemptContext {
+        control: control.clone(),
+        client: endpoint_client(),
+        endpoints: settings.endpoints.clone(),
+        limits: AttemptLimits {
+            answer_bytes: ANSWER_BYTES,
+            silence: settings.limits.answer_timeout,
+        },
+    }
+}
+
+fn endpoint_admin_client() -> HttpClient {
+    HttpClient::new(HttpTimeouts::default())
+}
+
+fn endpoint_client() -> EndpointClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+fn offer_limits(settings: &AgentSettings) -> OfferLimits {
+    OfferLimits {
+        bytes: usize::try_from(settings.limits.request_bytes).unwrap_or(usize::MAX),
+        timeout: settings.limits.body_timeout,
+    }
+}
+
+fn listener_limits(settings: &AgentSettings) -> ListenerLimits {
+    ListenerLimits {
+        connections: settings.limits.traffic_connections as usize,
+        header_bytes: usize::try_from(settings.limits.header_bytes).unwrap_or(usize::MAX),
+        header_timeout: ENTRY_IDLE_TIMEOUT,
+    }
+}
+
+impl From<&EndpointSettings> for EndpointConfig {
+    fn from(settings: &EndpointSettings) -> Self {
+        Self {
+            id: settings.name.clone(),
+            target: settings.target.clone(),
+            kind: settings.kind,
+            cold_limit: settings.cold_limit,
+            limit: settings.limit,
+            checks_fencing: settings.checks_fencing,
+            idle_power: settings.idle_power,
+            energy_per_token: settings.energy_per_token,
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/rpc.rs
@@ -0,0 +1,50 @@
+//! Control listener of the agent.
+
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::RegisterMethodError;
+use jsonrpsee::types::{ErrorObject, ErrorObjectOwned};
+
+use crate::codes::Code;
+use crate::wire::{
+    AgentControlServer, ProcessControlServer, SettleReply, SettleRequest, SyncReply, SyncRequest,
+};
+
+use super::control::Control;
+
+#[derive(Clone)]
+struct Rpc {
+    control: Control,
+}
+
+#[async_trait]
+impl AgentControlServer for Rpc {
+    async fn sync(&self, request: SyncRequest) -> RpcResult<SyncReply> {
+        self.control.sync(request).await.ok_or_else(stopping)
+    }
+
+    async fn settle(&self, request: SettleRequest) -> RpcResult<SettleReply> {
+        self.control.settle(request).await.ok_or_else(stopping)
+    }
+}
+
+#[async_trait]
+impl ProcessControlServer for Rpc {
+    async fn dump(&self) -> RpcResult<serde_json::Value> {
+        self.control.dump().await.ok_or_else(stopping)
+    }
+}
+
+/// The calls that an agent answers.
+pub(super) fn methods(control: Control) -> Result<RpcModule<()>, RegisterMethodError> {
+    let rpc = Rpc { control };
+    let mut methods = RpcModule::new(());
+    methods.merge(AgentControlServer::into_rpc(rpc.clone()))?;
+    methods.merge(ProcessControlServer::into_rpc(rpc))?;
+    Ok(methods)
+}
+
+fn stopping() -> ErrorObjectOwned {
+    let code = Code::Stopping;
+    ErrorObject::owned(i32::from(code.number()), code.to_string(), None::<()>)
+}
--- /dev/null
+++ b/src/agent/traffic.rs
@@ -0,0 +1,64 @@
+//! Traffic listener of the agent: attempts from entries, chunks for other agents.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::codes::Code;
+use crate::http::{self, AnswerBody};
+use crate::types::Refusal;
+use crate::weights::WeightsService;
+
+use super::attempt::{self, AttemptContext};
+use super::offer::{self, OfferLimits, OfferedRequest};
+
+/// Path below which chunks stand.
+const WEIGHTS_PATH: &str = "/weights/";
+
+/// What the traffic listener needs for each request.
+#[derive(Clone)]
+pub(super) struct Traffic {
+    pub(super) cx: Arc<AttemptContext>,
+    pub(super) limits: OfferLimits,
+    pub(super) weights: WeightsService,
+    /// Attempts that run, some of them without an entry.
+    pub(super) attempts: TaskTracker,
+    pub(super) kill: CancellationToken,
+}
+
+impl Traffic {
+    /// Answers one request.
+    pub(super) async fn serve(self, req: Request<Incoming>) -> Response<AnswerBody> {
+        if req.uri().path().starts_with(WEIGHTS_PATH) {
+            return self.serve_weights(req).await;
+        }
+        match offer::read(req, self.limits).await {
+            Ok(request) if request.offer.key.is_some() => self.run_to_end(request).await,
+            Ok(request) => attempt::run(&self.cx, request).await,
+            Err(code) => http::refuse(&Refusal::new(code)),
+        }
+    }
+
+    async fn serve_weights(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let response = match self.weights.serve(req).await {
+            Ok(response) => response,
+            Err(never) => match never {},
+        };
+        response.map(|body| body.map_err(|never| match never {}).boxed())
+    }
+
+    /// Runs a keyed attempt to its end, with or without its entry.
+    async fn run_to_end(self, request: OfferedRequest) -> Response<AnswerBody> {
+        let cx = self.cx.clone();
+        let kill = self.kill.clone();
+        let run = async move { kill.run_until_cancelled(attempt::run(&cx, request)).await };
+        match self.attempts.spawn(run).await {
+            Ok(Some(response)) => response,
+            Ok(None) | Err(_) => http::refuse(&Refusal::new(Code::OutcomeUnknown)),
+        }
+    }
+}
