Placement: plan, proposer and the orders of one endpoint

Cause: agent core and entry core need the interfaces. The plan is a pure function of targets, endpoints, load and power; a proposer writes it by conditional update once the wish has lasted; the order machine keeps one order under way and declares ready only after a read-back that no earlier order can change.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod http;
 pub mod membership;
+pub mod placement;
 pub mod platform;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,19 @@
+//! Which endpoint holds which version, and the orders that bring it there.
+//!
+//! Any entry may propose the next [`Placement`]. It is written by conditional update, so that one
+//! proposal wins, and the version of the object is the fencing number of every order that follows
+//! from it. [`plan`] computes a placement, [`Proposer`] decides when one is written, and
+//! [`OrderMachine`] carries it out at one endpoint.
+
+mod document;
+mod order;
+mod plan;
+mod proposer;
+
+#[cfg(test)]
+mod tests;
+
+pub use document::{Assignment, Placement};
+pub use order::{EndpointView, Order, OrderAction, OrderConfig, OrderEvent, OrderMachine};
+pub use plan::{EndpointFact, PlanInputs, plan};
+pub use proposer::{Proposal, Proposer, ProposerConfig};
--- /dev/null
+++ b/src/placement/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of placement and orders.
+
+mod order;
+mod plan;
+mod proposer;
--- /dev/null
+++ b/src/placement/tests/plan.rs
@@ -0,0 +1,206 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::config::{Model, Targets};
+use crate::placement::{Assignment, EndpointFact, Placement, PlanInputs, plan};
+
+const REPLACE_AFTER: Duration = Duration::from_secs(30);
+
+struct Fleet {
+    targets: Targets,
+    endpoints: Vec<EndpointFact>,
+    current: Placement,
+    needed: u32,
+    spare_power: u64,
+}
+
+impl Fleet {
+    /// Endpoints that are ready with version `old`, spread over three zones.
+    fn ready(count: usize) -> Self {
+        let endpoints: Vec<EndpointFact> = (0..count).map(fact).collect();
+        let assignments = endpoints.iter().map(|fact| {
+            let assignment = Assignment {
+                host: fact.host.clone(),
+                model: "m".into(),
+                version: "old".into(),
+                next: None,
+            };
+            (fact.endpoint.clone(), assignment)
+        });
+        Self {
+            targets: targets("old", None),
+            current: Placement {
+                generation: 1,
+                endpoints: assignments.collect(),
+            },
+            endpoints,
+            needed: 0,
+            spare_power: 1000,
+        }
+    }
+
+    fn plan(&self, generation: u64) -> Placement {
+        plan(PlanInputs {
+            generation,
+            targets: &self.targets,
+            endpoints: &self.endpoints,
+            current: &self.current,
+            needed: &BTreeMap::from([("m".into(), self.needed)]),
+            spare_power: self.spare_power,
+            load_power: 10,
+            replace_after: REPLACE_AFTER,
+        })
+    }
+}
+
+fn fact(number: usize) -> EndpointFact {
+    EndpointFact {
+        endpoint: format!("e{number}").into(),
+        host: format!("h{number}").into(),
+        zone: format!("z{}", number % 3).into(),
+        model: "m".into(),
+        ready: Some("old".into()),
+        holds_next: false,
+        silent: Duration::ZERO,
+        leaving: false,
+    }
+}
+
+fn targets(version: &str, replicas: Option<u32>) -> Targets {
+    Targets {
+        models: vec![Model {
+            id: "m".into(),
+            version: version.into(),
+            manifest: version.into(),
+            replicas,
+        }],
+        ..Targets::default()
+    }
+}
+
+fn switched(placement: &Placement, version: &str) -> usize {
+    let assignments = placement.endpoints.values();
+    assignments.filter(|a| &*a.version == version).count()
+}
+
+#[test]
+fn a_push_first_only_fetches() {
+    let mut fleet = Fleet::ready(6);
+    fleet.targets = targets("new", None);
+    let next = fleet.plan(2);
+    assert_eq!(switched(&next, "old"), 6);
+    assert_eq!(next.hosts_of("new").len(), 6);
+}
+
+#[rstest]
+#[case::no_load(0, 1000, 5)]
+#[case::some_load(4, 1000, 2)]
+#[case::all_needed(6, 1000, 0)]
+#[case::overloaded(9, 1000, 0)]
+#[case::little_power(0, 25, 2)]
+#[case::no_power(0, 9, 0)]
+fn a_switch_over_keeps_what_the_load_needs_and_the_power_cap(
+    #[case] needed: u32,
+    #[case] spare_power: u64,
+    #[case] expected: usize,
+) {
+    let mut fleet = Fleet::ready(6);
+    fleet.targets = targets("new", None);
+    fleet.current = fleet.plan(2);
+    fleet
+        .endpoints
+        .iter_mut()
+        .for_each(|fact| fact.holds_next = true);
+    fleet.needed = needed;
+    fleet.spare_power = spare_power;
+    let next = fleet.plan(2);
+    assert_eq!(switched(&next, "new"), expected);
+
+    // While those load, no more are taken.
+    fleet.current = next;
+    let loading = fleet.current.clone();
+    for fact in &mut fleet.endpoints {
+        if &*loading.endpoints[&fact.endpoint].version == "new" {
+            fact.ready = None;
+        }
+    }
+    assert_eq!(switched(&fleet.plan(2), "new"), expected);
+}
+
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[case::many(16)]
+fn a_push_ends_with_every_endpoint_on_the_new_version(#[case] count: usize) {
+    let mut fleet = Fleet::ready(count);
+    fleet.targets = targets("new", None);
+    fleet.needed = (count as u32 * 7).div_ceil(10).min(count as u32 - 1);
+    for _ in 0..40 {
+        fleet.current = fleet.plan(2);
+        for fact in &mut fleet.endpoints {
+            let assignment = &fleet.current.endpoints[&fact.endpoint];
+            fact.holds_next = true;
+            fact.ready = Some(assignment.version.clone());
+        }
+    }
+    assert_eq!(switched(&fleet.current, "new"), count);
+    assert_eq!(fleet.plan(2), fleet.current, "nothing is left to do");
+}
+
+#[rstest]
+#[case::short_silence(Duration::from_secs(29), false, true)]
+#[case::long_silence(Duration::from_secs(31), false, false)]
+#[case::leaving(Duration::ZERO, true, false)]
+fn an_endpoint_loses_its_place_only_after_a_long_silence(
+    #[case] silent: Duration,
+    #[case] leaving: bool,
+    #[case] kept: bool,
+) {
+    let mut fleet = Fleet::ready(6);
+    fleet.targets = targets("old", Some(3));
+    fleet.current = fleet.plan(1);
+    fleet.endpoints[1].silent = silent;
+    fleet.endpoints[1].leaving = leaving;
+    let next = fleet.plan(1);
+    assert_eq!(next.endpoints.contains_key("e1"), kept);
+    assert_eq!(next.endpoints.len(), 3);
+
+    // When it comes back, the one that took its place keeps it.
+    fleet.current = next.clone();
+    fleet.endpoints[1].silent = Duration::ZERO;
+    fleet.endpoints[1].leaving = false;
+    assert_eq!(fleet.plan(1), next);
+}
+
+#[test]
+fn replicas_spread_over_zones_and_avoid_one_that_is_out() {
+    let mut fleet = Fleet::ready(9);
+    fleet.current.endpoints.clear();
+    fleet.targets = targets("old", Some(4));
+    fleet.targets.zones_out.insert("z1".into());
+    let next = fleet.plan(1);
+    let zones = |zone: usize| {
+        let in_zone = |name: &str| name[1..].parse::<usize>().unwrap() % 3 == zone;
+        next.endpoints.keys().filter(|name| in_zone(name)).count()
+    };
+    assert_eq!([zones(0), zones(1), zones(2)], [2, 0, 2]);
+}
+
+#[test]
+fn targets_older_than_the_placement_change_nothing() {
+    let mut fleet = Fleet::ready(3);
+    fleet.current.generation = 5;
+    fleet.targets = targets("rolled-back", None);
+    assert_eq!(fleet.plan(4), fleet.current);
+}
+
+#[test]
+fn every_entry_computes_the_same_placement_whatever_order_it_lists_the_endpoints_in() {
+    let mut fleet = Fleet::ready(9);
+    fleet.targets = targets("new", Some(5));
+    let one = fleet.plan(2);
+    fleet.endpoints.reverse();
+    assert_eq!(fleet.plan(2), one);
+}
