Agent: decision logic of the gate, ledger and quarantine

Cause: nothing stood between entries and endpoints. Change: AgentCore with a gate for each endpoint (typed life cycle, capacity that rises on evidence and falls at once, queue bounded by patience, pause and resume for deferrable work), ledger of keyed attempts, quarantine as joinable sets, model of the draw, version switches one after another. QuarantineEntry gains the crashed instances, so that crashes of several agents add up.

--- a/src/agent/core/action.rs
+++ b/src/agent/core/action.rs
@@ -17,7 +17,11 @@
         /// Rank for the endpoint's own scheduler; a lower number goes first.
         priority: u8,
     },
-    /// Refuse the attempt, which the endpoint has not seen.
+    /// End the attempt with a numbered refusal.
+    ///
+    /// A code with [`crate::codes::RunState::NotRun`] means that the endpoint has not seen the
+    /// attempt. Another code follows [`super::AgentEvent::Broken`]: when a part of the answer was
+    /// already passed on, the shell cuts the answer without its end mark.
     Refuse {
         /// The attempt.
         attempt: AttemptId,
@@ -34,11 +38,13 @@
         answer: Arc<str>,
     },
     /// Cancel a running attempt at its endpoint.
+    ///
+    /// The attempt counts until the shell reports its end, as answered or broken.
     Cancel {
         /// The attempt.
         attempt: AttemptId,
     },
-    /// Pause a running attempt at its endpoint.
+    /// Pause a running attempt at its endpoint; confirmed by [`super::AgentEvent::Paused`].
     Pause {
         /// The attempt.
         attempt: AttemptId,
--- /dev/null
+++ b/src/agent/core/control.rs
@@ -0,0 +1,114 @@
+//! Heartbeats: configuration, placement, store contact, quarantine, reports.
+
+use std::time::Instant;
+
+use crate::codes::Code;
+use crate::config::Observation;
+use crate::power::PlacementGrants;
+use crate::telemetry::Event;
+use crate::wire::{ConfigDoc, SettleReply, SettleRequest, SyncReply, SyncRequest};
+
+use super::{AgentAction, AgentCore};
+
+impl AgentCore {
+    pub(super) fn synced(
+        &mut self,
+        now: Instant,
+        request: SyncRequest,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let theirs = request.generation;
+        let their_placement = request.placement_version.unwrap_or(0);
+        if let Some(doc) = request.config {
+            self.adopt(now, &doc, actions);
+        }
+        if let Some(doc) = request.placement {
+            self.adopt_placement(doc);
+        }
+        self.config
+            .peer_contact(now, &request.entry, theirs, &request.store);
+        self.quarantine.merge(now, &request.quarantine);
+        let reply = self.sync_reply(now, &request.entry, theirs, their_placement);
+        actions.push(AgentAction::SyncReply(Box::new(reply)));
+    }
+
+    pub(super) fn settle(
+        &mut self,
+        now: Instant,
+        request: &SettleRequest,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let attempt = request.attempt.as_str().into();
+        let (state, answer) = self.ledger.settle(now, &attempt);
+        actions.push(AgentAction::SettleReply(SettleReply {
+            agent_instance: self.cfg.instance,
+            state,
+            answer: answer.map(|text| text.to_string()),
+        }));
+    }
+
+    /// Adopts a configuration of a higher generation; an older or malformed one changes nothing.
+    fn adopt(&mut self, now: Instant, doc: &ConfigDoc, actions: &mut Vec<AgentAction>) {
+        if self.config.observe(doc) != Observation::Adopted {
+            return;
+        }
+        actions.push(AgentAction::Log {
+            event: Event::ConfigAdopted,
+            detail: format!("generation {}", self.generation()),
+        });
+        self.refuse_if_zone_out(now, actions);
+    }
+
+    /// Waiting work would be new work to a zone that is out.
+    fn refuse_if_zone_out(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
+        if !self.targets().zones_out.contains(&self.cfg.zone) {
+            return;
+        }
+        let steps = self
+            .gates
+            .values_mut()
+            .flat_map(|gate| gate.refuse_queue(Code::ZoneOut));
+        let steps = steps.collect();
+        self.apply(now, steps, actions);
+    }
+
+    fn adopt_placement(&mut self, doc: ConfigDoc) {
+        let known = self.placement.as_ref().map_or(0, |doc| doc.generation);
+        if doc.generation <= known {
+            return;
+        }
+        let Ok(grants) = serde_json::from_str::<PlacementGrants>(&doc.body) else {
+            return;
+        };
+        for gate in self.gates.values_mut() {
+            let grant = grants.of(&gate.cfg().id);
+            gate.set_grant(grant);
+        }
+        self.placement = Some(doc);
+    }
+
+    fn sync_reply(
+        &mut self,
+        now: Instant,
+        entry: &str,
+        theirs: u64,
+        their_placement: u64,
+    ) -> SyncReply {
+        let placement = self.placement.as_ref();
+        SyncReply {
+            host: self.cfg.host.to_string(),
+            zone: self.cfg.zone.to_string(),
+            agent_instance: self.cfg.instance,
+            generation: self.generation(),
+            config: self.config.doc_for(theirs),
+            placement: placement
+                .filter(|doc| doc.generation > their_placement)
+                .cloned(),
+            placement_version: placement.map(|doc| doc.generation),
+            store: self.config.sync_fields(now, entry),
+            leaving: self.leaving,
+            endpoints: self.gates.values().map(|gate| gate.report(now)).collect(),
+            quarantine: self.quarantine.entries(now),
+        }
+    }
+}
--- a/src/agent/core/event.rs
+++ b/src/agent/core/event.rs
@@ -35,6 +35,11 @@
         /// True when a byte of the request may have reached the endpoint.
         sent: bool,
     },
+    /// The endpoint confirmed that it paused the attempt.
+    Paused {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// The entry closed its connection, so that the answer has no reader.
     EntryGone {
         /// The attempt.
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -3,7 +3,156 @@
 //! [`AgentEvent`]s go in with the time, [`AgentAction`]s come out.
 
 mod action;
+mod control;
+mod crash;
 mod event;
+pub mod gate;
+mod settings;
+mod versions;
+mod work;
+
+#[cfg(test)]
+mod tests;
 
 pub use action::AgentAction;
 pub use event::{AgentEvent, EndpointProbe, Offer};
+pub use settings::{AgentCoreConfig, EndpointConfig, EndpointKind};
+
+use std::collections::BTreeMap;
+use std::sync::LazyLock;
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use crate::config::{ConfigState, Targets};
+use crate::delivery::{Ledger, Quarantine};
+use crate::types::{AttemptId, EndpointId, Generation};
+use crate::wire::ConfigDoc;
+
+use crash::CrashWatch;
+use gate::Gate;
+use versions::Versions;
+
+/// Decision logic of one agent.
+#[derive(Debug)]
+pub struct AgentCore {
+    cfg: AgentCoreConfig,
+    config: ConfigState,
+    /// Invariant: its version never falls.
+    placement: Option<ConfigDoc>,
+    gates: BTreeMap<EndpointId, Gate>,
+    /// Endpoint of each attempt that waits or runs.
+    attempts: BTreeMap<AttemptId, EndpointId>,
+    ledger: Ledger,
+    quarantine: Quarantine,
+    crashes: CrashWatch,
+    versions: Versions,
+    leaving: bool,
+    drained: bool,
+}
+
+impl AgentCore {
+    /// Starts without a configuration and with every endpoint down.
+    pub fn new(cfg: AgentCoreConfig, now: Instant) -> Self {
+        let gates = cfg
+            .endpoints
+            .iter()
+            .map(|endpoint| (endpoint.id.clone(), Gate::new(endpoint.clone())))
+            .collect();
+        Self {
+            config: ConfigState::new(cfg.config.clone(), now),
+            cfg,
+            placement: None,
+            gates,
+            attempts: BTreeMap::new(),
+            ledger: Ledger::default(),
+            quarantine: Quarantine::default(),
+            crashes: CrashWatch::default(),
+            versions: Versions::default(),
+            leaving: false,
+            drained: false,
+        }
+    }
+
+    /// Takes in an event and says what to do.
+    pub fn handle(&mut self, now: Instant, event: AgentEvent) -> Vec<AgentAction> {
+        let mut actions = Vec::new();
+        match event {
+            AgentEvent::Offered(offer) => self.offered(now, offer, &mut actions),
+            AgentEvent::Started { attempt } => self.started(now, &attempt, &mut actions),
+            AgentEvent::Answered {
+                attempt,
+                tokens,
+                answer,
+            } => self.answered(now, &attempt, tokens, answer),
+            AgentEvent::Broken { attempt, sent } => self.broken(now, &attempt, sent, &mut actions),
+            AgentEvent::Paused { attempt } => self.paused(&attempt),
+            AgentEvent::EntryGone { attempt } => self.entry_gone(&attempt, &mut actions),
+            AgentEvent::Probed { endpoint, probe } => {
+                self.probed(now, &endpoint, probe, &mut actions);
+            }
+            AgentEvent::Loaded {
+                endpoint,
+                version,
+                fence,
+            } => self.loaded(now, &endpoint, version, fence, &mut actions),
+            AgentEvent::VersionHeld { version } => self.versions.held(version),
+            AgentEvent::VersionProgress { version, permille } => {
+                self.progressed(&version, permille);
+            }
+            AgentEvent::Synced(request) => self.synced(now, *request, &mut actions),
+            AgentEvent::Settle(request) => self.settle(now, &request, &mut actions),
+            AgentEvent::Stop => self.stop(now, &mut actions),
+            AgentEvent::Tick => self.quarantine.expire(now),
+        }
+        self.drive_versions(now, &mut actions);
+        self.pump(now, &mut actions);
+        actions
+    }
+
+    /// Time at which [`AgentEvent::Tick`] is due at the latest.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        let queues = self.gates.values().filter_map(Gate::next_wakeup);
+        queues.chain(self.versions.next_wakeup()).min()
+    }
+
+    /// Generation in force; 0 when none is known.
+    pub fn generation(&self) -> Generation {
+        self.config.generation()
+    }
+
+    /// Targets of the generation held.
+    fn targets(&self) -> &Targets {
+        static NONE: LazyLock<Targets> = LazyLock::new(Targets::default);
+        self.config.held().map_or(&*NONE, |held| &held.targets)
+    }
+
+    /// State for operators.
+    pub fn dump(&self) -> Value {
+        let endpoints: Vec<Value> = self.gates.values().map(dump_gate).collect();
+        json!({
+            "host": &*self.cfg.host,
+            "zone": &*self.cfg.zone,
+            "region": &*self.cfg.region,
+            "instance": self.cfg.instance,
+            "generation": self.generation(),
+            "placement": self.placement.as_ref().map(|doc| doc.generation),
+            "leaving": self.leaving,
+            "attempts": self.attempts.len(),
+            "ledger": self.ledger.len(),
+            "quarantine": self.quarantine.len(),
+            "endpoints": endpoints,
+        })
+    }
+}
+
+fn dump_gate(gate: &Gate) -> Value {
+    json!({
+        "endpoint": &*gate.cfg().id,
+        "target": &*gate.cfg().target,
+        "state": gate.phase().state().to_string(),
+        "version": gate.phase().version().map(|version| &**version),
+        "instance": gate.instance(),
+        "running": gate.running().keys().map(|id| &**id).collect::<Vec<_>>(),
+    })
+}
--- /dev/null
+++ b/src/delivery/mod.rs
@@ -0,0 +1,15 @@
+//! Delivery of requests: at most once for keyed work, and quarantine of harmful requests.
+
+mod ledger;
+mod quarantine;
+
+#[cfg(test)]
+mod tests;
+
+pub use ledger::{Ledger, Verdict};
+pub use quarantine::{Quarantine, Standing};
+
+use std::time::Duration;
+
+/// Time for which the outcome of a keyed request is kept; a key may not be sent again later.
+pub const KEY_HORIZON: Duration = Duration::from_secs(24 * 60 * 60);
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -31,6 +31,12 @@
     EndpointState = 500,
     /// endpoint restarted
     EndpointRestarted = 501,
+    /// request was in flight when an endpoint crashed
+    RequestSuspected = 502,
+    /// request is quarantined after a second crash
+    RequestQuarantined = 503,
+    /// attempt was offered twice
+    DuplicateAttempt = 504,
     /// version is ready
     VersionReady = 600,
     /// chunk failed verification
@@ -60,6 +66,9 @@
             Self::AttemptFailed => log::Level::Warn,
             Self::EndpointState => log::Level::Info,
             Self::EndpointRestarted => log::Level::Warn,
+            Self::RequestSuspected => log::Level::Warn,
+            Self::RequestQuarantined => log::Level::Error,
+            Self::DuplicateAttempt => log::Level::Warn,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
             Self::NoRoomForVersion => log::Level::Error,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -218,6 +218,15 @@
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct QuarantineEntry {
+    ///Milliseconds since the last news of the fingerprint.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub age_ms: ::std::option::Option<u64>,
+    ///Crashes that the request did not cause: it completed alone afterwards.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub cleared: ::std::vec::Vec<u64>,
+    ///Instances of the endpoints that crashed; sets of several processes are joined.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub crashed: ::std::vec::Vec<u64>,
     ///Number of endpoint crashes while the request was in flight.
     pub crashes: u32,
     ///Hexadecimal BLAKE3 digest of class and body.
