Stand-ins for model engine and plain service

Cause: agents need endpoints that batch, warm up, crash, mix versions and double effects. A crash and a cut break the connection, a cancel ends the stream without an end mark.

--- a/fakes/src/reply.rs
+++ b/fakes/src/reply.rs
@@ -1,6 +1,6 @@
 //! Small helpers to read requests and to build answers.
 
-use std::convert::Infallible;
+use std::io;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -10,14 +10,16 @@
 use percent_encoding::percent_decode_str;
 
 /// Body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// Outcome of a handler; `None` closes the connection without an answer.
 pub type Reply = Option<Response<Body>>;
 
 /// Turns bytes into a body.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).boxed_unsync()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Answers with a status and a body.
--- /dev/null
+++ b/fakes/src/service.rs
@@ -0,0 +1,216 @@
+//! Stand-in for a plain service whose calls have effects.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+
+use crate::engine::answer_tag;
+use crate::reply::{Reply, answer, header, read};
+use crate::server::{ANY_PORT, Server};
+
+/// Configuration of the stand-in.
+#[derive(Clone, Debug)]
+pub struct ServiceConfig {
+    /// Address to listen on.
+    pub addr: SocketAddr,
+    /// Time that a call takes.
+    pub delay: Duration,
+}
+
+impl Default for ServiceConfig {
+    fn default() -> Self {
+        Self {
+            addr: ANY_PORT,
+            delay: Duration::from_millis(2),
+        }
+    }
+}
+
+/// Faults that are in force.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceFaults {
+    /// Time that each call takes in addition.
+    pub slow: Duration,
+    /// The next so many calls take effect, and the connection is closed without an answer.
+    pub break_next: u32,
+    /// The next so many calls are refused with status 503 and have no effect.
+    pub refuse_next: u32,
+    /// The next so many answers carry the id of another request.
+    pub wrong_id_next: u32,
+}
+
+/// What was served so far.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ServiceCounters {
+    /// Calls that took effect.
+    pub runs: u64,
+    /// Keys that took effect more than once.
+    pub doubled: u64,
+    /// Calls that took effect and were not answered.
+    pub broken: u64,
+    /// Calls without a key.
+    pub keyless: u64,
+}
+
+/// Running stand-in for a plain service.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    cfg: ServiceConfig,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    instance: u64,
+    running: u32,
+    runs: HashMap<String, u64>,
+    faults: ServiceFaults,
+    counters: ServiceCounters,
+}
+
+impl Service {
+    /// Starts the stand-in.
+    ///
+    /// # Errors
+    /// The system's error when the address can not be bound.
+    pub fn spawn(cfg: ServiceConfig) -> io::Result<Self> {
+        let addr = cfg.addr;
+        let inner = Inner {
+            instance: rand::random(),
+            running: 0,
+            runs: HashMap::new(),
+            faults: ServiceFaults::default(),
+            counters: ServiceCounters::default(),
+        };
+        let state = Arc::new(State {
+            cfg,
+            inner: Mutex::new(inner),
+        });
+        let shared = Arc::clone(&state);
+        let server = Server::spawn(addr, move |req| handle(Arc::clone(&shared), req))?;
+        Ok(Self { server, state })
+    }
+
+    /// Address of the service.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Changes the faults.
+    pub fn faults(&self, change: impl FnOnce(&mut ServiceFaults)) {
+        change(&mut self.state.lock().faults);
+    }
+
+    /// What was served so far.
+    pub fn counters(&self) -> ServiceCounters {
+        self.state.lock().counters.clone()
+    }
+
+    /// How often a key took effect.
+    pub fn runs(&self, key: &str) -> u64 {
+        self.state.lock().runs.get(key).copied().unwrap_or_default()
+    }
+
+    /// Takes the service off the network, or back.
+    pub fn set_up(&self, up: bool) {
+        self.server.set_up(up);
+    }
+
+    /// Cuts all connections and goes on as another instance, with its effects kept.
+    pub fn restart(&self) {
+        self.server.set_up(false);
+        self.state.lock().instance = rand::random();
+        self.server.set_up(true);
+    }
+}
+
+impl State {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a call as running until it is dropped.
+struct Running<'a>(&'a State);
+
+impl<'a> Running<'a> {
+    fn new(state: &'a State) -> Self {
+        state.lock().running += 1;
+        Self(state)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
+
+async fn handle(state: Arc<State>, req: Request<Incoming>) -> Reply {
+    if req.uri().path() == "/admin/status" {
+        let inner = state.lock();
+        let status = json!({"instance": inner.instance, "running": inner.running});
+        return Some(crate::reply::json(&status));
+    }
+    let id = header(&req, "x-request-id").to_owned();
+    let key = header(&req, "idempotency-key").to_owned();
+    let path = req.uri().path().to_owned();
+    let body = read(req).await?;
+    let _running = Running::new(&state);
+    if take(&mut state.lock().faults.refuse_next) {
+        return Some(answer(StatusCode::SERVICE_UNAVAILABLE, ""));
+    }
+    let slow = state.lock().faults.slow;
+    tokio::time::sleep(state.cfg.delay + slow).await;
+    let run = take_effect(&state, &key)?;
+    let tag = answer_tag(&String::from_utf8_lossy(&body));
+    let mut res = crate::reply::json(&json!({
+        "path": path,
+        "key": key,
+        "run": run,
+        "tag": tag,
+    }));
+    let is_wrong = take(&mut state.lock().faults.wrong_id_next);
+    let id = if is_wrong { "another-request" } else { &id };
+    res.headers_mut().insert("x-request-id", id.parse().ok()?);
+    Some(res)
+}
+
+/// Counts the effect of a call; `None` when its answer is lost.
+fn take_effect(state: &State, key: &str) -> Option<u64> {
+    let mut inner = state.lock();
+    inner.counters.runs += 1;
+    let run = if key.is_empty() {
+        inner.counters.keyless += 1;
+        1
+    } else {
+        let runs = inner.runs.entry(key.to_owned()).or_default();
+        *runs += 1;
+        *runs
+    };
+    inner.counters.doubled += u64::from(run == 2);
+    if take(&mut inner.faults.break_next) {
+        inner.counters.broken += 1;
+        return None;
+    }
+    Some(run)
+}
+
+/// Takes one from a count of faults to come.
+fn take(count: &mut u32) -> bool {
+    let is_due = *count > 0;
+    *count = count.saturating_sub(1);
+    is_due
+}
--- /dev/null
+++ b/tests/contract_engine.rs
@@ -0,0 +1,248 @@
+//! Contract of the client of endpoints' control calls, run on the engine's stand-in.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use limpetloom::platform::{
+    EndpointAdmin, HttpClient, HttpEndpoint, HttpTimeouts, HttpWeightSource, JobState,
+    PlatformError, WeightSource,
+};
+use limpetloom_fakes::engine::{Engine, EngineConfig, EngineFaults, answer_tag};
+use limpetloom_fakes::origin::{Origin, OriginConfig};
+use rstest::rstest;
+
+const LIMIT: Duration = Duration::from_secs(2);
+const CHUNK_BYTES: u32 = 1000;
+
+fn timeouts() -> HttpTimeouts {
+    HttpTimeouts {
+        connect: Duration::from_millis(500),
+        total: LIMIT,
+    }
+}
+
+fn start(cfg: EngineConfig) -> (Engine, HttpEndpoint) {
+    let engine = Engine::spawn(cfg).expect("a free port");
+    let admin = HttpEndpoint::new(engine.addr(), HttpClient::new(timeouts()));
+    (engine, admin)
+}
+
+fn serving() -> EngineConfig {
+    EngineConfig {
+        version: Some("v1".to_owned()),
+        ..EngineConfig::default()
+    }
+}
+
+/// Sends a request and reads its answer; `None` when the connection broke.
+async fn chat(engine: &Engine, id: &str, prompt: &str, tokens: u64) -> Option<(u16, String)> {
+    let body = format!(
+        r#"{{"messages":[{{"role":"user","content":"{prompt}"}}],"max_tokens":{tokens},"stream":true}}"#
+    );
+    let req = Request::post(format!("http://{}/v1/chat/completions", engine.addr()))
+        .header("x-request-id", id)
+        .body(Full::new(Bytes::from(body)))
+        .expect("a valid request");
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let res: Response<_> = client.request(req).await.ok()?;
+    let status = res.status().as_u16();
+    let body = res.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Publishes a version, and stages it but for the chunks from `upto` on.
+async fn stage(admin: &HttpEndpoint, origin: &Origin, seed: u64, upto: u32) -> String {
+    let digest = origin.publish("lm", "v", seed, 3500, CHUNK_BYTES);
+    let source = HttpWeightSource::new(origin.addr(), HttpClient::new(timeouts()));
+    let manifest = source.manifest("lm", "v").await.expect("a manifest");
+    admin
+        .stage_manifest(&digest, manifest)
+        .await
+        .expect("staged");
+    for index in 0..upto {
+        let chunk = source.chunk("lm", "v", index).await.expect("a chunk");
+        let staged = admin.stage_chunk(&digest, index, chunk).await;
+        staged.expect("staged");
+    }
+    digest
+}
+
+#[tokio::test]
+async fn a_streamed_answer_is_whole_and_that_of_its_prompt() {
+    let (engine, admin) = start(serving());
+    let (status, body) = chat(&engine, "r1", "hello", 5).await.unwrap();
+    assert_eq!(status, 200);
+    let tag = answer_tag("hello");
+    for index in 0..5 {
+        assert!(body.contains(&format!("{tag}:{index} ")));
+    }
+    assert!(body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(admin.cancel("r1").await, Ok(JobState::Done));
+    assert_eq!(admin.cancel("r2").await, Ok(JobState::Unknown));
+}
+
+#[tokio::test]
+async fn an_engine_without_a_version_answers_nobody_until_a_complete_one_is_loaded() {
+    let (engine, admin) = start(EngineConfig::default());
+    let origin = Origin::spawn(OriginConfig::default()).unwrap();
+    assert_eq!(chat(&engine, "r1", "hello", 5).await.unwrap().0, 503);
+    assert_eq!(admin.status().await.unwrap().version, None);
+    let digest = stage(&admin, &origin, 1, 3).await;
+    let incomplete = admin.load(&digest, 1, LIMIT).await;
+    assert_eq!(incomplete, Err(PlatformError::Missing));
+    let digest = stage(&admin, &origin, 1, 4).await;
+    assert_eq!(
+        admin.load(&digest, 1, LIMIT).await.as_deref(),
+        Ok(digest.as_str())
+    );
+    assert_eq!(chat(&engine, "r2", "hello", 5).await.unwrap().0, 200);
+    let counters = engine.counters();
+    assert_eq!((counters.bad_weights, counters.mixed), (0, 0));
+}
+
+#[rstest]
+#[case::checks(true, Err(PlatformError::Conflict { current: 0 }))]
+#[case::ignores(false, Ok(()))]
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_where_the_engine_checks_it(
+    #[case] checks_fence: bool,
+    #[case] expected: Result<(), PlatformError>,
+) {
+    let (_engine, admin) = start(EngineConfig {
+        checks_fence,
+        ..serving()
+    });
+    admin.load("v1", 7, LIMIT).await.unwrap();
+    assert_eq!(admin.load("v1", 6, LIMIT).await.map(drop), expected);
+}
+
+#[tokio::test]
+async fn corrupted_weights_are_served_and_counted() {
+    let (engine, admin) = start(EngineConfig::default());
+    let origin = Origin::spawn(OriginConfig::default()).unwrap();
+    origin.faults(|faults| faults.corrupt_every = 4);
+    let digest = stage(&admin, &origin, 1, 4).await;
+    admin.load(&digest, 1, LIMIT).await.unwrap();
+    chat(&engine, "r1", "hello", 5).await.unwrap();
+    assert_eq!(engine.counters().bad_weights, 1);
+}
+
+#[tokio::test]
+async fn a_paused_request_waits_and_a_resumed_one_ends() {
+    let (engine, admin) = start(serving());
+    engine.faults(|faults| faults.stalled = true);
+    let (body, ()) = tokio::join!(chat(&engine, "r1", "hello", 5), async {
+        while engine.in_flight() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(admin.pause("r1").await, Ok(JobState::Paused));
+        engine.faults(|faults| faults.stalled = false);
+        assert_eq!(admin.resume("r1").await, Ok(JobState::Running));
+    });
+    assert!(body.unwrap().1.ends_with("data: [DONE]\n\n"));
+}
+
+#[tokio::test]
+async fn a_cancelled_request_has_no_end_mark() {
+    let (engine, admin) = start(serving());
+    engine.faults(|faults| faults.stalled = true);
+    let (body, ()) = tokio::join!(chat(&engine, "r1", "hello", 5), async {
+        while engine.in_flight() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(admin.cancel("r1").await, Ok(JobState::Cancelled));
+    });
+    assert!(!body.unwrap().1.contains("[DONE]"));
+    assert_eq!(engine.counters().cancelled, 1);
+}
+
+#[tokio::test]
+async fn a_cold_engine_that_holds_too_much_crashes_as_another_instance() {
+    let (engine, admin) = start(EngineConfig {
+        cold_bound: 1,
+        ..serving()
+    });
+    engine.faults(|faults| faults.stalled = true);
+    let instance = admin.status().await.unwrap().instance;
+    let (first, second) = tokio::join!(
+        chat(&engine, "r1", "hello", 5),
+        chat(&engine, "r2", "hello", 5)
+    );
+    assert_eq!((first, second), (None, None));
+    assert_eq!(engine.counters().crashes, 1);
+    assert!(admin.status().await.is_err());
+    while admin.status().await.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_ne!(admin.status().await.unwrap().instance, instance);
+}
+
+#[tokio::test]
+async fn an_engine_bears_more_with_each_completed_request_until_it_turns_cold_again() {
+    let (engine, _admin) = start(EngineConfig {
+        cold_bound: 1,
+        full_bound: 3,
+        warm_after: 2,
+        ..serving()
+    });
+    assert_eq!(engine.bears(), 1);
+    chat(&engine, "r1", "hello", 2).await.unwrap();
+    assert_eq!(engine.bears(), 2);
+    chat(&engine, "r2", "hello", 2).await.unwrap();
+    assert_eq!(engine.bears(), 3);
+    engine.turn_cold();
+    assert_eq!(engine.bears(), 1);
+}
+
+#[tokio::test]
+async fn a_poisoned_request_crashes_the_engine_and_its_neighbours() {
+    let (engine, _admin) = start(EngineConfig {
+        poison: Some("crash me".to_owned()),
+        ..serving()
+    });
+    let (innocent, poisoned) = tokio::join!(
+        chat(&engine, "r1", "hello", 500),
+        chat(&engine, "r2", "please crash me", 5)
+    );
+    assert_eq!((innocent, poisoned), (None, None));
+    assert_eq!(engine.counters().poisoned, 1);
+}
+
+#[rstest]
+#[case::crossed(EngineFaults { wrong_id_next: 1, ..EngineFaults::default() }, "\"r1\"", false)]
+#[case::swapped(EngineFaults { swap_next: 1, ..EngineFaults::default() }, "\"swapped\"", true)]
+#[tokio::test]
+async fn a_switched_fault_shows_in_the_next_answer(
+    #[case] faults: EngineFaults,
+    #[case] mark: &str,
+    #[case] is_shown: bool,
+) {
+    let (engine, _admin) = start(serving());
+    engine.faults(|current| *current = faults);
+    let (_, body) = chat(&engine, "r1", "hello", 5).await.unwrap();
+    assert_eq!(body.contains(mark), is_shown, "{body}");
+}
+
+#[tokio::test]
+async fn a_cut_answer_breaks_its_connection() {
+    let (engine, _admin) = start(serving());
+    engine.faults(|faults| faults.cut_next = 1);
+    assert_eq!(chat(&engine, "r1", "hello", 5).await, None);
+}
+
+#[tokio::test]
+async fn a_known_prefix_is_found_in_the_cache() {
+    let (engine, _admin) = start(serving());
+    let prompt = "x".repeat(640);
+    chat(&engine, "r1", &prompt, 1).await.unwrap();
+    assert_eq!(engine.counters().blocks_hit, 0);
+    chat(&engine, "r2", &format!("{prompt}tail"), 1)
+        .await
+        .unwrap();
+    let counters = engine.counters();
+    assert_eq!((counters.blocks, counters.blocks_hit), (21, 10));
+}
