Logs as numbered lines and JSON, metrics with a scrape in text form

Cause: operators need logs and metrics of each process. Change: flexi_logger with two line formats, product lines only; opentelemetry instruments with a registry for each process.

--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,178 @@
+//! Metrics of a process, scraped in Prometheus text form.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::codes::Code;
+
+/// Name of the meter.
+const METER: &str = "limpetloom";
+/// Bounds of the buckets of time in seconds.
+const SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.89, 1.5, 3.0, 10.0, 60.0,
+];
+
+/// Final answer to a request, as counted by an entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestResult {
+    /// The whole answer was passed on.
+    Answered,
+    /// The answer of an earlier run was given again.
+    Replayed,
+    /// The request was refused.
+    Refused(Code),
+    /// The caller went away.
+    CallerGone,
+}
+
+/// End of an attempt, as counted by an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptResult {
+    /// The endpoint gave the whole answer.
+    Answered,
+    /// The agent refused before the endpoint saw the request.
+    Refused(Code),
+    /// The connection to the endpoint broke.
+    Broken,
+    /// The entry went away.
+    EntryGone,
+}
+
+/// Instruments of one process; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    registry: Registry,
+    /// Kept alive for the instruments.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    first_byte: Histogram<f64>,
+    in_flight: UpDownCounter<i64>,
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own.
+    ///
+    /// # Panics
+    ///
+    /// Never: a fresh registry takes the exporter.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let reader = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a fresh registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(reader).build();
+        let meter = provider.meter(METER);
+        let inner = Inner {
+            requests: meter
+                .u64_counter("requests")
+                .with_description("Final answers")
+                .build(),
+            attempts: meter
+                .u64_counter("attempts")
+                .with_description("Ended attempts")
+                .build(),
+            first_byte: meter
+                .f64_histogram("first_byte")
+                .with_description("Time to the first byte of an answer")
+                .with_unit("s")
+                .with_boundaries(SECONDS.to_vec())
+                .build(),
+            in_flight: meter
+                .i64_up_down_counter("in_flight")
+                .with_description("Requests in progress")
+                .build(),
+            registry,
+            _provider: provider,
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Counts the final answer to a request.
+    pub fn request(&self, class: &str, result: RequestResult) {
+        let (result, code) = match result {
+            RequestResult::Answered => ("answered", 0),
+            RequestResult::Replayed => ("replayed", 0),
+            RequestResult::Refused(code) => ("refused", code.number()),
+            RequestResult::CallerGone => ("caller gone", 0),
+        };
+        self.inner.requests.add(1, &labels(class, result, code));
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempt(&self, endpoint: &str, result: AttemptResult) {
+        let (result, code) = match result {
+            AttemptResult::Answered => ("answered", 0),
+            AttemptResult::Refused(code) => ("refused", code.number()),
+            AttemptResult::Broken => ("broken", 0),
+            AttemptResult::EntryGone => ("entry gone", 0),
+        };
+        let labels = [
+            KeyValue::new("endpoint", endpoint.to_owned()),
+            KeyValue::new("result", result),
+            KeyValue::new("code", i64::from(code)),
+        ];
+        self.inner.attempts.add(1, &labels);
+    }
+
+    /// Records the time to the first byte of an answer.
+    pub fn first_byte(&self, class: &str, elapsed: Duration) {
+        let labels = [KeyValue::new("class", class.to_owned())];
+        self.inner.first_byte.record(elapsed.as_secs_f64(), &labels);
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn in_flight(&self) -> InFlight {
+        self.inner.in_flight.add(1, &[]);
+        InFlight {
+            metrics: self.clone(),
+        }
+    }
+
+    /// Text form for a scrape.
+    pub fn scrape(&self) -> String {
+        let families = self.inner.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Counts a request as in progress.
+#[derive(Debug)]
+pub struct InFlight {
+    metrics: Metrics,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.metrics.inner.in_flight.add(-1, &[]);
+    }
+}
+
+fn labels(class: &str, result: &'static str, code: u16) -> [KeyValue; 3] {
+    [
+        KeyValue::new("class", class.to_owned()),
+        KeyValue::new("result", result),
+        KeyValue::new("code", i64::from(code)),
+    ]
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,5 +1,12 @@
 //! Logs and metrics.
 
 pub mod events;
+mod log_format;
+mod logs;
+mod metrics;
+#[cfg(test)]
+mod tests;
 
 pub use events::Event;
+pub use logs::{LogError, start_logs};
+pub use metrics::{AttemptResult, InFlight, Metrics, RequestResult};
