--- a/src/control/access.rs
+++ b/src/control/access.rs
@@ -4,15 +4,12 @@
 use std::task::{Context, Poll};
 
 use futures_util::future::Either;
-use hyper::header::AUTHORIZATION;
 use hyper::{Request, Response, StatusCode};
 use tower::{Layer, Service};
 
+use crate::http::{BEARER, is_authorized};
 use crate::settings::Secret;
 
-/// Scheme of the `authorization` header.
-const SCHEME: &str = "Bearer ";
-
 /// Layer that answers 401 to a connection without the token.
 #[derive(Clone, Debug)]
 pub(super) struct AccessLayer {
@@ -44,17 +41,6 @@
     }
 }
 
-impl<S> Access<S> {
-    fn allows<B>(&self, req: &Request<B>) -> bool {
-        let presented = req
-            .headers()
-            .get(AUTHORIZATION)
-            .and_then(|value| value.to_str().ok());
-        let offered = presented.and_then(|value| value.strip_prefix(SCHEME));
-        offered.is_some_and(|offered| self.token.matches(offered))
-    }
-}
-
 impl<S, B, R> Service<Request<B>> for Access<S>
 where
     S: Service<Request<B>, Response = Response<R>>,
@@ -69,7 +55,7 @@
     }
 
     fn call(&mut self, req: Request<B>) -> Self::Future {
-        if self.allows(&req) {
+        if is_authorized(&req, &self.token) {
             return Either::Left(self.inner.call(req));
         }
         let mut response = Response::new(R::default());
@@ -80,5 +66,5 @@
 
 /// Value of the `authorization` header for a token.
 pub(super) fn bearer(token: &Secret) -> String {
-    format!("{SCHEME}{}", token.expose())
+    format!("{BEARER}{}", token.expose())
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: carries a request to an agent and the answer back.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -13,6 +13,7 @@
 use crate::answer::{EventScanner, EventSplitter, StoredAnswer, is_event_stream};
 use crate::codes::Code;
 use crate::http::{header_number, header_text, names};
+use crate::telemetry::Metrics;
 use crate::types::{AttemptEnd, EntryId};
 use crate::wire::ConfigDoc;
 
@@ -50,6 +51,9 @@
     pub(super) control: &'a Control,
     pub(super) entry: &'a EntryId,
     pub(super) limits: AttemptLimits,
+    pub(super) metrics: &'a Metrics,
+    /// Arrival of the request.
+    pub(super) since: Instant,
     pub(super) request: &'a ParsedRequest,
     pub(super) dispatch: &'a Dispatch,
 }
@@ -277,6 +281,8 @@
     }
 
     fn started(&self) {
+        self.metrics
+            .first_byte(&self.request.meta.class, self.since.elapsed());
         let Dispatch { req, attempt, .. } = self.dispatch;
         self.control.event(EntryEvent::AttemptStarted {
             req: *req,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -1,6 +1,7 @@
 //! Follows one request from its arrival to its final answer.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::Response;
@@ -9,6 +10,7 @@
 use crate::answer::StoredAnswer;
 use crate::codes::Code;
 use crate::http::AnswerBody;
+use crate::telemetry::{InFlight, Metrics, RequestResult};
 use crate::types::{EntryId, Refusal, RequestId};
 
 use super::attempt::{AgentClient, Attempt, AttemptLimits, Attempted};
@@ -23,6 +25,7 @@
     pub(super) control: Control,
     pub(super) entry: EntryId,
     pub(super) limits: AttemptLimits,
+    pub(super) metrics: Metrics,
 }
 
 /// A request in progress.
@@ -36,6 +39,8 @@
     delivered: u64,
     /// Answer of a keyed request that waits for its record.
     held: Option<StoredAnswer>,
+    since: Instant,
+    _in_flight: InFlight,
 }
 
 impl Exchange {
@@ -47,6 +52,7 @@
     ) -> Self {
         let (req, commands) = cx.control.request(request.meta.clone());
         let caller = Caller::Waiting(tx);
+        let in_flight = cx.metrics.in_flight();
         Self {
             cx,
             req,
@@ -55,6 +61,8 @@
             caller,
             delivered: 0,
             held: None,
+            since: Instant::now(),
+            _in_flight: in_flight,
         }
     }
 
@@ -81,7 +89,7 @@
             biased;
             command = self.commands.recv() => command,
             () = self.caller.closed(), if may_abandon => {
-                self.cx.control.event(EntryEvent::CallerGone { req: self.req });
+                self.caller_gone();
                 None
             }
         }
@@ -93,6 +101,8 @@
             control: &self.cx.control,
             entry: &self.cx.entry,
             limits: self.cx.limits,
+            metrics: &self.cx.metrics,
+            since: self.since,
             request: &self.request,
             dispatch,
         };
@@ -119,7 +129,19 @@
         }
     }
 
+    fn caller_gone(&self) {
+        self.cx
+            .control
+            .event(EntryEvent::CallerGone { req: self.req });
+        self.count(RequestResult::CallerGone);
+    }
+
+    fn count(&self, result: RequestResult) {
+        self.cx.metrics.request(&self.request.meta.class, result);
+    }
+
     async fn complete(self) {
+        self.count(RequestResult::Answered);
         match self.held {
             Some(answer) => respond(self.caller, answer),
             None => self.caller.finish().await,
@@ -128,12 +150,16 @@
 
     async fn replay(self, text: &str) {
         match StoredAnswer::from_text(text) {
-            Some(answer) => respond(self.caller, answer),
+            Some(answer) => {
+                self.count(RequestResult::Replayed);
+                respond(self.caller, answer);
+            }
             None => self.refuse(Refusal::new(Code::OutcomeUnknown)).await,
         }
     }
 
     async fn refuse(self, refusal: Refusal) {
+        self.count(RequestResult::Refused(refusal.code));
         self.caller
             .refuse(&refusal, self.cx.limits.write_timeout)
             .await;
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -18,7 +18,7 @@
 use crate::log_event;
 use crate::platform::{HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts};
 use crate::settings::EntrySettings;
-use crate::telemetry::Event;
+use crate::telemetry::{Event, Metrics};
 use crate::timer::Timer;
 
 use super::attempt::{AgentClient, AttemptLimits};
@@ -102,6 +102,7 @@
     let traffic = Traffic {
         cx: Arc::new(exchange_context(&settings, &control)),
         limits: request_limits(&settings),
+        token: settings.security.token.clone(),
         exchanges: exchanges.clone(),
         kill: kill.clone(),
     };
@@ -240,6 +241,7 @@
         client: agent_client(),
         control: control.clone(),
         entry: settings.process.name.clone(),
+        metrics: Metrics::new(),
         limits: AttemptLimits {
             answer_bytes: ANSWER_BYTES,
             silence: settings.limits.answer_timeout,
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -9,6 +9,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::http::{self, AnswerBody};
+use crate::settings::Secret;
 use crate::types::Refusal;
 
 use super::exchange::{Exchange, ExchangeContext};
@@ -18,12 +19,15 @@
 const LIVE_PATH: &str = "/live";
 /// Address for the balancer: answers 200 while requests should come here.
 const READY_PATH: &str = "/ready";
+/// Address for the metrics; asks for the token.
+const METRICS_PATH: &str = "/metrics";
 
 /// What the traffic listener needs for each request.
 #[derive(Clone)]
 pub(super) struct Traffic {
     pub(super) cx: Arc<ExchangeContext>,
     pub(super) limits: RequestLimits,
+    pub(super) token: Secret,
     /// Exchanges that run, some of them without a caller.
     pub(super) exchanges: TaskTracker,
     pub(super) kill: CancellationToken,
@@ -36,6 +40,7 @@
             LIVE_PATH => status(StatusCode::OK),
             READY_PATH if self.cx.control.is_ready() => status(StatusCode::OK),
             READY_PATH => status(StatusCode::SERVICE_UNAVAILABLE),
+            METRICS_PATH => http::metrics(&req, &self.token, &self.cx.metrics),
             _ => self.exchange(req).await,
         }
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -109,6 +109,12 @@
             RequestResult::Refused(code) => ("refused", code.number()),
             RequestResult::CallerGone => ("caller gone", 0),
         };
+        // A class that callers made up must not become a label.
+        let class = if code == Code::UnknownClass.number() {
+            ""
+        } else {
+            class
+        };
         self.inner.requests.add(1, &labels(class, result, code));
     }
 
