Agent shell joins the build

Change: the agent's modules are compiled; the load of the endpoint comes with each decision, so that no second question to the control thread is needed; attempts are counted. Conclusion: spawn(AgentSettings) is the public start.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -15,11 +15,12 @@
 use crate::codes::Code;
 use crate::http::{self, AnswerBody, header_text, names};
 use crate::settings::{EndpointKind, EndpointSettings};
-use crate::types::{AttemptId, Refusal};
+use crate::telemetry::{AttemptResult, Metrics};
+use crate::types::{AttemptId, EndpointId, Refusal};
 use crate::wire::ConfigDoc;
 
-use super::control::{Control, Decision, Load};
-use super::core::AgentEvent;
+use super::control::{Control, Decided, Decision};
+use super::core::{AgentEvent, EndpointLoad, Offer};
 use super::offer::OfferedRequest;
 use super::relay::Relay;
 
@@ -29,6 +30,7 @@
 /// What every attempt of an agent shares.
 pub(super) struct AttemptContext {
     pub(super) control: Control,
+    pub(super) metrics: Metrics,
     pub(super) client: EndpointClient,
     pub(super) endpoints: Vec<EndpointSettings>,
     pub(super) limits: AttemptLimits,
@@ -46,39 +48,69 @@
 /// Reports the end of an attempt, whichever way its task ends.
 pub(super) struct AttemptGuard {
     control: Control,
+    metrics: Metrics,
     attempt: AttemptId,
+    endpoint: EndpointId,
     is_over: bool,
 }
 
 impl AttemptGuard {
-    fn new(control: Control, attempt: AttemptId) -> Self {
-        Self { control, attempt, is_over: false }
+    fn new(cx: &AttemptContext, offer: &Offer) -> Self {
+        Self {
+            control: cx.control.clone(),
+            metrics: cx.metrics.clone(),
+            attempt: offer.attempt.clone(),
+            endpoint: offer.endpoint.clone(),
+            is_over: false,
+        }
     }
 
     /// Reports the first byte of the answer.
     pub(super) fn started(&self) {
-        self.control.event(AgentEvent::Started { attempt: self.attempt.clone() });
+        self.control.event(AgentEvent::Started {
+            attempt: self.attempt.clone(),
+        });
     }
 
     /// Reports a whole answer.
     pub(super) fn answered(&mut self, tokens: u64, answer: Option<Arc<str>>) {
         let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
-        self.end(AgentEvent::Answered { attempt: self.attempt.clone(), tokens, answer });
+        let event = AgentEvent::Answered {
+            attempt: self.attempt.clone(),
+            tokens,
+            answer,
+        };
+        self.end(AttemptResult::Answered, Some(event));
     }
 
     /// Reports that the endpoint did not give a whole answer.
     pub(super) fn broken(&mut self, sent: bool) {
-        self.end(AgentEvent::Broken { attempt: self.attempt.clone(), sent });
+        let event = AgentEvent::Broken {
+            attempt: self.attempt.clone(),
+            sent,
+        };
+        self.end(AttemptResult::Broken, Some(event));
+    }
+
+    /// The decision logic has refused the attempt.
+    fn refused(&mut self, code: Code) {
+        self.end(AttemptResult::Refused(code), None);
     }
 
-    /// The decision logic has ended the attempt itself.
-    fn decided(&mut self) {
-        self.is_over = true;
+    /// The decision logic has answered the attempt.
+    fn replayed(&mut self) {
+        self.end(AttemptResult::Answered, None);
     }
 
-    fn end(&mut self, event: AgentEvent) {
-        if !self.is_over {
-            self.is_over = true;
+    fn end(&mut self, result: AttemptResult, event: Option<AgentEvent>) {
+        if std::mem::replace(&mut self.is_over, true) {
+            return;
+        }
+        // An endpoint that an entry made up must not become a label.
+        let is_known = !matches!(result, AttemptResult::Refused(Code::NoEndpoint));
+        self.metrics
+            .attempt(if is_known { &self.endpoint } else { "" }, result);
+        if let Some(event) = event {
             self.control.event(event);
         }
     }
@@ -86,29 +118,35 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.end(AgentEvent::EntryGone { attempt: self.attempt.clone() });
+        let event = AgentEvent::EntryGone {
+            attempt: self.attempt.clone(),
+        };
+        self.end(AttemptResult::EntryGone, Some(event));
     }
 }
 
 /// Runs an offered attempt to the head of its answer.
 pub(super) async fn run(cx: &AttemptContext, request: OfferedRequest) -> Response<AnswerBody> {
     let attempt = request.offer.attempt.clone();
-    let endpoint = request.offer.endpoint.clone();
-    let mut guard = AttemptGuard::new(cx.control.clone(), attempt.clone());
-    let decision = cx.control.offer(request.offer.clone()).await;
+    let mut guard = AttemptGuard::new(cx, &request.offer);
+    let Ok(Decided { decision, load }) = cx.control.offer(request.offer.clone()).await else {
+        return label(
+            refuse(Code::Stopping, None),
+            &attempt,
+            EndpointLoad::default(),
+        );
+    };
     let response = match decision {
-        Ok(Decision::Admit { priority }) => forward(cx, request, priority, guard).await,
-        Ok(Decision::Refuse { code, config }) => {
-            guard.decided();
+        Decision::Admit { priority } => forward(cx, request, priority, guard).await,
+        Decision::Refuse { code, config } => {
+            guard.refused(code);
             refuse(code, config.as_ref())
         }
-        Ok(Decision::Replay(text)) => {
-            guard.decided();
+        Decision::Replay(text) => {
+            guard.replayed();
             replay(&text)
         }
-        Err(_) => refuse(Code::Stopping, None),
     };
-    let load = cx.control.load(endpoint).await.unwrap_or_default();
     label(response, &attempt, load)
 }
 
@@ -118,7 +156,10 @@
     priority: u8,
     mut guard: AttemptGuard,
 ) -> Response<AnswerBody> {
-    let endpoint = cx.endpoints.iter().find(|e| e.name == request.offer.endpoint);
+    let endpoint = cx
+        .endpoints
+        .iter()
+        .find(|e| e.name == request.offer.endpoint);
     let req = endpoint.and_then(|endpoint| build(endpoint, &request, priority));
     let (Some(endpoint), Some(req)) = (endpoint, req) else {
         guard.broken(false);
@@ -150,7 +191,7 @@
         .method(request.method.clone())
         .uri(format!("http://{}{}", endpoint.address, request.path))
         .header(names::REQUEST_ID, &*request.offer.attempt)
-        .header(names::PRIORITY, priority);
+        .header(names::PRIORITY, u16::from(priority));
     if let Some(kind) = &request.content_type {
         builder = builder.header(CONTENT_TYPE, kind);
     }
@@ -162,7 +203,8 @@
 
 fn with_resume(body: &[u8], from: u64) -> Option<Bytes> {
     let mut body: serde_json::Value = serde_json::from_slice(body).ok()?;
-    body.as_object_mut()?.insert("resume_from".into(), from.into());
+    body.as_object_mut()?
+        .insert("resume_from".into(), from.into());
     serde_json::to_vec(&body).ok().map(Bytes::from)
 }
 
@@ -173,7 +215,8 @@
     response: Response<Incoming>,
     mut guard: AttemptGuard,
 ) -> Response<AnswerBody> {
-    if endpoint.kind == EndpointKind::Model && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    if endpoint.kind == EndpointKind::Model && response.status() == StatusCode::SERVICE_UNAVAILABLE
+    {
         // A model engine refuses before it runs anything.
         guard.broken(false);
         return refuse(Code::NoEndpoint, None);
@@ -276,15 +319,21 @@
 fn label(
     mut response: Response<AnswerBody>,
     attempt: &AttemptId,
-    load: Load,
+    load: EndpointLoad,
 ) -> Response<AnswerBody> {
     insert(&mut response, names::ATTEMPT, attempt);
-    insert(&mut response, names::LOAD, &format!("{}/{}", load.in_flight, load.limit));
+    insert(
+        &mut response,
+        names::LOAD,
+        &format!("{}/{}", load.in_flight, load.limit),
+    );
     response
 }
 
 fn insert<B>(response: &mut Response<B>, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
-        response.headers_mut().insert(HeaderName::from_static(name), value);
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
     }
 }
--- a/src/agent/control.rs
+++ b/src/agent/control.rs
@@ -8,10 +8,10 @@
 
 use crate::codes::Code;
 use crate::log_event;
-use crate::types::AttemptId;
+use crate::types::{AttemptId, EndpointId};
 use crate::wire::{ConfigDoc, SettleReply, SettleRequest, SyncReply, SyncRequest};
 
-use super::core::{AgentAction, AgentCore, AgentEvent, Offer};
+use super::core::{AgentAction, AgentCore, AgentEvent, EndpointLoad, Offer};
 use super::orders::Orders;
 
 /// What an attempt's task is told to do.
@@ -33,21 +33,20 @@
     Replay(Arc<str>),
 }
 
-/// Requests in flight at an endpoint and its limit.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Load {
-    /// Requests in flight.
-    pub(super) in_flight: u32,
-    /// Requests that the endpoint bears at once.
-    pub(super) limit: u32,
+/// A decision with the load of the endpoint at that time.
+#[derive(Debug)]
+pub(super) struct Decided {
+    /// The decision.
+    pub(super) decision: Decision,
+    /// Load of the endpoint.
+    pub(super) load: EndpointLoad,
 }
 
 enum Input {
     Event(AgentEvent),
-    Offer(Offer, oneshot::Sender<Decision>),
+    Offer(Offer, oneshot::Sender<Decided>),
     Sync(Box<SyncRequest>, oneshot::Sender<SyncReply>),
     Settle(SettleRequest, oneshot::Sender<SettleReply>),
-    Load(Arc<str>, oneshot::Sender<Load>),
     Dump(oneshot::Sender<serde_json::Value>),
 }
 
@@ -87,7 +86,13 @@
     pub(super) fn new() -> (Self, ControlInputs) {
         let (tx, rx) = mpsc::unbounded_channel();
         let (drained_tx, drained) = watch::channel(false);
-        (Self { tx, drained }, ControlInputs { rx, drained: drained_tx })
+        (
+            Self { tx, drained },
+            ControlInputs {
+                rx,
+                drained: drained_tx,
+            },
+        )
     }
 
     /// Reports that do not keep the control thread alive.
@@ -101,7 +106,7 @@
     }
 
     /// Offers an attempt; the decision never comes when the control thread has ended.
-    pub(super) fn offer(&self, offer: Offer) -> oneshot::Receiver<Decision> {
+    pub(super) fn offer(&self, offer: Offer) -> oneshot::Receiver<Decided> {
         let (tx, rx) = oneshot::channel();
         let _ = self.tx.send(Input::Offer(offer, tx));
         rx
@@ -117,11 +122,6 @@
         self.ask(|tx| Input::Settle(request, tx)).await
     }
 
-    /// Load of an endpoint; `None` when the control thread has ended.
-    pub(super) async fn load(&self, endpoint: Arc<str>) -> Option<Load> {
-        self.ask(|tx| Input::Load(endpoint, tx)).await
-    }
-
     /// Dump of the state; `None` when the control thread has ended.
     pub(super) async fn dump(&self) -> Option<serde_json::Value> {
         self.ask(Input::Dump).await
@@ -144,7 +144,12 @@
 /// Runs the decision logic until every handle is dropped.
 pub(super) async fn run(core: AgentCore, inputs: ControlInputs, orders: Orders) {
     let ControlInputs { mut rx, drained } = inputs;
-    let mut state = State { core, orders, offers: HashMap::new(), drained };
+    let mut state = State {
+        core,
+        orders,
+        offers: HashMap::new(),
+        drained,
+    };
     loop {
         let input = tokio::select! {
             input = rx.recv() => input,
@@ -164,11 +169,16 @@
     }
 }
 
+struct PendingOffer {
+    endpoint: EndpointId,
+    tx: oneshot::Sender<Decided>,
+}
+
 struct State {
     core: AgentCore,
     orders: Orders,
     /// Invariant: holds each attempt between its offer and the decision.
-    offers: HashMap<AttemptId, oneshot::Sender<Decision>>,
+    offers: HashMap<AttemptId, PendingOffer>,
     drained: watch::Sender<bool>,
 }
 
@@ -180,28 +190,33 @@
             Input::Sync(request, tx) => self.sync(request, tx),
             Input::Settle(request, tx) => self.settle(request, tx),
             // A caller that has gone does not mind.
-            Input::Load(endpoint, tx) => drop(tx.send(self.load(&endpoint))),
             Input::Dump(tx) => drop(tx.send(self.core.dump())),
         }
     }
 
-    fn load(&self, endpoint: &str) -> Load {
-        let (in_flight, limit) = self.core.load(endpoint);
-        Load { in_flight, limit }
-    }
-
-    fn offer(&mut self, offer: Offer, tx: oneshot::Sender<Decision>) {
-        // A second offer of the same attempt is refused by the core; its first task keeps waiting.
+    fn offer(&mut self, offer: Offer, tx: oneshot::Sender<Decided>) {
+        let pending = PendingOffer {
+            endpoint: offer.endpoint.clone(),
+            tx,
+        };
         if self.offers.contains_key(&offer.attempt) {
-            let _ = tx.send(Decision::Refuse { code: Code::Fenced, config: None });
-            return;
+            // The first offer of the attempt still waits for its decision.
+            return self.send(
+                pending,
+                Decision::Refuse {
+                    code: Code::Fenced,
+                    config: None,
+                },
+            );
         }
-        self.offers.insert(offer.attempt.clone(), tx);
+        self.offers.insert(offer.attempt.clone(), pending);
         self.handle(AgentEvent::Offered(offer));
     }
 
     fn sync(&mut self, request: Box<SyncRequest>, tx: oneshot::Sender<SyncReply>) {
-        let actions = self.core.handle(Instant::now(), AgentEvent::Synced(request));
+        let actions = self
+            .core
+            .handle(Instant::now(), AgentEvent::Synced(request));
         let mut tx = Some(tx);
         for action in actions {
             match action {
@@ -212,7 +227,9 @@
     }
 
     fn settle(&mut self, request: SettleRequest, tx: oneshot::Sender<SettleReply>) {
-        let actions = self.core.handle(Instant::now(), AgentEvent::Settle(request));
+        let actions = self
+            .core
+            .handle(Instant::now(), AgentEvent::Settle(request));
         let mut tx = Some(tx);
         for action in actions {
             match action {
@@ -235,7 +252,11 @@
             AgentAction::Admit { attempt, priority } => {
                 self.decide(&attempt, Decision::Admit { priority });
             }
-            AgentAction::Refuse { attempt, code, config } => {
+            AgentAction::Refuse {
+                attempt,
+                code,
+                config,
+            } => {
                 self.decide(&attempt, Decision::Refuse { code, config });
             }
             AgentAction::Replay { attempt, answer } => {
@@ -250,11 +271,16 @@
     }
 
     fn decide(&mut self, attempt: &AttemptId, decision: Decision) {
-        if let Some(tx) = self.offers.remove(attempt) {
-            // The task reports by itself when it ends early.
-            let _ = tx.send(decision);
+        if let Some(pending) = self.offers.remove(attempt) {
+            self.send(pending, decision);
         }
     }
+
+    fn send(&self, pending: PendingOffer, decision: Decision) {
+        let load = self.core.load(Instant::now(), &pending.endpoint);
+        // The task reports by itself when it ends early.
+        let _ = pending.tx.send(Decided { decision, load });
+    }
 }
 
 fn answer<T>(tx: &mut Option<oneshot::Sender<T>>, reply: T) {
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -33,6 +33,15 @@
 use gate::Gate;
 use versions::Versions;
 
+/// Requests in flight at an endpoint and its limit.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndpointLoad {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that the endpoint bears at once.
+    pub limit: u32,
+}
+
 /// Decision logic of one agent.
 #[derive(Debug)]
 pub struct AgentCore {
@@ -116,6 +125,16 @@
         queues.chain(self.versions.next_wakeup()).min()
     }
 
+    /// Load of an endpoint; nothing for one that is not of this host.
+    pub fn load(&self, now: Instant, endpoint: &str) -> EndpointLoad {
+        self.gates
+            .get(endpoint)
+            .map_or_else(EndpointLoad::default, |gate| EndpointLoad {
+                in_flight: u32::try_from(gate.running().len()).unwrap_or(u32::MAX),
+                limit: gate.limit(now),
+            })
+    }
+
     /// Generation in force; 0 when none is known.
     pub fn generation(&self) -> Generation {
         self.config.generation()
--- a/src/agent/followers.rs
+++ b/src/agent/followers.rs
@@ -30,7 +30,10 @@
     let admin = HttpEndpoint::new(endpoint.address, http);
     while !reports.is_closed() {
         let probe = admin.status().await.ok();
-        reports.event(AgentEvent::Probed { endpoint: endpoint.name.clone(), probe });
+        reports.event(AgentEvent::Probed {
+            endpoint: endpoint.name.clone(),
+            probe,
+        });
         if ticks.recv().await.is_none() {
             return;
         }
@@ -75,7 +78,10 @@
 }
 
 fn peers(list: &[HostEntry]) -> Vec<Peer> {
-    list.iter().filter(|host| host.role == HostRole::Agent).map(peer).collect()
+    list.iter()
+        .filter(|host| host.role == HostRole::Agent)
+        .map(peer)
+        .collect()
 }
 
 fn peer(host: &HostEntry) -> Peer {
@@ -94,5 +100,10 @@
     region: &Arc<str>,
     addr: SocketAddr,
 ) -> Peer {
-    Peer { host: host.clone(), zone: zone.clone(), region: region.clone(), addr }
+    Peer {
+        host: host.clone(),
+        zone: zone.clone(),
+        region: region.clone(),
+        addr,
+    }
 }
--- a/src/agent/offer.rs
+++ b/src/agent/offer.rs
@@ -73,7 +73,9 @@
 }
 
 fn path(head: &Parts) -> String {
-    head.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.to_string())
+    head.uri
+        .path_and_query()
+        .map_or_else(|| "/".to_owned(), |path| path.to_string())
 }
 
 fn offer(headers: &HeaderMap) -> Option<Offer> {
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -6,7 +6,7 @@
 
 use tokio::runtime::Handle;
 
-use crate::platform::{EndpointAdmin, HttpClient, HttpEndpoint};
+use crate::platform::{EndpointAdmin, HttpClient, HttpEndpoint, JobState};
 use crate::settings::EndpointSettings;
 use crate::types::{AttemptId, Digest, EndpointId, Generation};
 use crate::weights::{Wanted, WeightsService};
@@ -46,17 +46,31 @@
             AgentAction::Cancel { attempt } => self.job(attempt, JobOrder::Cancel),
             AgentAction::Pause { attempt } => self.job(attempt, JobOrder::Pause),
             AgentAction::Resume { attempt } => self.job(attempt, JobOrder::Resume),
-            AgentAction::Fetch { model, name, version } => {
-                self.fetch(Wanted { model, name, version, hosts: None });
+            AgentAction::Fetch {
+                model,
+                name,
+                version,
+            } => {
+                self.fetch(Wanted {
+                    model,
+                    name,
+                    version,
+                    hosts: None,
+                });
             }
-            AgentAction::Load { endpoint, version, fence } => self.load(endpoint, version, fence),
+            AgentAction::Load {
+                endpoint,
+                version,
+                fence,
+            } => self.load(endpoint, version, fence),
             _ => {}
         }
     }
 
     fn fetch(&self, wanted: Wanted) {
         let weights = self.weights.clone();
-        self.runtime.spawn(async move { weights.fetch(wanted).await });
+        self.runtime
+            .spawn(async move { weights.fetch(wanted).await });
     }
 
     /// The order goes to every model engine of the host; one that does not know the attempt
@@ -65,23 +79,33 @@
         for endpoint in self.endpoints.iter() {
             let engine = HttpEndpoint::new(endpoint.address, self.http.clone());
             let attempt = attempt.clone();
+            let reports = self.reports.clone();
             self.runtime.spawn(async move {
                 // A lost order shows in the attempt's own stream.
-                let _ = match order {
+                let state = match order {
                     JobOrder::Cancel => engine.cancel(&attempt).await,
                     JobOrder::Pause => engine.pause(&attempt).await,
                     JobOrder::Resume => engine.resume(&attempt).await,
                 };
+                if state == Ok(JobState::Paused) {
+                    reports.event(AgentEvent::Paused { attempt });
+                }
             });
         }
     }
 
     fn load(&self, endpoint: EndpointId, version: Digest, fence: Generation) {
-        let Some(addr) = self.addr(&endpoint) else { return };
+        let Some(addr) = self.addr(&endpoint) else {
+            return;
+        };
         let orders = self.clone();
         self.runtime.spawn(async move {
             let loaded = orders.stage_and_load(addr, &version, fence).await;
-            orders.reports.event(AgentEvent::Loaded { endpoint, version: loaded, fence });
+            orders.reports.event(AgentEvent::Loaded {
+                endpoint,
+                version: loaded,
+                fence,
+            });
         });
     }
 
@@ -97,6 +121,9 @@
     }
 
     fn addr(&self, endpoint: &str) -> Option<SocketAddr> {
-        self.endpoints.iter().find(|e| &*e.name == endpoint).map(|e| e.address)
+        self.endpoints
+            .iter()
+            .find(|e| &*e.name == endpoint)
+            .map(|e| e.address)
     }
 }
--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -14,12 +14,13 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::config::ConfigParams;
 use crate::control::{ControlLimits, ControlServer};
 use crate::http::{Listener, ListenerLimits};
 use crate::log_event;
 use crate::platform::{HttpClient, HttpHostList, HttpTimeouts};
-use crate::settings::{AgentSettings, EndpointKind, EndpointSettings};
-use crate::telemetry::Event;
+use crate::settings::{AgentSettings, EndpointKind};
+use crate::telemetry::{Event, Metrics};
 use crate::timer::Timer;
 use crate::weights::{WeightsConfig, WeightsNotice, WeightsService};
 
@@ -96,7 +97,8 @@
     let kill = CancellationToken::new();
     let drain = CancellationToken::new();
     let limits = listener_limits(&settings);
-    let listener = Listener::bind(settings.listen.traffic, limits, drain.clone(), kill.clone()).await?;
+    let listener =
+        Listener::bind(settings.listen.traffic, limits, drain.clone(), kill.clone()).await?;
     let addr = listener.addr()?;
     let seed = settings.process.seed.unwrap_or_else(rand::random);
 
@@ -110,6 +112,7 @@
     let traffic = Traffic {
         cx: Arc::new(attempt_context(&settings, &control)),
         limits: offer_limits(&settings),
+        token: settings.security.token.clone(),
         weights: weights.clone(),
         attempts: attempts.clone(),
         kill: kill.clone(),
@@ -126,7 +129,14 @@
     let serving = tokio::spawn(listener.serve(move |req| traffic.clone().serve(req)));
     let stop = running.stop.clone();
     let ended = tokio::spawn(running.run(serving, rpc));
-    Ok(AgentHandle { traffic: addr, control: control_addr, weights, stop, kill, ended })
+    Ok(AgentHandle {
+        traffic: addr,
+        control: control_addr,
+        weights,
+        stop,
+        kill,
+        ended,
+    })
 }
 
 struct Running {
@@ -187,18 +197,27 @@
         reports: control.reports(),
     };
     let cfg = core_config(settings);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
-    std::thread::Builder::new().name("agent-control".into()).spawn(move || {
-        let core = AgentCore::new(cfg, Instant::now());
-        runtime.block_on(control::run(core, inputs, orders));
-    })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()?;
+    std::thread::Builder::new()
+        .name("agent-control".into())
+        .spawn(move || {
+            let core = AgentCore::new(cfg, Instant::now());
+            runtime.block_on(control::run(core, inputs, orders));
+        })?;
     Ok(())
 }
 
 fn core_config(settings: &AgentSettings) -> AgentCoreConfig {
     let process = &settings.process;
     AgentCoreConfig {
-        endpoints: settings.endpoints.iter().map(EndpointConfig::from).collect(),
+        endpoints: settings
+            .endpoints
+            .iter()
+            .map(EndpointConfig::from)
+            .collect(),
+        config: ConfigParams::from_settings(process, &settings.platform, &settings.limits),
         ..AgentCoreConfig::new(
             process.host.clone(),
             process.zone.clone(),
@@ -220,17 +239,30 @@
     for endpoint in &settings.endpoints {
         let ticks = timer.every_jittered(settings.limits.probe_interval);
         let reports = control.reports();
-        tokio::spawn(followers::follow_endpoint(endpoint.clone(), http.clone(), reports, ticks));
+        tokio::spawn(followers::follow_endpoint(
+            endpoint.clone(),
+            http.clone(),
+            reports,
+            ticks,
+        ));
     }
     tokio::spawn(followers::follow_weights(notices, control.reports()));
     if has_models(settings) {
         let hosts = HttpHostList::new(settings.platform.host_list, http);
-        tokio::spawn(followers::follow_peers(hosts, weights.clone(), control.reports(), timer));
+        tokio::spawn(followers::follow_peers(
+            hosts,
+            weights.clone(),
+            control.reports(),
+            timer,
+        ));
     }
 }
 
 fn has_models(settings: &AgentSettings) -> bool {
-    settings.endpoints.iter().any(|endpoint| endpoint.kind == EndpointKind::Model)
+    settings
+        .endpoints
+        .iter()
+        .any(|endpoint| endpoint.kind == EndpointKind::Model)
 }
 
 fn weights_config(settings: &AgentSettings, addr: SocketAddr) -> WeightsConfig {
@@ -249,6 +281,7 @@
 fn attempt_context(settings: &AgentSettings, control: &Control) -> AttemptContext {
     AttemptContext {
         control: control.clone(),
+        metrics: Metrics::new(),
         client: endpoint_client(),
         endpoints: settings.endpoints.clone(),
         limits: AttemptLimits {
@@ -287,18 +320,3 @@
         header_timeout: ENTRY_IDLE_TIMEOUT,
     }
 }
-
-impl From<&EndpointSettings> for EndpointConfig {
-    fn from(settings: &EndpointSettings) -> Self {
-        Self {
-            id: settings.name.clone(),
-            target: settings.target.clone(),
-            kind: settings.kind,
-            cold_limit: settings.cold_limit,
-            limit: settings.limit,
-            checks_fencing: settings.checks_fencing,
-            idle_power: settings.idle_power,
-            energy_per_token: settings.energy_per_token,
-        }
-    }
-}
--- a/src/agent/relay.rs
+++ b/src/agent/relay.rs
@@ -22,7 +22,12 @@
 impl Relay {
     /// Passes `body` on; `guard` is told how it ends.
     pub(super) fn new(body: Incoming, guard: AttemptGuard) -> Self {
-        Self { body, guard, scanner: EventScanner::new(), is_started: false }
+        Self {
+            body,
+            guard,
+            scanner: EventScanner::new(),
+            is_started: false,
+        }
     }
 
     fn pass(&mut self, frame: Frame<Bytes>) -> Frame<Bytes> {
@@ -61,9 +66,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
-        Pin::new(&mut this.body).poll_frame(cx).map(|frame| match frame {
-            Some(Ok(frame)) => Some(Ok(this.pass(frame))),
-            Some(Err(_)) | None => this.end(),
-        })
+        Pin::new(&mut this.body)
+            .poll_frame(cx)
+            .map(|frame| match frame {
+                Some(Ok(frame)) => Some(Ok(this.pass(frame))),
+                Some(Err(_)) | None => this.end(),
+            })
     }
 }
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -10,6 +10,7 @@
 
 use crate::codes::Code;
 use crate::http::{self, AnswerBody};
+use crate::settings::Secret;
 use crate::types::Refusal;
 use crate::weights::WeightsService;
 
@@ -18,12 +19,15 @@
 
 /// Path below which chunks stand.
 const WEIGHTS_PATH: &str = "/weights/";
+/// Address for the metrics; asks for the token.
+const METRICS_PATH: &str = "/metrics";
 
 /// What the traffic listener needs for each request.
 #[derive(Clone)]
 pub(super) struct Traffic {
     pub(super) cx: Arc<AttemptContext>,
     pub(super) limits: OfferLimits,
+    pub(super) token: Secret,
     pub(super) weights: WeightsService,
     /// Attempts that run, some of them without an entry.
     pub(super) attempts: TaskTracker,
@@ -36,6 +40,9 @@
         if req.uri().path().starts_with(WEIGHTS_PATH) {
             return self.serve_weights(req).await;
         }
+        if req.uri().path() == METRICS_PATH {
+            return http::metrics(&req, &self.token, &self.cx.metrics);
+        }
         match offer::read(req, self.limits).await {
             Ok(request) if request.offer.key.is_some() => self.run_to_end(request).await,
             Ok(request) => attempt::run(&self.cx, request).await,
