Entry core: membership, fair admission and adaptive routing

Cause: the first version only took a free place and refused every failed attempt. Change: hosts by the list, the agent's own word and unanswered heartbeats; a subset chosen from the agent's side with a search for targets that the subset lacks; a zone that returns ramps for 10 s; start-time fair queues with admission by the expected wait; endpoint choice by prefix home, else two choices among endpoints that are not slow; retry budget of a tenth; resume on the same version; a request that may have run is never refused as not run. Conclusion: keyed work and isolation wait for the delivery and configuration modules.

--- /dev/null
+++ b/src/entry/core/dump.rs
@@ -0,0 +1,62 @@
+//! State of an entry for operators.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use crate::membership::Agent;
+use crate::routing::Endpoint;
+
+use super::EntryCore;
+
+impl EntryCore {
+    /// State for operators.
+    pub fn dump(&self) -> Value {
+        let agents: Vec<Value> = self.membership.agents().map(agent).collect();
+        let endpoints: Vec<Value> = self.endpoints.values().map(endpoint).collect();
+        json!({
+            "entry": &*self.cfg.entry,
+            "zone": &*self.cfg.zone,
+            "instance": self.cfg.instance,
+            "generation": self.generation(),
+            "placement": self.placement.as_ref().map(|doc| doc.generation),
+            "store_reachable": self.store_reachable,
+            "stopping": self.stopped.is_some(),
+            "waiting": self.admission.len(),
+            "requests": self.requests.len(),
+            "retries_left": self.retries.left(),
+            "agents": agents,
+            "endpoints": endpoints,
+        })
+    }
+
+    /// True when new work may go to the host at `now`.
+    pub fn is_open(&self, now: Instant, host: &str) -> bool {
+        self.membership.share(now, host) > 0.0
+    }
+}
+
+fn agent(agent: &Agent) -> Value {
+    json!({
+        "host": &*agent.host,
+        "zone": &*agent.zone,
+        "listed": agent.listed,
+        "leaving": agent.is_leaving(),
+        "connected": agent.member,
+        "answers": agent.instance.is_some() && agent.unanswered_since.is_none(),
+        "generation": agent.generation,
+    })
+}
+
+fn endpoint(endpoint: &Endpoint) -> Value {
+    json!({
+        "endpoint": &*endpoint.id,
+        "host": &*endpoint.host,
+        "target": &*endpoint.target,
+        "state": endpoint.state.to_string(),
+        "version": endpoint.version.as_deref(),
+        "limit": endpoint.limit,
+        "own": endpoint.own(),
+        "in_flight": endpoint.in_flight(),
+    })
+}
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -5,21 +5,25 @@
 mod action;
 mod config;
 mod control;
+mod dump;
+mod ends;
 mod event;
 mod requests;
-mod status;
+#[cfg(test)]
+mod tests;
 mod traffic;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::admission::Admission;
 use crate::config::Targets;
-use crate::membership::Membership;
-use crate::routing::Endpoint;
+use crate::membership::{Membership, Mesh};
+use crate::routing::{Chooser, Endpoint, RetryBudget};
 use crate::types::{EndpointId, RequestId};
 use crate::wire::ConfigDoc;
 
@@ -40,8 +44,10 @@
     membership: Membership,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     requests: BTreeMap<RequestId, Request>,
-    /// Invariant: each request in it is in `requests` and waits.
-    queue: VecDeque<RequestId>,
+    /// Invariant: each request that waits in it is in `requests`.
+    admission: Admission,
+    chooser: Chooser,
+    retries: RetryBudget,
     attempts: u64,
     stopped: Option<Instant>,
     store_contact: Option<Instant>,
@@ -51,16 +57,22 @@
 
 impl EntryCore {
     /// An entry that knows no configuration and no host.
-    pub fn new(cfg: EntryCoreConfig, seed: u64, _now: Instant) -> Self {
+    pub fn new(cfg: EntryCoreConfig, seed: u64, now: Instant) -> Self {
+        let mesh = Mesh {
+            full: cfg.full_mesh,
+            entries_per_agent: cfg.entries_per_agent,
+        };
         Self {
+            membership: Membership::new(cfg.entry.clone(), mesh, cfg.suspicion, now),
+            admission: Admission::new(cfg.queue_len),
+            chooser: Chooser::new(cfg.policy),
+            retries: RetryBudget::default(),
             cfg,
             rng: SmallRng::seed_from_u64(seed),
             config: None,
             placement: None,
-            membership: Membership::default(),
             endpoints: BTreeMap::new(),
             requests: BTreeMap::new(),
-            queue: VecDeque::new(),
             attempts: 0,
             stopped: None,
             store_contact: None,
@@ -71,18 +83,19 @@
 
     /// Takes in an event and returns what has to be done, in this order.
     pub fn handle(&mut self, now: Instant, event: EntryEvent) -> Vec<EntryAction> {
+        self.membership.awake(now);
         match event {
             EntryEvent::Arrived { req, meta } => self.arrived(now, req, meta),
-            EntryEvent::CallerGone { req } => self.caller_gone(req),
-            EntryEvent::AttemptStarted { .. } => {}
+            EntryEvent::CallerGone { req } => self.caller_gone(now, req),
+            EntryEvent::AttemptStarted { req, attempt } => self.attempt_started(now, req, &attempt),
             EntryEvent::LoadSeen {
                 endpoint,
                 in_flight,
                 limit,
-            } => self.load_seen(&endpoint, in_flight, limit),
+            } => self.load_seen(now, &endpoint, in_flight, limit),
             EntryEvent::AttemptEnded {
                 req, attempt, end, ..
-            } => self.attempt_ended(req, &attempt, end),
+            } => self.attempt_ended(now, req, &attempt, end),
             EntryEvent::StoreReplied { .. } | EntryEvent::SettleReplied { .. } => {}
             EntryEvent::Synced { host, reply } => self.synced(now, &host, reply),
             EntryEvent::SyncFailed { host } => self.sync_failed(now, &host),
@@ -101,8 +114,10 @@
     /// Time at which [`EntryEvent::Tick`] is due at the latest.
     pub fn next_wakeup(&self) -> Option<Instant> {
         let heartbeat = self.next_heartbeat();
-        let deadline = self.next_deadline();
-        heartbeat.into_iter().chain(deadline).min()
+        heartbeat
+            .into_iter()
+            .chain(self.admission.next_late())
+            .min()
     }
 
     /// True when no request is waiting or in flight.
@@ -114,23 +129,4 @@
     pub fn targets(&self) -> Option<&Arc<Targets>> {
         self.config.as_ref().map(|(_, targets)| targets)
     }
-
-    /// State for operators.
-    pub fn dump(&self) -> serde_json::Value {
-        serde_json::json!({
-            "entry": &*self.cfg.entry,
-            "zone": &*self.cfg.zone,
-            "generation": self.generation(),
-            "queued": self.queue.len(),
-            "requests": self.requests.len(),
-            "stopping": self.stopped.is_some(),
-            "endpoints": self.endpoints.values().map(|endpoint| serde_json::json!({
-                "endpoint": &*endpoint.id,
-                "state": endpoint.state.to_string(),
-                "limit": endpoint.limit,
-                "own": endpoint.own,
-                "others": endpoint.others,
-            })).collect::<Vec<_>>(),
-        })
-    }
 }
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -1,18 +1,36 @@
 //! Life cycle of a request at the entry.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use crate::types::{AttemptId, EndpointId, RequestMeta};
+use crate::admission::Ticket;
+use crate::types::{AttemptId, Digest, EndpointId, RequestMeta};
 
 /// A request that has not got its final answer.
 #[derive(Debug)]
 pub struct Request {
     pub meta: RequestMeta,
-    /// Time by which the answer has to start.
-    pub deadline: Instant,
+    /// Class's target for the time to the first token.
+    pub first_token: Duration,
+    /// Place in the queue.
+    pub ticket: Ticket,
     pub phase: Phase,
     /// Number of attempts so far.
     pub tries: u32,
+    /// Endpoint of the attempt that failed last.
+    pub avoid: Option<EndpointId>,
+    /// True when an attempt may have run, so that no refusal may say "not run".
+    pub may_have_run: bool,
+    /// Where a broken answer has to go on.
+    pub resume: Option<Resume>,
+}
+
+/// Point at which a broken answer goes on.
+#[derive(Clone, Debug)]
+pub struct Resume {
+    /// Version that gave the answer so far.
+    pub version: Digest,
+    /// Tokens that the caller has.
+    pub from: u64,
 }
 
 /// Where a request stands.
@@ -29,4 +47,19 @@
 pub struct Attempt {
     pub id: AttemptId,
     pub endpoint: EndpointId,
+    /// Version that must answer.
+    pub version: Option<Digest>,
+    pub sent_at: Instant,
+    /// True when the answer has started.
+    pub started: bool,
+}
+
+impl Request {
+    /// The attempt that runs under this name.
+    pub fn attempt(&self, id: &str) -> Option<&Attempt> {
+        match &self.phase {
+            Phase::Running(attempt) if &*attempt.id == id => Some(attempt),
+            _ => None,
+        }
+    }
 }
--- /dev/null
+++ b/src/entry/core/tests/fixture.rs
@@ -0,0 +1,225 @@
+//! An entry core with a clock that the test moves and agents that the test speaks for.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::codes::Code;
+use crate::config::{Class, Customer, Model, Targets};
+use crate::entry::core::{
+    Dispatch, EntryAction, EntryCore, EntryCoreConfig, EntryEvent, HostEntry, HostRole,
+};
+use crate::types::{AttemptEnd, RequestId, RequestMeta};
+use crate::wire::{ConfigDoc, EndpointReport, EndpointState, StoreContact, SyncReply};
+
+pub const FIRST_TOKEN: Duration = Duration::from_millis(890);
+
+/// An entry, its time, and everything that it has done.
+pub struct Fixture {
+    pub core: EntryCore,
+    pub now: Instant,
+    pub hosts: Vec<HostEntry>,
+    pub dispatched: Vec<Dispatch>,
+    pub refused: Vec<(RequestId, Code)>,
+    pub completed: Vec<RequestId>,
+    pub synced: Vec<String>,
+    next_req: RequestId,
+}
+
+pub fn targets(zones_out: &[&str]) -> Targets {
+    let class = |id: &str, priority, keyed| Class {
+        id: id.into(),
+        target: "chat".into(),
+        first_token: FIRST_TOKEN,
+        power: 0,
+        priority,
+        keyed,
+        deferrable: false,
+    };
+    Targets {
+        classes: vec![class("answers", 0, false), class("summaries", 1, false)],
+        customers: ["small", "large"]
+            .map(|id| Customer {
+                id: id.into(),
+                weight: 1,
+            })
+            .into(),
+        models: vec![Model {
+            id: "chat".into(),
+            version: "1".into(),
+            manifest: "v1".into(),
+            replicas: None,
+        }],
+        zones_out: zones_out.iter().map(|zone| (*zone).into()).collect(),
+        ..Targets::default()
+    }
+}
+
+pub fn host(name: &str, zone: &str, number: u16) -> HostEntry {
+    HostEntry {
+        host: name.into(),
+        zone: zone.into(),
+        role: HostRole::Agent,
+        control: ([127, 0, 0, 1], number).into(),
+        traffic: ([127, 0, 0, 1], number + 1).into(),
+        leaving: false,
+    }
+}
+
+pub fn report(endpoint: &str, limit: u32, in_flight: u32) -> EndpointReport {
+    EndpointReport {
+        endpoint: endpoint.into(),
+        first_token_ms: 50,
+        in_flight,
+        instance: 1,
+        limit,
+        power_mw: None,
+        progress_permille: None,
+        queued: 0,
+        state: EndpointState::Ready,
+        target: Some("chat".into()),
+        version: Some("v1".into()),
+    }
+}
+
+pub fn reply(host: &str, endpoints: Vec<EndpointReport>) -> SyncReply {
+    SyncReply {
+        agent_instance: 7,
+        config: None,
+        endpoints,
+        generation: 1,
+        host: host.into(),
+        leaving: false,
+        placement: None,
+        placement_version: None,
+        quarantine: Vec::new(),
+        store: StoreContact {
+            age_ms: 0,
+            reachable: true,
+        },
+        zone: String::new(),
+    }
+}
+
+pub fn meta(class: &str, customer: &str) -> RequestMeta {
+    RequestMeta {
+        class: class.into(),
+        customer: customer.into(),
+        target: "chat".into(),
+        key: None,
+        key_issued: None,
+        fingerprint: "f".into(),
+        prefix: None,
+        tokens: 100,
+        patience: None,
+    }
+}
+
+impl Fixture {
+    /// An entry with one endpoint of `limit` places on each host, named `host-0`.
+    pub fn new(hosts: &[(&str, &str)], limit: u32) -> Self {
+        let now = Instant::now();
+        let cfg = EntryCoreConfig::new("entry".into(), "a".into(), "south".into(), 1);
+        let hosts: Vec<HostEntry> = hosts
+            .iter()
+            .zip((1_000..).step_by(2))
+            .map(|((name, zone), number)| host(name, zone, number))
+            .collect();
+        let mut fixture = Self {
+            core: EntryCore::new(cfg, 1, now),
+            now,
+            hosts: hosts.clone(),
+            dispatched: Vec::new(),
+            refused: Vec::new(),
+            completed: Vec::new(),
+            synced: Vec::new(),
+            next_req: 0,
+        };
+        fixture.configure(1, &[]);
+        fixture.event(EntryEvent::StoreContact { reached: true });
+        fixture.event(EntryEvent::HostsListed(hosts.clone()));
+        for host in &hosts {
+            fixture.heard(&host.host, limit, 0);
+        }
+        fixture
+    }
+
+    pub fn event(&mut self, event: EntryEvent) {
+        for action in self.core.handle(self.now, event) {
+            match action {
+                EntryAction::Dispatch(dispatch) => self.dispatched.push(dispatch),
+                EntryAction::Refuse { req, refusal } => self.refused.push((req, refusal.code)),
+                EntryAction::Complete { req } => self.completed.push(req),
+                EntryAction::Sync { host, .. } => self.synced.push(host.to_string()),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn configure(&mut self, generation: u64, zones_out: &[&str]) {
+        let body = serde_json::to_string(&targets(zones_out)).unwrap();
+        self.event(EntryEvent::ConfigSeen(ConfigDoc { generation, body }));
+    }
+
+    /// The agent of a host answers a heartbeat.
+    pub fn heard(&mut self, host: &str, limit: u32, in_flight: u32) {
+        let endpoint = report(&format!("{host}-0"), limit, in_flight);
+        self.synced(reply(host, vec![endpoint]));
+    }
+
+    pub fn synced(&mut self, reply: SyncReply) {
+        let host = reply.host.as_str().into();
+        self.event(EntryEvent::Synced { host, reply });
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.event(EntryEvent::Tick);
+    }
+
+    pub fn arrive(&mut self, class: &str, customer: &str) -> RequestId {
+        self.arrive_with(meta(class, customer))
+    }
+
+    pub fn arrive_with(&mut self, meta: RequestMeta) -> RequestId {
+        self.next_req += 1;
+        let req = self.next_req;
+        self.event(EntryEvent::Arrived { req, meta });
+        req
+    }
+
+    pub fn arrive_many(&mut self, count: usize) {
+        for _ in 0..count {
+            self.arrive("answers", "small");
+        }
+    }
+
+    /// Ends the latest attempt of a request.
+    pub fn end(&mut self, req: RequestId, end: AttemptEnd) {
+        let attempt = self.latest(req).attempt.clone();
+        self.event(EntryEvent::AttemptEnded {
+            req,
+            attempt,
+            end,
+            answer: None,
+        });
+    }
+
+    pub fn start(&mut self, req: RequestId) {
+        let attempt = self.latest(req).attempt.clone();
+        self.event(EntryEvent::AttemptStarted { req, attempt });
+    }
+
+    pub fn latest(&self, req: RequestId) -> &Dispatch {
+        let mine = |dispatch: &&Dispatch| dispatch.req == req;
+        self.dispatched.iter().rev().find(mine).unwrap()
+    }
+
+    /// Hosts that got work, in order.
+    pub fn hosts_used(&self) -> Vec<Arc<str>> {
+        self.dispatched.iter().map(|d| d.host.clone()).collect()
+    }
+
+    pub fn codes(&self) -> Vec<Code> {
+        self.refused.iter().map(|(_, code)| *code).collect()
+    }
+}
--- /dev/null
+++ b/src/entry/core/tests/mod.rs
@@ -0,0 +1,4 @@
+mod fixture;
+mod membership;
+mod overload;
+mod requests;
--- a/src/entry/core/traffic.rs
+++ b/src/entry/core/traffic.rs
@@ -1,177 +1,237 @@
-//! Traffic side of the entry: from a request's arrival to its final answer.
+//! Traffic side of the entry: from a request's arrival to the start of its answer.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::admission::{Offer, Ticket};
 use crate::codes::Code;
-use crate::config::Targets;
-use crate::routing::{Endpoint, choose};
-use crate::types::{AttemptEnd, EndpointId, Refusal, RequestId, RequestMeta};
+use crate::config::{Class, Customer, Targets};
+use crate::membership::Membership;
+use crate::routing::{Choice, Endpoint, Want};
+use crate::types::{AttemptId, EndpointId, Refusal, RequestId, RequestMeta};
 
 use super::requests::{Attempt, Phase, Request};
 use super::{Dispatch, EntryAction, EntryCore};
 
-/// Advice to callers that were refused for want of a place.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Advice to callers for whom no endpoint is open.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Share of a request's time that its wait for a place may take.
+const START_SHARE: f64 = 0.75;
 
 impl EntryCore {
     pub(super) fn arrived(&mut self, now: Instant, req: RequestId, meta: RequestMeta) {
-        match self.admit(now, &meta) {
-            Ok(deadline) => {
-                let request = Request {
-                    meta,
-                    deadline,
-                    phase: Phase::Waiting,
-                    tries: 0,
-                };
-                self.requests.insert(req, request);
-                self.queue.push_back(req);
-            }
-            Err(refusal) => self.actions.push(EntryAction::Refuse { req, refusal }),
+        if let Err(refusal) = self.admit(now, req, meta) {
+            self.refuse(req, refusal);
         }
     }
 
-    fn admit(&self, now: Instant, meta: &RequestMeta) -> Result<Instant, Refusal> {
-        if self
-            .stopped
-            .is_some_and(|at| now >= at + self.cfg.stop_grace)
-        {
+    fn admit(&mut self, now: Instant, req: RequestId, meta: RequestMeta) -> Result<(), Refusal> {
+        if self.is_closed(now) {
             return Err(Refusal::new(Code::Stopping));
         }
         let targets = self.targets().ok_or(Refusal::new(Code::NoConfiguration))?;
-        let patience = validate(targets, meta).map_err(Refusal::new)?;
-        if self.queue.len() >= self.cfg.queue_len {
-            return Err(Refusal::new(Code::QueueFull).after(RETRY_AFTER));
+        let (class, customer) = validate(targets, &meta).map_err(Refusal::new)?;
+        let first_token = class.first_token;
+        let time = meta.patience.unwrap_or(first_token);
+        let offer = Offer {
+            req,
+            class: class.id.clone(),
+            target: class.target.clone(),
+            priority: class.priority,
+            customer: customer.id.clone(),
+            weight: customer.weight,
+            cost: f64::from(meta.tokens.max(1)),
+            latest_start: now + time.mul_f64(START_SHARE),
+        };
+        self.check_open(now, &offer.target)?;
+        if let Some(evicted) = self.admission.offer(now, &offer)? {
+            self.give_up(evicted, Code::OverShare);
+        }
+        let request = Request {
+            meta,
+            first_token,
+            ticket: Ticket {
+                req,
+                cost: offer.cost,
+                latest_start: offer.latest_start,
+            },
+            phase: Phase::Waiting,
+            tries: 0,
+            avoid: None,
+            may_have_run: false,
+            resume: None,
+        };
+        self.requests.insert(req, request);
+        Ok(())
+    }
+
+    fn is_closed(&self, now: Instant) -> bool {
+        self.stopped
+            .is_some_and(|at| now >= at + self.cfg.stop_grace)
+    }
+
+    /// Refuses at once when no endpoint of the target is open, instead of letting the request wait.
+    fn check_open(&self, now: Instant, target: &str) -> Result<(), Refusal> {
+        if !choices(&self.endpoints, &self.membership, now, target).is_empty() {
+            return Ok(());
         }
-        Ok(now + patience)
+        let zone_out = self.endpoints.values().any(|endpoint| {
+            &*endpoint.target == target && self.membership.is_zone_out(&endpoint.host)
+        });
+        let code = if zone_out {
+            Code::ZoneOut
+        } else {
+            Code::NoEndpoint
+        };
+        Err(Refusal::new(code).after(RETRY_AFTER))
+    }
+
+    pub(super) fn refuse(&mut self, req: RequestId, refusal: Refusal) {
+        self.actions.push(EntryAction::Refuse { req, refusal });
     }
 
-    pub(super) fn caller_gone(&mut self, req: RequestId) {
+    pub(super) fn caller_gone(&mut self, now: Instant, req: RequestId) {
+        self.admission.remove(req);
         if let Some(request) = self.requests.remove(&req) {
-            self.queue.retain(|waiting| *waiting != req);
-            self.release(&request.phase);
+            self.release(now, &request.phase);
+        }
+    }
+
+    /// Gives the place of a running attempt back.
+    pub(super) fn release(&mut self, now: Instant, phase: &Phase) {
+        if let Phase::Running(attempt) = phase
+            && let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint)
+        {
+            endpoint.ended(now);
         }
     }
 
-    pub(super) fn load_seen(&mut self, endpoint: &str, in_flight: u32, limit: u32) {
+    pub(super) fn load_seen(&mut self, now: Instant, endpoint: &str, in_flight: u32, limit: u32) {
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
-            endpoint.load_seen(in_flight, limit);
+            endpoint.load_seen(now, in_flight, limit);
         }
     }
 
-    pub(super) fn attempt_ended(&mut self, req: RequestId, attempt: &str, end: AttemptEnd) {
-        let Some(request) = self.requests.get(&req) else {
+    pub(super) fn attempt_started(&mut self, now: Instant, req: RequestId, attempt: &str) {
+        let Some(request) = self.requests.get_mut(&req) else {
             return;
         };
-        let Phase::Running(running) = &request.phase else {
+        let Phase::Running(running) = &mut request.phase else {
             return;
         };
-        if &*running.id != attempt {
+        if &*running.id != attempt || running.started {
             return;
         }
-        let request = self.requests.remove(&req).expect("it was just found");
-        self.release(&request.phase);
-        let code = match end {
-            AttemptEnd::Answered => return self.actions.push(EntryAction::Complete { req }),
-            AttemptEnd::Refused(code) => code,
-            AttemptEnd::NotSent => Code::NoEndpoint,
-            AttemptEnd::Broken { .. } => Code::AnswerBroken,
-            AttemptEnd::Mismatch(_) => Code::AnswerBroken,
-            AttemptEnd::TimedOut => Code::AnswerTimeout,
-        };
-        let refusal = Refusal::new(code).after(RETRY_AFTER);
-        self.actions.push(EntryAction::Refuse { req, refusal });
-    }
-
-    fn release(&mut self, phase: &Phase) {
-        if let Phase::Running(attempt) = phase
-            && let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint)
-        {
-            endpoint.own -= 1;
+        running.started = true;
+        let wait = now.saturating_duration_since(running.sent_at);
+        if let Some(endpoint) = self.endpoints.get_mut(&running.endpoint) {
+            endpoint.started(now, wait);
         }
     }
 
     /// Starts waiting requests while there are places, and refuses those that are too late.
     pub(super) fn pump(&mut self, now: Instant) {
-        for _ in 0..self.queue.len() {
-            let Some(req) = self.queue.pop_front() else {
-                return;
-            };
-            let request = &self.requests[&req];
-            if let Some(endpoint) = self.choose_endpoint(now, &request.meta.target.clone()) {
-                self.dispatch(req, &endpoint);
-            } else if self.requests[&req].deadline <= now {
-                self.requests.remove(&req);
-                let refusal = Refusal::new(Code::DeadlineUnreachable).after(RETRY_AFTER);
-                self.actions.push(EntryAction::Refuse { req, refusal });
-            } else {
-                self.queue.push_back(req);
-            }
+        for req in self.admission.take_late(now) {
+            self.give_up(req, Code::DeadlineUnreachable);
+        }
+        for target in self.admission.targets() {
+            while self.start_next(now, &target) {}
         }
     }
 
-    fn choose_endpoint(&mut self, now: Instant, target: &str) -> Option<EndpointId> {
-        let zones_out = self.targets()?.zones_out.clone();
-        let candidates: Vec<&Endpoint> = self
-            .endpoints
-            .values()
-            .filter(|endpoint| &*endpoint.target == target)
-            .filter(|endpoint| endpoint.is_serving() && endpoint.has_room())
-            .filter(|endpoint| {
-                self.membership.agent(&endpoint.host).is_some_and(|agent| {
-                    !agent.is_leaving()
-                        && !agent.is_silent(now, self.cfg.suspicion)
-                        && !zones_out.contains(&agent.zone)
-                })
-            })
-            .collect();
-        choose(&candidates, &mut self.rng).map(|index| candidates[index].id.clone())
-    }
-
-    fn dispatch(&mut self, req: RequestId, endpoint: &str) {
+    /// Starts the next request of a target; false when none waits or no place is free.
+    fn start_next(&mut self, now: Instant, target: &str) -> bool {
+        let Some(class) = self.admission.classes(target).into_iter().next() else {
+            return false;
+        };
+        let Some((customer, ticket)) = self.admission.take(&class) else {
+            return false;
+        };
+        let Some(endpoint) = self.choose_endpoint(now, ticket.req) else {
+            self.admission.put_back(&class, &customer, ticket);
+            return false;
+        };
+        self.admission.started(now, &class);
+        self.dispatch(now, ticket.req, &endpoint);
+        true
+    }
+
+    fn choose_endpoint(&mut self, now: Instant, req: RequestId) -> Option<EndpointId> {
+        let request = &self.requests[&req];
+        let mut choices = choices(&self.endpoints, &self.membership, now, &request.meta.target);
+        if choices.len() > 1 {
+            choices.retain(|choice| Some(&choice.endpoint.id) != request.avoid.as_ref());
+        }
+        let want = Want {
+            prefix: request.meta.prefix.as_deref(),
+            wait: self.admission.backlog_wait(now, &request.meta.target),
+        };
+        self.chooser.choose(now, &choices, want, &mut self.rng)
+    }
+
+    /// Endpoint at which a broken answer can go on.
+    pub(super) fn choose_same_version(&self, now: Instant, req: RequestId) -> Option<EndpointId> {
+        let request = &self.requests[&req];
+        let version = &request.resume.as_ref()?.version;
+        choices(&self.endpoints, &self.membership, now, &request.meta.target)
+            .into_iter()
+            .filter(|choice| choice.endpoint.version.as_ref() == Some(version))
+            .filter(|choice| Some(&choice.endpoint.id) != request.avoid.as_ref())
+            .min_by(|a, b| a.endpoint.load().total_cmp(&b.endpoint.load()))
+            .map(|choice| choice.endpoint.id.clone())
+    }
+
+    /// Sends the request to an endpoint.
+    pub(super) fn dispatch(&mut self, now: Instant, req: RequestId, endpoint: &str) {
         let generation = self.generation();
-        self.attempts += 1;
-        let attempt = format!(
-            "{}-{:x}-{}",
-            self.cfg.entry, self.cfg.instance, self.attempts
-        );
+        let attempt = self.next_attempt();
         let endpoint = self.endpoints.get_mut(endpoint).expect("it was chosen");
         let agent = self
             .membership
             .agent(&endpoint.host)
             .expect("it was chosen");
-        endpoint.own += 1;
+        endpoint.sent(now);
         let request = self.requests.get_mut(&req).expect("it was waiting");
+        if request.tries == 0 {
+            self.retries.first_try();
+        }
         request.tries += 1;
+        let resume_from = request.resume.as_ref().map_or(0, |resume| resume.from);
         request.phase = Phase::Running(Attempt {
-            id: attempt.as_str().into(),
+            id: attempt.clone(),
             endpoint: endpoint.id.clone(),
+            version: endpoint.version.clone(),
+            sent_at: now,
+            started: resume_from > 0,
         });
         self.actions.push(EntryAction::Dispatch(Dispatch {
             req,
-            attempt: attempt.into(),
+            attempt,
             host: agent.host.clone(),
             traffic: agent.traffic,
             endpoint: endpoint.id.clone(),
-            agent_instance: agent.instance.expect("it has answered"),
+            agent_instance: agent.instance.expect("an agent with a share has answered"),
             version: endpoint.version.clone(),
             generation,
-            resume_from: 0,
+            resume_from,
             suspect: false,
         }));
     }
 
-    pub(super) fn next_deadline(&self) -> Option<Instant> {
-        self.queue
-            .iter()
-            .map(|req| self.requests[req].deadline)
-            .min()
+    fn next_attempt(&mut self) -> AttemptId {
+        self.attempts += 1;
+        let (entry, instance, number) = (&self.cfg.entry, self.cfg.instance, self.attempts);
+        format!("{entry}-{instance:x}-{number}").into()
     }
 }
 
-/// Time for which the caller of a valid request waits.
-fn validate(targets: &Targets, meta: &RequestMeta) -> Result<Duration, Code> {
+/// Class and customer of a valid request.
+fn validate<'a>(
+    targets: &'a Targets,
+    meta: &RequestMeta,
+) -> Result<(&'a Class, &'a Customer), Code> {
     let class = targets.class(&meta.class).ok_or(Code::UnknownClass)?;
-    targets
+    let customer = targets
         .customer(&meta.customer)
         .ok_or(Code::UnknownCustomer)?;
     if class.target != meta.target {
@@ -183,5 +243,23 @@
     if class.keyed {
         return Err(Code::StoreUnavailable);
     }
-    Ok(meta.patience.unwrap_or(class.first_token))
+    Ok((class, customer))
+}
+
+/// Endpoints of a target that may get new work, whether or not a place is free.
+fn choices<'a>(
+    endpoints: &'a BTreeMap<EndpointId, Endpoint>,
+    membership: &Membership,
+    now: Instant,
+    target: &str,
+) -> Vec<Choice<'a>> {
+    endpoints
+        .values()
+        .filter(|endpoint| &*endpoint.target == target && endpoint.is_serving())
+        .map(|endpoint| Choice {
+            endpoint,
+            share: membership.share(now, &endpoint.host),
+        })
+        .filter(|choice| choice.share > 0.0)
+        .collect()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![deny(missing_docs)]
 
+pub mod admission;
 pub mod agent;
 pub mod answer;
 pub mod codes;
--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -5,6 +5,7 @@
 
 use crate::entry::core::HostEntry;
 use crate::types::{Generation, HostId, InstanceId, ZoneId};
+use crate::wire::SyncReply;
 
 /// An agent and the state of its control connection.
 #[derive(Clone, Debug)]
@@ -27,11 +28,17 @@
     pub instance: Option<InstanceId>,
     /// Generation in force at the agent, once it has answered.
     pub generation: Generation,
-    /// Time of the last answer.
-    pub last_heard: Option<Instant>,
+    /// True while this entry keeps a control connection to the agent.
+    pub member: bool,
+    /// True when the agent was added to the subset for the targets that it serves.
+    pub scouted: bool,
+    /// Time at which the first heartbeat went out that no answer has followed.
+    pub unanswered_since: Option<Instant>,
+    /// True when a connection for traffic was refused after the last answer.
+    pub unreachable: bool,
     /// Time of the next heartbeat.
     pub next_sync: Instant,
-    /// True while a heartbeat is unanswered.
+    /// True while a heartbeat is in flight.
     pub sync_pending: bool,
 }
 
@@ -48,14 +55,22 @@
             said_leaving: false,
             instance: None,
             generation: 0,
-            last_heard: None,
+            member: false,
+            scouted: false,
+            unanswered_since: None,
+            unreachable: false,
             next_sync: now,
             sync_pending: false,
         }
     }
 
     /// Takes in a line of the host list.
+    ///
+    /// A new address means a new process, which has to answer before it gets work.
     pub fn relisted(&mut self, host: &HostEntry) {
+        if (self.control, self.traffic) != (host.control, host.traffic) {
+            self.instance = None;
+        }
         self.zone = host.zone.clone();
         self.control = host.control;
         self.traffic = host.traffic;
@@ -63,14 +78,43 @@
         self.listed_leaving = host.leaving;
     }
 
-    /// True when the host leaves, by the list or by the agent's own word.
+    /// Takes in an answer to a heartbeat.
+    ///
+    /// The agent's own word replaces that of an earlier instance.
+    pub fn heard(&mut self, now: Instant, reply: &SyncReply) {
+        self.instance = Some(reply.agent_instance);
+        self.said_leaving = reply.leaving;
+        self.generation = reply.generation;
+        self.unanswered_since = None;
+        self.unreachable = false;
+        self.sync_pending = false;
+        self.next_sync = self.next_sync.max(now);
+    }
+
+    /// Notes that a heartbeat goes out.
+    pub fn sync_sent(&mut self, now: Instant) {
+        self.sync_pending = true;
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// Starts the silence anew.
+    pub fn excuse(&mut self, now: Instant) {
+        if let Some(since) = &mut self.unanswered_since {
+            *since = now;
+        }
+    }
+
+    /// True when the host leaves, by the agent's own word or by the list.
     pub fn is_leaving(&self) -> bool {
         self.listed_leaving || self.said_leaving
     }
 
-    /// True when the agent has not answered for `silence`, or never.
-    pub fn is_silent(&self, now: Instant, silence: Duration) -> bool {
-        self.last_heard
-            .is_none_or(|heard| now.saturating_duration_since(heard) > silence)
+    /// True when the agent has never answered, when it owes an answer for longer than `suspicion`,
+    /// or when it refused a connection.
+    pub fn is_suspect(&self, now: Instant, suspicion: Duration) -> bool {
+        let overdue = self
+            .unanswered_since
+            .is_some_and(|since| now.saturating_duration_since(since) > suspicion);
+        self.instance.is_none() || self.unreachable || overdue
     }
 }
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -1,8 +1,13 @@
 //! What an entry knows of one endpoint.
 
+use std::time::{Duration, Instant};
+
 use crate::types::{Digest, EndpointId, HostId, InstanceId, TargetId};
 use crate::wire::{EndpointReport, EndpointState};
 
+use super::latency::Latency;
+use super::own_load::OwnLoad;
+
 /// State and load of an endpoint, as reported by its agent and as counted here.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -20,57 +25,122 @@
     pub instance: InstanceId,
     /// Requests that it bears at once.
     pub limit: u32,
-    /// Requests of this entry that are in flight there; exact.
-    pub own: u32,
-    /// Estimate of the requests of other entries that are in flight there.
-    pub others: u32,
+    /// Requests that the agent last reported; the baseline policy goes by it.
+    pub reported: u32,
+    /// Requests of this entry.
+    own: OwnLoad,
+    /// Estimate of the requests of other entries.
+    others: u32,
+    /// True after a refusal that holds until the agent's next report.
+    refused: bool,
+    latency: Latency,
 }
 
 impl Endpoint {
     /// An endpoint that was reported for the first time.
-    pub fn new(host: HostId, report: &EndpointReport) -> Self {
+    pub fn new(now: Instant, host: HostId, report: &EndpointReport) -> Self {
         let mut endpoint = Self {
             id: report.endpoint.as_str().into(),
-            host,
+            host: host.clone(),
             target: "".into(),
             state: report.state,
             version: None,
             instance: report.instance,
             limit: 0,
-            own: 0,
+            reported: 0,
+            own: OwnLoad::new(now),
             others: 0,
+            refused: false,
+            latency: Latency::default(),
         };
-        endpoint.report(report);
+        endpoint.report(now, host, report);
         endpoint
     }
 
     /// Takes in a report of the agent.
-    pub fn report(&mut self, report: &EndpointReport) {
+    pub fn report(&mut self, now: Instant, host: HostId, report: &EndpointReport) {
+        if self.instance != report.instance {
+            self.latency.reset();
+        }
+        self.host = host;
         self.target = report.target.as_deref().unwrap_or_default().into();
         self.state = report.state;
         self.version = report.version.as_deref().map(Into::into);
         self.instance = report.instance;
-        self.load_seen(report.in_flight + report.queued, report.limit);
+        self.refused = false;
+        let first_token = Duration::from_millis(u64::from(report.first_token_ms));
+        self.latency.report(now, first_token);
+        self.load_seen(now, report.in_flight + report.queued, report.limit);
     }
 
     /// Takes in a load that rode on an answer or a report.
-    pub fn load_seen(&mut self, in_flight: u32, limit: u32) {
+    ///
+    /// What may be this entry's own work is taken off, so that the rest is that of others.
+    pub fn load_seen(&mut self, now: Instant, in_flight: u32, limit: u32) {
         self.limit = limit;
-        self.others = in_flight.saturating_sub(self.own);
+        self.reported = in_flight;
+        self.others = in_flight.saturating_sub(self.own.recent_peak(now));
+    }
+
+    /// A request of this entry was sent there.
+    pub fn sent(&mut self, now: Instant) {
+        self.own.add(now);
+    }
+
+    /// A request of this entry has ended there.
+    pub fn ended(&mut self, now: Instant) {
+        self.own.remove(now);
+    }
+
+    /// A request of this entry got its first token after `wait`.
+    pub fn started(&mut self, now: Instant, wait: Duration) {
+        self.latency.observe(now, wait);
+    }
+
+    /// The agent said that the endpoint holds as much as it bears.
+    pub fn was_full(&mut self) {
+        self.others = self.limit.saturating_sub(self.own.count());
+    }
+
+    /// The agent refused for a reason that holds until its next report.
+    pub fn was_refused(&mut self) {
+        self.refused = true;
+    }
+
+    /// The agent no longer reports the endpoint, or its process is another.
+    pub fn is_gone(&mut self) {
+        self.state = EndpointState::Down;
     }
 
     /// True when the agent would admit work.
     pub fn is_serving(&self) -> bool {
-        matches!(self.state, EndpointState::Ready | EndpointState::Cold) && self.limit > 0
+        let open = matches!(self.state, EndpointState::Ready | EndpointState::Cold);
+        open && self.limit > 0 && !self.refused
+    }
+
+    /// Requests of this entry that are in flight there.
+    pub fn own(&self) -> u32 {
+        self.own.count()
     }
 
-    /// True when a place is free as far as this entry knows.
-    pub fn has_room(&self) -> bool {
-        self.own + self.others < self.limit
+    /// Requests that are in flight there as far as this entry knows.
+    pub fn in_flight(&self) -> u32 {
+        self.own.count() + self.others
     }
 
-    /// Share of the places that are taken.
+    /// Share of its places that are taken.
     pub fn load(&self) -> f64 {
-        f64::from(self.own + self.others) / f64::from(self.limit.max(1))
+        f64::from(self.in_flight()) / f64::from(self.limit.max(1))
+    }
+
+    /// True when a place is free, with `share` of the places open to new work.
+    pub fn has_room(&self, share: f64) -> bool {
+        let open = (f64::from(self.limit) * share).ceil();
+        f64::from(self.in_flight()) < open
+    }
+
+    /// Believed time to the first token in seconds; `None` when it is not known.
+    pub fn first_token(&self, now: Instant) -> Option<f64> {
+        self.latency.believed(now)
     }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,7 +1,14 @@
-//! Choice of an endpoint for a request.
+//! Choice of an endpoint for a request, and the budget for retries.
 
+mod affinity;
 mod endpoint;
+mod latency;
+mod own_load;
 mod policy;
+mod retry;
+#[cfg(test)]
+mod tests;
 
 pub use endpoint::Endpoint;
-pub use policy::{Policy, choose};
+pub use policy::{Choice, Chooser, Policy, Want};
+pub use retry::RetryBudget;
--- /dev/null
+++ b/src/routing/tests.rs
@@ -0,0 +1,150 @@
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+use super::{Choice, Chooser, Endpoint, Policy, RetryBudget, Want};
+use crate::wire::{EndpointReport, EndpointState};
+
+fn report(name: usize, limit: u32, in_flight: u32) -> EndpointReport {
+    EndpointReport {
+        endpoint: format!("e{name}"),
+        first_token_ms: 50,
+        in_flight,
+        instance: 1,
+        limit,
+        power_mw: None,
+        progress_permille: None,
+        queued: 0,
+        state: EndpointState::Ready,
+        target: Some("chat".into()),
+        version: None,
+    }
+}
+
+fn endpoints(now: Instant, loads: &[u32]) -> Vec<Endpoint> {
+    loads
+        .iter()
+        .enumerate()
+        .map(|(name, load)| Endpoint::new(now, "host".into(), &report(name, 8, *load)))
+        .collect()
+}
+
+fn all(endpoints: &[Endpoint]) -> Vec<Choice<'_>> {
+    endpoints
+        .iter()
+        .map(|endpoint| Choice {
+            endpoint,
+            share: 1.0,
+        })
+        .collect()
+}
+
+#[rstest]
+#[case::idle(&[0, 0], true)]
+#[case::one_place(&[8, 7], true)]
+#[case::full(&[8, 8], false)]
+#[case::over(&[9, 12], false)]
+#[case::none(&[], false)]
+fn only_an_endpoint_with_room_is_chosen(#[case] loads: &[u32], #[case] found: bool) {
+    let now = Instant::now();
+    let endpoints = endpoints(now, loads);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut chooser = Chooser::new(Policy::Adaptive);
+    for prefix in [None, Some("p")] {
+        let want = Want {
+            prefix,
+            ..Want::default()
+        };
+        let chosen = chooser.choose(now, &all(&endpoints), want, &mut rng);
+        assert_eq!(chosen.is_some(), found);
+    }
+}
+
+#[test]
+fn several_entries_with_the_same_report_do_not_all_choose_the_same_endpoint() {
+    let now = Instant::now();
+    let endpoints = endpoints(now, &[0, 1, 1, 1, 1, 1, 1, 1]);
+    let chosen: Vec<_> = (0..8)
+        .filter_map(|seed| {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            Chooser::default().choose(now, &all(&endpoints), Want::default(), &mut rng)
+        })
+        .collect();
+    let distinct: BTreeSet<_> = chosen.iter().collect();
+    assert!(distinct.len() >= 4, "{chosen:?}");
+}
+
+#[rstest]
+#[case::quick_have_room(&[0, 7, 7], 0, false)]
+#[case::short_wait(&[0, 8, 8], 10, false)]
+#[case::long_wait(&[0, 8, 8], 900, true)]
+fn a_slow_endpoint_is_used_when_waiting_takes_longer(
+    #[case] loads: &[u32],
+    #[case] wait_ms: u64,
+    #[case] used: bool,
+) {
+    let now = Instant::now();
+    let mut endpoints = endpoints(now, loads);
+    for endpoint in &mut endpoints {
+        let slow = &*endpoint.id == "e0";
+        endpoint.started(now, Duration::from_millis(if slow { 600 } else { 50 }));
+    }
+    let want = Want {
+        prefix: None,
+        wait: Duration::from_millis(wait_ms),
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let chosen = Chooser::default().choose(now, &all(&endpoints), want, &mut rng);
+    assert_eq!(chosen == Some("e0".into()), used);
+}
+
+#[test]
+fn a_restarted_endpoint_loses_its_reputation() {
+    let now = Instant::now();
+    let mut endpoint = Endpoint::new(now, "host".into(), &report(0, 8, 0));
+    endpoint.started(now, Duration::from_millis(10));
+    assert!(endpoint.first_token(now).is_some());
+    let mut restarted = report(0, 1, 0);
+    restarted.instance = 2;
+    endpoint.report(now, "host".into(), &restarted);
+    assert!(endpoint.first_token(now).is_none());
+}
+
+proptest! {
+    /// However late a report is, the estimate never hides an own request.
+    #[test]
+    fn own_requests_always_count(steps in prop::collection::vec((0_u8..3, 0_u32..9), 1..60)) {
+        let mut now = Instant::now();
+        let mut endpoint = Endpoint::new(now, "host".into(), &report(0, 8, 0));
+        let mut own = 0_u32;
+        for (kind, reported) in steps {
+            now += Duration::from_millis(170);
+            match kind {
+                0 => { endpoint.sent(now); own += 1; }
+                1 if own > 0 => { endpoint.ended(now); own -= 1; }
+                _ => endpoint.load_seen(now, reported, 8),
+            }
+            prop_assert_eq!(endpoint.own(), own);
+            prop_assert!(endpoint.in_flight() >= own);
+        }
+    }
+
+    #[test]
+    fn retries_never_exceed_their_share(tries in prop::collection::vec(any::<bool>(), 1..2_000)) {
+        let mut budget = RetryBudget::default();
+        let (mut firsts, mut retries) = (0_usize, 0_usize);
+        for first in tries {
+            if first {
+                budget.first_try();
+                firsts += 1;
+            } else if budget.draw() {
+                retries += 1;
+            }
+        }
+        prop_assert!(retries <= firsts / 10 + 5, "{} of {}", retries, firsts);
+    }
+}
