Entry core: configuration state, isolation, status

Cause: the entry adopted configurations by a rule of its own and knew no isolation. Change: it uses ConfigState; while isolated it refuses new and waiting work and ends what runs. ConfigTaught carries a configuration that a refusal brought, which is no contact with the object API. Dispatch carries the time left to the start of the answer. Status and readiness.

--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -92,6 +92,11 @@
         self.waiting.len()
     }
 
+    /// Number of waiting requests of one class.
+    pub fn len_of(&self, class: &str) -> usize {
+        self.classes.get(class).map_or(0, ClassQueue::len)
+    }
+
     /// True when no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -295,6 +300,15 @@
         late
     }
 
+    /// Takes every request.
+    pub fn take_all(&mut self) -> Vec<RequestId> {
+        let all: Vec<RequestId> = self.waiting.keys().copied().collect();
+        for req in &all {
+            self.remove(*req);
+        }
+        all
+    }
+
     /// Time at which the first waiting request becomes too late.
     pub fn next_late(&self) -> Option<Instant> {
         self.by_latest_start.first().map(|(at, _)| *at)
--- a/src/entry/core/action.rs
+++ b/src/entry/core/action.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::telemetry::Event;
 use crate::types::{
@@ -95,6 +96,8 @@
     pub generation: Generation,
     /// Number of tokens already delivered by an earlier attempt with the same version.
     pub resume_from: u64,
+    /// Time left until the answer has to start.
+    pub patience: Duration,
     /// True when the request is suspected of crashing endpoints and must run alone.
     pub suspect: bool,
 }
--- a/src/entry/core/control.rs
+++ b/src/entry/core/control.rs
@@ -1,16 +1,15 @@
 //! Control side of the entry: hosts, heartbeats and configuration.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::config::Targets;
+use crate::config::Observation;
 use crate::membership::Agent;
 use crate::routing::Endpoint;
 use crate::telemetry::Event;
-use crate::types::{Generation, HostId, TargetId};
-use crate::wire::{ConfigDoc, EndpointReport, StoreContact, SyncReply, SyncRequest};
+use crate::types::{HostId, TargetId};
+use crate::wire::{ConfigDoc, EndpointReport, SyncReply, SyncRequest};
 
-use super::{EntryAction, EntryCore, HostEntry};
+use super::{EntryAction, EntryCore, HostEntry, HostRole};
 
 /// Endpoints of a declared target that an entry wants to know of.
 const MIN_ENDPOINTS: usize = 2;
@@ -20,6 +19,14 @@
 impl EntryCore {
     pub(super) fn hosts_listed(&mut self, now: Instant, hosts: &[HostEntry]) {
         self.membership.listed(now, hosts);
+        let near_store = |host: &&HostEntry| {
+            host.role == HostRole::Entry && host.region == self.cfg.store_region
+        };
+        let store_entries = hosts
+            .iter()
+            .filter(near_store)
+            .map(|host| host.host.clone());
+        self.config.set_store_entries(store_entries);
         self.forget_endpoints();
     }
 
@@ -31,9 +38,11 @@
         self.membership.heard(now, host, &reply);
         self.plan_heartbeat(now, host);
         self.take_reports(now, host, &reply);
-        if let Some(doc) = reply.config {
-            self.config_seen(now, doc);
+        if let Some(doc) = &reply.config {
+            self.config_taught(now, doc);
         }
+        self.config
+            .peer_contact(now, host, reply.generation, &reply.store);
         if let Some(doc) = reply.placement {
             self.placement_seen(doc);
         }
@@ -66,10 +75,11 @@
 
     /// Keeps looking outside the subset while a declared target has too few endpoints in it.
     fn look_for_targets(&mut self, now: Instant, host: &str) {
-        let Some(targets) = self.targets() else {
+        let Some(held) = self.config.held() else {
             return;
         };
-        let wanted: Vec<TargetId> = targets
+        let wanted: Vec<TargetId> = held
+            .targets
             .classes
             .iter()
             .map(|class| class.target.clone())
@@ -109,7 +119,7 @@
 
     /// An agent that is behind gets the configuration without waiting for the next heartbeat.
     fn teach_at_once(&mut self, now: Instant, host: &str) {
-        let generation = self.generation();
+        let generation = self.config.generation();
         if let Some(agent) = self.membership.agent_mut(host)
             && agent.generation < generation
         {
@@ -127,19 +137,32 @@
         self.plan_heartbeat(now, host);
     }
 
-    pub(super) fn config_seen(&mut self, now: Instant, doc: ConfigDoc) {
-        if doc.generation <= self.generation() {
-            return;
+    /// The object API showed a configuration.
+    pub(super) fn config_seen(&mut self, now: Instant, doc: &ConfigDoc) {
+        if self.config.store_read(now, doc) == Observation::Adopted {
+            self.config_adopted(now);
+        }
+    }
+
+    /// A peer showed a configuration.
+    pub(super) fn config_taught(&mut self, now: Instant, doc: &ConfigDoc) {
+        if self.config.observe(doc) == Observation::Adopted {
+            self.config_adopted(now);
         }
-        let Ok(targets) = serde_json::from_str::<Targets>(&doc.body) else {
+    }
+
+    fn config_adopted(&mut self, now: Instant) {
+        let Some(held) = self.config.held() else {
             return;
         };
-        let detail = format!("generation {}", doc.generation);
-        self.membership.zones_out(now, &targets.zones_out);
-        self.config = Some((doc, Arc::new(targets)));
+        self.membership.zones_out(now, &held.targets.zones_out);
+        let declared = held.targets.classes.iter();
+        for class in declared {
+            self.stats.entry(class.id.clone()).or_default();
+        }
         self.actions.push(EntryAction::Log {
             event: Event::ConfigAdopted,
-            detail,
+            detail: format!("generation {}", held.generation),
         });
         for agent in self.membership.members_mut() {
             agent.next_sync = now;
@@ -153,17 +176,6 @@
         }
     }
 
-    pub(super) fn store_contact(&mut self, now: Instant, reached: bool) {
-        self.store_reachable = reached;
-        if reached {
-            self.store_contact = Some(now);
-        }
-    }
-
-    pub(super) fn generation(&self) -> Generation {
-        self.config.as_ref().map_or(0, |(doc, _)| doc.generation)
-    }
-
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         let due: Vec<Agent> = self
             .membership
@@ -184,41 +196,20 @@
         }
     }
 
-    fn heartbeat(&self, now: Instant, agent: &Agent) -> SyncRequest {
-        let behind = agent.instance.is_some() && agent.generation < self.generation();
+    fn heartbeat(&mut self, now: Instant, agent: &Agent) -> SyncRequest {
+        let known = agent.instance.map(|_| agent.generation);
         SyncRequest {
-            config: self
-                .config
-                .as_ref()
-                .filter(|_| behind)
-                .map(|(doc, _)| doc.clone()),
+            config: known.and_then(|generation| self.config.doc_for(generation)),
             entry: self.cfg.entry.to_string(),
-            generation: self.generation(),
+            generation: self.config.generation(),
             placement: self.placement.clone(),
             placement_version: self.placement.as_ref().map(|doc| doc.generation),
             quarantine: Vec::new(),
-            store: self.store_report(now),
+            store: self.config.sync_fields(now, &agent.host),
             zone: Some(self.cfg.zone.to_string()),
         }
     }
 
-    pub(super) fn store_report(&self, now: Instant) -> StoreContact {
-        StoreContact {
-            age_ms: self.store_age(now).as_millis() as u64,
-            reachable: self.store_reachable,
-            outages: Vec::new(),
-            stamp_ms: None,
-            echo_ms: None,
-        }
-    }
-
-    fn store_age(&self, now: Instant) -> Duration {
-        self.store_contact
-            .map_or(Duration::from_secs(u64::from(u32::MAX)), |at| {
-                now.saturating_duration_since(at)
-            })
-    }
-
     pub(super) fn next_heartbeat(&self) -> Option<Instant> {
         self.membership
             .members()
--- a/src/entry/core/ends.rs
+++ b/src/entry/core/ends.rs
@@ -33,7 +33,7 @@
         match end {
             AttemptEnd::Answered => {
                 self.admission.ended(now, &target);
-                self.requests.remove(&req);
+                self.answered(req);
                 self.actions.push(EntryAction::Complete { req });
             }
             AttemptEnd::Refused(code) => {
@@ -50,6 +50,14 @@
         }
     }
 
+    fn answered(&mut self, req: RequestId) {
+        if let Some(request) = self.requests.remove(&req)
+            && let Some(stats) = self.stats.get_mut(&request.meta.class)
+        {
+            stats.answered += 1;
+        }
+    }
+
     fn note_refusal(&mut self, endpoint: &str, code: Code) {
         let Some(endpoint) = self.endpoints.get_mut(endpoint) else {
             return;
@@ -150,14 +158,14 @@
 
     /// Gives the final negative answer; never "not run" for what may have run.
     pub(super) fn give_up(&mut self, req: RequestId, code: Code) {
-        let may_have_run = self
-            .requests
-            .remove(&req)
-            .is_some_and(|request| request.may_have_run);
+        let Some(request) = self.requests.remove(&req) else {
+            return;
+        };
         let code = match code.run_state() {
-            RunState::NotRun if may_have_run => Code::AnswerBroken,
+            RunState::NotRun if request.may_have_run => Code::AnswerBroken,
             _ => code,
         };
-        self.refuse(req, Refusal::new(code).after(RETRY_AFTER));
+        let refusal = Refusal::new(code).after(RETRY_AFTER);
+        self.refuse(req, &request.meta.class, refusal);
     }
 }
--- a/src/entry/core/event.rs
+++ b/src/entry/core/event.rs
@@ -82,6 +82,8 @@
     HostsListed(Vec<HostEntry>),
     /// The object API showed a configuration.
     ConfigSeen(ConfigDoc),
+    /// An agent's refusal carried a newer configuration.
+    ConfigTaught(ConfigDoc),
     /// The object API showed a placement.
     PlacementSeen(ConfigDoc),
     /// The object API answered a read or a watch of the configuration, or failed to.
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -9,6 +9,8 @@
 mod ends;
 mod event;
 mod requests;
+mod stats;
+mod status;
 #[cfg(test)]
 mod tests;
 mod traffic;
@@ -21,10 +23,10 @@
 use rand::rngs::SmallRng;
 
 use crate::admission::Admission;
-use crate::config::Targets;
+use crate::config::{ConfigParams, ConfigState, InForce};
 use crate::membership::{Membership, Mesh};
 use crate::routing::{Chooser, Endpoint, RetryBudget};
-use crate::types::{EndpointId, RequestId};
+use crate::types::{ClassId, EndpointId, RequestId};
 use crate::wire::ConfigDoc;
 
 pub use action::{Dispatch, EntryAction, StoreCall, StoreOp};
@@ -32,13 +34,13 @@
 pub use event::{EntryEvent, HostEntry, HostRole, StoreReply};
 
 use requests::Request;
+use stats::ClassStats;
 
 /// State of one entry.
 pub struct EntryCore {
     cfg: EntryCoreConfig,
     rng: SmallRng,
-    /// Configuration in force with its parsed body.
-    config: Option<(ConfigDoc, Arc<Targets>)>,
+    config: ConfigState,
     /// Highest placement seen, passed on to agents.
     placement: Option<ConfigDoc>,
     membership: Membership,
@@ -48,10 +50,10 @@
     admission: Admission,
     chooser: Chooser,
     retries: RetryBudget,
+    /// Invariant: only classes that a configuration has declared.
+    stats: BTreeMap<ClassId, ClassStats>,
     attempts: u64,
     stopped: Option<Instant>,
-    store_contact: Option<Instant>,
-    store_reachable: bool,
     actions: Vec<EntryAction>,
 }
 
@@ -62,21 +64,26 @@
             full: cfg.full_mesh,
             entries_per_agent: cfg.entries_per_agent,
         };
+        let params = ConfigParams {
+            name: cfg.entry.clone(),
+            region: cfg.region.clone(),
+            store_region: cfg.store_region.clone(),
+            isolation_after: cfg.isolation,
+        };
         Self {
+            config: ConfigState::new(params, now),
             membership: Membership::new(cfg.entry.clone(), mesh, cfg.suspicion, now),
             admission: Admission::new(cfg.queue_len),
             chooser: Chooser::new(cfg.policy),
             retries: RetryBudget::default(),
             cfg,
             rng: SmallRng::seed_from_u64(seed),
-            config: None,
             placement: None,
             endpoints: BTreeMap::new(),
             requests: BTreeMap::new(),
+            stats: BTreeMap::new(),
             attempts: 0,
             stopped: None,
-            store_contact: None,
-            store_reachable: false,
             actions: Vec::new(),
         }
     }
@@ -100,9 +107,10 @@
             EntryEvent::Synced { host, reply } => self.synced(now, &host, reply),
             EntryEvent::SyncFailed { host } => self.sync_failed(now, &host),
             EntryEvent::HostsListed(hosts) => self.hosts_listed(now, &hosts),
-            EntryEvent::ConfigSeen(doc) => self.config_seen(now, doc),
+            EntryEvent::ConfigSeen(doc) => self.config_seen(now, &doc),
+            EntryEvent::ConfigTaught(doc) => self.config_taught(now, &doc),
             EntryEvent::PlacementSeen(doc) => self.placement_seen(doc),
-            EntryEvent::StoreContact { reached } => self.store_contact(now, reached),
+            EntryEvent::StoreContact { reached } => self.config.store_contact(now, reached),
             EntryEvent::Stop => self.stopped = self.stopped.or(Some(now)),
             EntryEvent::Tick => {}
         }
@@ -125,8 +133,8 @@
         self.requests.is_empty()
     }
 
-    /// Configuration in force.
-    pub fn targets(&self) -> Option<&Arc<Targets>> {
-        self.config.as_ref().map(|(_, targets)| targets)
+    /// Configuration that is held, in force or not.
+    pub fn held(&self) -> Option<&Arc<InForce>> {
+        self.config.held()
     }
 }
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -9,8 +9,11 @@
 #[derive(Debug)]
 pub struct Request {
     pub meta: RequestMeta,
+    pub arrived_at: Instant,
     /// Class's target for the time to the first token.
     pub first_token: Duration,
+    /// Time from the arrival within which the answer has to start.
+    pub patience: Duration,
     /// Place in the queue.
     pub ticket: Ticket,
     pub phase: Phase,
--- a/src/entry/core/tests/fixture.rs
+++ b/src/entry/core/tests/fixture.rs
@@ -62,6 +62,7 @@
         control: ([127, 0, 0, 1], number).into(),
         traffic: ([127, 0, 0, 1], number + 1).into(),
         leaving: false,
+        region: "south".into(),
     }
 }
 
@@ -95,6 +96,9 @@
         store: StoreContact {
             age_ms: 0,
             reachable: true,
+            echo_ms: None,
+            outages: Vec::new(),
+            stamp_ms: None,
         },
         zone: String::new(),
     }
@@ -173,6 +177,7 @@
 
     pub fn pass(&mut self, time: Duration) {
         self.now += time;
+        self.event(EntryEvent::StoreContact { reached: true });
         self.event(EntryEvent::Tick);
     }
 
--- a/src/entry/core/tests/requests.rs
+++ b/src/entry/core/tests/requests.rs
@@ -103,3 +103,18 @@
     }
     assert_eq!(f.codes()[0].run_state(), RunState::Unknown);
 }
+
+#[test]
+fn an_isolated_entry_refuses_new_and_waiting_work_and_ends_what_runs() {
+    let mut f = Fixture::new(&[("h1", "a")], 1);
+    let running = f.arrive("answers", "small");
+    let mut patient = meta("answers", "small");
+    patient.patience = Some(std::time::Duration::from_secs(60));
+    f.arrive_with(patient);
+    f.now += std::time::Duration::from_secs(6);
+    f.heard("h1", 1, 1);
+    f.arrive("answers", "small");
+    assert_eq!(f.codes(), [Code::Isolated, Code::Isolated]);
+    f.end(running, AttemptEnd::Answered);
+    assert_eq!(f.completed, [running]);
+}
--- a/src/entry/core/traffic.rs
+++ b/src/entry/core/traffic.rs
@@ -20,8 +20,9 @@
 
 impl EntryCore {
     pub(super) fn arrived(&mut self, now: Instant, req: RequestId, meta: RequestMeta) {
+        let class = meta.class.clone();
         if let Err(refusal) = self.admit(now, req, meta) {
-            self.refuse(req, refusal);
+            self.refuse(req, &class, refusal);
         }
     }
 
@@ -29,8 +30,8 @@
         if self.is_closed(now) {
             return Err(Refusal::new(Code::Stopping));
         }
-        let targets = self.targets().ok_or(Refusal::new(Code::NoConfiguration))?;
-        let (class, customer) = validate(targets, &meta).map_err(Refusal::new)?;
+        let config = self.config.in_force(now).map_err(Refusal::new)?;
+        let (class, customer) = validate(&config.targets, &meta).map_err(Refusal::new)?;
         let first_token = class.first_token;
         let time = meta.patience.unwrap_or(first_token);
         let offer = Offer {
@@ -49,7 +50,9 @@
         }
         let request = Request {
             meta,
+            arrived_at: now,
             first_token,
+            patience: time,
             ticket: Ticket {
                 req,
                 cost: offer.cost,
@@ -86,7 +89,10 @@
         Err(Refusal::new(code).after(RETRY_AFTER))
     }
 
-    pub(super) fn refuse(&mut self, req: RequestId, refusal: Refusal) {
+    pub(super) fn refuse(&mut self, req: RequestId, class: &str, refusal: Refusal) {
+        if let Some(stats) = self.stats.get_mut(class) {
+            stats.refused += 1;
+        }
         self.actions.push(EntryAction::Refuse { req, refusal });
     }
 
@@ -123,6 +129,9 @@
             return;
         }
         running.started = true;
+        if let Some(stats) = self.stats.get_mut(&request.meta.class) {
+            stats.first_token(now.saturating_duration_since(request.arrived_at));
+        }
         let wait = now.saturating_duration_since(running.sent_at);
         if let Some(endpoint) = self.endpoints.get_mut(&running.endpoint) {
             endpoint.started(now, wait);
@@ -134,11 +143,20 @@
         for req in self.admission.take_late(now) {
             self.give_up(req, Code::DeadlineUnreachable);
         }
+        if let Err(code) = self.config.in_force(now) {
+            return self.refuse_waiting(code);
+        }
         for target in self.admission.targets() {
             while self.start_next(now, &target) {}
         }
     }
 
+    fn refuse_waiting(&mut self, code: Code) {
+        for req in self.admission.take_all() {
+            self.give_up(req, code);
+        }
+    }
+
     /// Starts the next request of a target; false when none waits or no place is free.
     fn start_next(&mut self, now: Instant, target: &str) -> bool {
         let Some(class) = self.admission.classes(target).into_iter().next() else {
@@ -183,7 +201,7 @@
 
     /// Sends the request to an endpoint.
     pub(super) fn dispatch(&mut self, now: Instant, req: RequestId, endpoint: &str) {
-        let generation = self.generation();
+        let generation = self.config.generation();
         let attempt = self.next_attempt();
         let endpoint = self.endpoints.get_mut(endpoint).expect("it was chosen");
         let agent = self
@@ -214,6 +232,7 @@
             version: endpoint.version.clone(),
             generation,
             resume_from,
+            patience: (request.arrived_at + request.patience).saturating_duration_since(now),
             suspect: false,
         }));
     }
--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -32,6 +32,8 @@
     pub member: bool,
     /// True when the agent was added to the subset for the targets that it serves.
     pub scouted: bool,
+    /// Time of the last answered heartbeat.
+    pub last_heard: Option<Instant>,
     /// Time at which the first heartbeat went out that no answer has followed.
     pub unanswered_since: Option<Instant>,
     /// True when a connection for traffic was refused after the last answer.
@@ -57,6 +59,7 @@
             generation: 0,
             member: false,
             scouted: false,
+            last_heard: None,
             unanswered_since: None,
             unreachable: false,
             next_sync: now,
@@ -85,6 +88,7 @@
         self.instance = Some(reply.agent_instance);
         self.said_leaving = reply.leaving;
         self.generation = reply.generation;
+        self.last_heard = Some(now);
         self.unanswered_since = None;
         self.unreachable = false;
         self.sync_pending = false;
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -27,6 +27,8 @@
     pub limit: u32,
     /// Requests that the agent last reported; the baseline policy goes by it.
     pub reported: u32,
+    /// Last report of the agent.
+    pub last_report: EndpointReport,
     /// Requests of this entry.
     own: OwnLoad,
     /// Estimate of the requests of other entries.
@@ -48,6 +50,7 @@
             instance: report.instance,
             limit: 0,
             reported: 0,
+            last_report: report.clone(),
             own: OwnLoad::new(now),
             others: 0,
             refused: false,
@@ -63,6 +66,7 @@
             self.latency.reset();
         }
         self.host = host;
+        self.last_report = report.clone();
         self.target = report.target.as_deref().unwrap_or_default().into();
         self.state = report.state;
         self.version = report.version.as_deref().map(Into::into);
