Entry shell: time left, taught configurations, stalled streams

Cause: the agent was told the caller's whole patience, not what is left of it; a configuration that came with a refusal counted as contact with the object API; a stream that stalled was cut. Change: the header carries the dispatch's patience; ConfigTaught; a stalled stream is a broken one and goes on elsewhere on the same version.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -143,7 +143,7 @@
             .header(names::CUSTOMER, &*meta.customer)
             .header(names::FINGERPRINT, &*meta.fingerprint)
             .header(names::TOKENS, meta.tokens)
-            .header(names::PATIENCE, patience_ms(meta.patience))
+            .header(names::PATIENCE, patience_ms(self.dispatch.patience))
             .header(names::RESUME_FROM, self.dispatch.resume_from);
         if let Some(version) = &self.dispatch.version {
             builder = builder.header(names::VERSION, &**version);
@@ -203,7 +203,7 @@
             return;
         };
         if let Ok(doc) = serde_json::from_slice::<ConfigDoc>(&body.to_bytes()) {
-            self.control.event(EntryEvent::ConfigSeen(doc));
+            self.control.event(EntryEvent::ConfigTaught(doc));
         }
     }
 
@@ -251,7 +251,8 @@
             frame = tokio::time::timeout(self.limits.silence, body.frame()) => frame,
         };
         match frame {
-            Err(_) => Err(Failure::End(AttemptEnd::TimedOut)),
+            // A stalled stream goes on elsewhere, like one that broke.
+            Err(_) => Err(broken(delivered)),
             Ok(None) => Ok(None),
             Ok(Some(Err(_))) => Err(broken(delivered)),
             Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
@@ -295,9 +296,8 @@
     Failure::End(AttemptEnd::Broken { delivered })
 }
 
-fn patience_ms(patience: Option<Duration>) -> HeaderValue {
-    let millis = patience.map_or(0, |patience| patience.as_millis());
-    HeaderValue::from(u64::try_from(millis).unwrap_or(u64::MAX))
+fn patience_ms(patience: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(patience.as_millis()).unwrap_or(u64::MAX))
 }
 
 fn stream_head(response: &Response<Incoming>) -> Response<()> {
