--- /dev/null
+++ b/src/cli/args.rs
@@ -0,0 +1,171 @@
+//! Arguments of the commands.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use crate::settings::kind::{self, Kind};
+
+/// File with the operator's settings when none is named.
+const DEFAULT_SETTINGS: &str = "limpetloom.ini";
+/// Time for which a command waits until a change is in force.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+
+/// Weight distribution and request routing for language-model bursts under a power cap.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Check a file.
+    Check(CheckArgs),
+    /// Apply targets.
+    Apply(ApplyArgs),
+    /// Compare targets.
+    Diff(DiffArgs),
+    /// Take a zone out or back.
+    Zone(ZoneArgs),
+    /// Show the system.
+    Status(StatusArgs),
+    /// Dump a process.
+    Dump(DumpArgs),
+}
+
+/// Check a settings or targets file and report every fault.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// file to check; its sections tell what it is
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Put targets in force everywhere.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyArgs {
+    /// targets file
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// operator's settings, limpetloom.ini by default
+    #[argh(option, default = "DEFAULT_SETTINGS.into()")]
+    pub settings: PathBuf,
+    /// time to wait until the change is in force, 10 s by default
+    #[argh(option, default = "DEFAULT_WAIT", from_str_fn(duration))]
+    pub wait: Duration,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show what apply would change.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArgs {
+    /// targets file
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// operator's settings, limpetloom.ini by default
+    #[argh(option, default = "DEFAULT_SETTINGS.into()")]
+    pub settings: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Take an availability zone out of service or back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "zone")]
+pub struct ZoneArgs {
+    /// direction: out or in
+    #[argh(positional, from_str_fn(direction))]
+    pub direction: Direction,
+    /// name of the zone
+    #[argh(positional)]
+    pub zone: String,
+    /// take out the last zone too, which leaves no service
+    #[argh(switch)]
+    pub last: bool,
+    /// operator's settings, limpetloom.ini by default
+    #[argh(option, default = "DEFAULT_SETTINGS.into()")]
+    pub settings: PathBuf,
+    /// time to wait until the change is in force, 10 s by default
+    #[argh(option, default = "DEFAULT_WAIT", from_str_fn(duration))]
+    pub wait: Duration,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Direction in which a zone is taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// Out of service.
+    Out,
+    /// Back into service.
+    In,
+}
+
+/// Show classes, zones, versions and what lags.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {
+    /// operator's settings, limpetloom.ini by default
+    #[argh(option, default = "DEFAULT_SETTINGS.into()")]
+    pub settings: PathBuf,
+    /// show again every second
+    #[argh(switch)]
+    pub watch: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Print the state of one process as JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub struct DumpArgs {
+    /// control address of the process
+    #[argh(positional)]
+    pub address: SocketAddr,
+    /// operator's settings, limpetloom.ini by default
+    #[argh(option, default = "DEFAULT_SETTINGS.into()")]
+    pub settings: PathBuf,
+}
+
+impl Command {
+    /// True when the command prints JSON.
+    pub fn is_json(&self) -> bool {
+        match self {
+            Self::Check(args) => args.json,
+            Self::Apply(args) => args.json,
+            Self::Diff(args) => args.json,
+            Self::Zone(args) => args.json,
+            Self::Status(args) => args.json,
+            Self::Dump(_) => true,
+        }
+    }
+}
+
+fn duration(text: &str) -> Result<Duration, String> {
+    kind::Duration::parse(text).map_err(|_| format!("expected {}", kind::Duration::EXPECTED))
+}
+
+fn direction(text: &str) -> Result<Direction, String> {
+    match text {
+        "out" => Ok(Direction::Out),
+        "in" => Ok(Direction::In),
+        _ => Err("expected out or in".to_owned()),
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,68 @@
+//! Command line: the processes, and the commands of operators.
+//!
+//! Exit codes are those of [`Exit`]; the page for operators is `docs/operate/commands.md`.
+
+mod apply;
+mod args;
+mod check;
+mod dump;
+mod exit;
+mod operator;
+mod output;
+mod rollout;
+mod status;
+#[cfg(test)]
+mod tests;
+mod zone;
+
+use std::io::{self, IsTerminal};
+use std::path::Path;
+use std::process::ExitCode;
+
+pub use args::{Args, Command};
+pub use exit::{Exit, Failure};
+pub use operator::Operator;
+pub use output::Output;
+pub use rollout::{Lag, Reason, lagging};
+pub use status::{ClassView, FleetView, ModelView, ZoneView};
+
+use crate::settings::{FromIni, OperatorSettings};
+
+/// Runs the command line of this process.
+pub fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let stdout = io::stdout();
+    let colour = stdout.is_terminal();
+    let mut out = Output::new(stdout, args.command.is_json(), colour);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run(args.command, &mut out)).into(),
+        Err(e) => {
+            out.line(format!("the runtime does not start: {e}"));
+            Exit::NotStarted.into()
+        }
+    }
+}
+
+/// Runs a command of an operator and prints what became of it.
+pub async fn run(command: Command, out: &mut Output) -> Exit {
+    let end = match command {
+        Command::Check(args) => check::run(&args, out),
+        Command::Apply(args) => apply::apply(&args, out).await,
+        Command::Diff(args) => apply::diff(&args, out).await,
+        Command::Zone(args) => zone::run(args, out).await,
+        Command::Status(args) => status::run(&args, out).await,
+        Command::Dump(args) => dump::run(&args, out).await,
+    };
+    end.unwrap_or_else(|failure| {
+        out.failure(&failure);
+        failure.exit()
+    })
+}
+
+/// Reads the operator's settings and makes the clients.
+fn operator(settings: &Path) -> Result<Operator, Failure> {
+    Ok(Operator::new(&OperatorSettings::load(settings)?))
+}
--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -94,6 +94,14 @@
     WriteUnsettled = 4013,
     /// the change is accepted and not yet in force everywhere
     NotInForce = 4014,
+    /// the object API does not answer
+    ObjectApiDown = 5001,
+    /// the weight store does not answer
+    WeightStoreDown = 5002,
+    /// the host list does not answer
+    HostListDown = 5003,
+    /// the process does not answer its control address
+    ProcessUnreachable = 5004,
     /// the control token is missing or wrong
     AccessDenied = 8001,
     /// too many control calls
@@ -147,6 +155,10 @@
         Self::VersionUnknown,
         Self::WriteUnsettled,
         Self::NotInForce,
+        Self::ObjectApiDown,
+        Self::WeightStoreDown,
+        Self::HostListDown,
+        Self::ProcessUnreachable,
         Self::AccessDenied,
         Self::RateLimited,
     ];
@@ -198,6 +210,10 @@
             Self::VersionUnknown => 404,
             Self::WriteUnsettled => 504,
             Self::NotInForce => 504,
+            Self::ObjectApiDown => 503,
+            Self::WeightStoreDown => 503,
+            Self::HostListDown => 503,
+            Self::ProcessUnreachable => 503,
             Self::AccessDenied => 403,
             Self::RateLimited => 429,
         }
@@ -250,6 +266,10 @@
             Self::VersionUnknown => RunState::NotRun,
             Self::WriteUnsettled => RunState::NotRun,
             Self::NotInForce => RunState::NotRun,
+            Self::ObjectApiDown => RunState::NotRun,
+            Self::WeightStoreDown => RunState::NotRun,
+            Self::HostListDown => RunState::NotRun,
+            Self::ProcessUnreachable => RunState::NotRun,
             Self::AccessDenied => RunState::NotRun,
             Self::RateLimited => RunState::NotRun,
         }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,10 +1,16 @@
 //! Targets that operators set, and the generation in force.
 
 mod contact;
+mod declaration;
+mod diff;
 mod state;
 mod targets;
 #[cfg(test)]
 mod tests;
+mod write;
 
+pub use declaration::{Body, Declaration};
+pub use diff::{Difference, differences};
 pub use state::{ConfigParams, ConfigState, InForce, Observation, Standing};
 pub use targets::{Class, Customer, Model, Service, Targets};
+pub use write::{Write, WriteCall, WriteEnd};
--- /dev/null
+++ b/src/config/tests/mod.rs
@@ -0,0 +1,3 @@
+mod declaration;
+mod state;
+mod write;
--- a/src/config/tests.rs
+++ b/src/config/tests/state.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::*;
+use super::super::*;
 use crate::codes::Code;
 use crate::wire::ConfigDoc;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod agent;
 pub mod answer;
+pub mod cli;
 pub mod codes;
 pub mod config;
 pub mod control;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `limpetloom` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    limpetloom::cli::main()
+}
--- a/src/settings/generated.rs
+++ b/src/settings/generated.rs
@@ -1063,6 +1063,25 @@
         })
     }
 }
+/// Settings of an operator's commands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OperatorSettings {
+    /// Addresses of the platform's services.
+    pub platform: PlatformSettings,
+    /// Who may control the process.
+    pub security: SecuritySettings,
+}
+impl FromIni for OperatorSettings {
+    const SECTIONS: &'static [&'static str] = &["platform", "security"];
+    fn read(document: &Document, faults: &mut Faults) -> Option<Self> {
+        let platform = document.single("platform", faults, PlatformSettings::read);
+        let security = document.single("security", faults, SecuritySettings::read);
+        Some(Self {
+            platform: platform?,
+            security: security?,
+        })
+    }
+}
 /// Targets as operators declare them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetsFile {
--- a/src/settings/kind.rs
+++ b/src/settings/kind.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time;
 
+use crate::types::Milliwatts;
+
 /// Why a value was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ValueFault {
@@ -251,3 +253,35 @@
     }
     u64::try_from(product / u128::from(scale)).map_err(|_| ValueFault::Range)
 }
+
+/// Writes a duration as a settings file does.
+pub fn show_duration(duration: time::Duration) -> String {
+    let micros = duration.as_micros();
+    show(
+        micros,
+        &[
+            ("h", 3_600_000_000),
+            ("min", 60_000_000),
+            ("s", 1_000_000),
+            ("ms", 1_000),
+        ],
+        "us",
+    )
+}
+
+/// Writes power as a settings file does.
+pub fn show_power(power: Milliwatts) -> String {
+    let units = [("MW", 1_000_000_000), ("kW", 1_000_000), ("W", 1_000)];
+    show(power.into(), &units, "mW")
+}
+
+/// Writes a count in the largest unit that leaves no fraction.
+fn show(count: u128, units: &[(&str, u128)], smallest: &str) -> String {
+    let unit = units
+        .iter()
+        .find(|(_, factor)| count != 0 && count.is_multiple_of(*factor));
+    match unit {
+        Some((name, factor)) => format!("{} {name}", count / factor),
+        None => format!("{count} {smallest}"),
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! from it. A file with a fault has no effect: all faults are reported together, each with file,
 //! line, key, what was expected and a numbered code.
 
+mod check;
 mod document;
 mod fault;
 #[rustfmt::skip]
@@ -51,7 +52,7 @@
 }
 
 /// A file that is read from INI text.
-pub trait FromIni: Sized {
+pub trait FromIni: check::Check + Sized {
     /// Sections that the file may have.
     const SECTIONS: &'static [&'static str];
 
@@ -68,6 +69,9 @@
         let document = Document::parse(text, &mut faults);
         document.refuse_unknown_sections(Self::SECTIONS, &mut faults);
         let value = Self::read(&document, &mut faults);
+        if let Some(value) = &value {
+            value.check(&document, &mut faults);
+        }
         match value {
             Some(value) if faults.is_empty() => Ok(value),
             _ => Err(faults),
