Claims: at-most-once delivery at the entry as a state machine

Cause: a keyed request could not be served; entries answered 2009 for every one. Change: Claim follows one send of a keyed request: create-if-absent claim, read-back after a lost answer, settlement with the named agent, conditional update for a new attempt, recording of the outcome. It asks the entry for a new endpoint only after proof that the attempt has not run. Conclusion: the entry core can compose it; its interface is documented in the module.

--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -1,11 +1,13 @@
 //! Delivery of requests: at most once for keyed work, and quarantine of harmful requests.
 
+pub mod claim;
 mod ledger;
 mod quarantine;
 
 #[cfg(test)]
 mod tests;
 
+pub use claim::{Choice, Claim, ClaimStep, Operation};
 pub use ledger::{Ledger, Verdict};
 pub use quarantine::{Quarantine, Standing};
 
