Commands entry and agent, with signals

Cause: the processes had no command. Change: entry and agent on a multi-thread runtime; the first TERM or INT stops gracefully, the second cuts with exit code 8 and event 104. Conclusion: the process tests can start real processes.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -25,6 +25,10 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
+    /// Run an entry.
+    Entry(EntryArgs),
+    /// Run an agent.
+    Agent(AgentArgs),
     /// Check a file.
     Check(CheckArgs),
     /// Apply targets.
@@ -39,6 +43,24 @@
     Dump(DumpArgs),
 }
 
+/// Run an entry, which takes callers' requests.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct EntryArgs {
+    /// settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
+/// Run an agent, which stands beside the endpoints of its host.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "agent")]
+pub struct AgentArgs {
+    /// settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
 /// Check a settings or targets file and report every fault.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -148,6 +170,7 @@
     /// True when the command prints JSON.
     pub fn is_json(&self) -> bool {
         match self {
+            Self::Entry(_) | Self::Agent(_) => false,
             Self::Check(args) => args.json,
             Self::Apply(args) => args.json,
             Self::Diff(args) => args.json,
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -29,6 +29,8 @@
     Unreachable = 6,
     /// The process could not be started.
     NotStarted = 7,
+    /// The process was cut by a second signal while requests ran.
+    Cut = 8,
     /// `diff` found differences.
     Differs = 10,
 }
@@ -74,6 +76,13 @@
         /// The last error.
         detail: String,
     },
+    /// {detail}: {code}
+    NotStarted {
+        /// Numbered code.
+        code: Code,
+        /// What went wrong.
+        detail: String,
+    },
 }
 
 impl std::error::Error for Failure {}
@@ -94,7 +103,8 @@
                 .map_or(Code::FileUnreadable, |fault| fault.code),
             Self::Refused { code, .. }
             | Self::Unsettled { code, .. }
-            | Self::Unreachable { code, .. } => *code,
+            | Self::Unreachable { code, .. }
+            | Self::NotStarted { code, .. } => *code,
             Self::RaceLost { .. } => Code::RaceLost,
         }
     }
@@ -106,6 +116,7 @@
             Self::Refused { .. } | Self::RaceLost { .. } => Exit::Refused,
             Self::Unsettled { .. } => Exit::Unsettled,
             Self::Unreachable { .. } => Exit::Unreachable,
+            Self::NotStarted { .. } => Exit::NotStarted,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod operator;
 mod output;
 mod rollout;
+mod serve;
 mod status;
 #[cfg(test)]
 mod tests;
@@ -26,6 +27,8 @@
 pub use rollout::{Lag, Reason, lagging};
 pub use status::{ClassView, FleetView, ModelView, ZoneView};
 
+use tokio::runtime::{Builder, Runtime};
+
 use crate::settings::{FromIni, OperatorSettings};
 
 /// Runs the command line of this process.
@@ -34,10 +37,7 @@
     let stdout = io::stdout();
     let colour = stdout.is_terminal();
     let mut out = Output::new(stdout, args.command.is_json(), colour);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    match runtime {
+    match runtime(&args.command) {
         Ok(runtime) => runtime.block_on(run(args.command, &mut out)).into(),
         Err(e) => {
             out.line(format!("the runtime does not start: {e}"));
@@ -46,9 +46,19 @@
     }
 }
 
-/// Runs a command of an operator and prints what became of it.
+/// Processes carry traffic on several threads; a command needs one.
+fn runtime(command: &Command) -> io::Result<Runtime> {
+    match command {
+        Command::Entry(_) | Command::Agent(_) => Builder::new_multi_thread().enable_all().build(),
+        _ => Builder::new_current_thread().enable_all().build(),
+    }
+}
+
+/// Runs a process, or a command of an operator, and prints what became of it.
 pub async fn run(command: Command, out: &mut Output) -> Exit {
     let end = match command {
+        Command::Entry(args) => serve::run_entry(&args).await,
+        Command::Agent(args) => serve::run_agent(&args).await,
         Command::Check(args) => check::run(&args, out),
         Command::Apply(args) => apply::apply(&args, out).await,
         Command::Diff(args) => apply::diff(&args, out).await,
--- /dev/null
+++ b/src/cli/serve.rs
@@ -0,0 +1,72 @@
+//! `entry` and `agent`: the processes of the system.
+
+use std::future::Future;
+use std::io;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::codes::Code;
+use crate::log_event;
+use crate::settings::{AgentSettings, EntrySettings, FromIni};
+use crate::telemetry::{Event, start_logs};
+use crate::{agent, entry};
+
+use super::args::{AgentArgs, EntryArgs};
+use super::{Exit, Failure};
+
+pub(super) async fn run_entry(args: &EntryArgs) -> Result<Exit, Failure> {
+    let settings = EntrySettings::load(&args.settings)?;
+    let _log = start_logs(&settings.log).map_err(|e| not_started(&e))?;
+    let mut signals = Signals::new().map_err(|e| not_started(&e))?;
+    let handle = entry::spawn(settings).await.map_err(|e| not_started(&e))?;
+    signals.first().await;
+    Ok(signals.unless_second(handle.stop()).await)
+}
+
+pub(super) async fn run_agent(args: &AgentArgs) -> Result<Exit, Failure> {
+    let settings = AgentSettings::load(&args.settings)?;
+    let _log = start_logs(&settings.log).map_err(|e| not_started(&e))?;
+    let mut signals = Signals::new().map_err(|e| not_started(&e))?;
+    let handle = agent::spawn(settings).await.map_err(|e| not_started(&e))?;
+    signals.first().await;
+    Ok(signals.unless_second(handle.stop()).await)
+}
+
+fn not_started(e: &dyn std::error::Error) -> Failure {
+    Failure::NotStarted {
+        code: Code::NotStarted,
+        detail: e.to_string(),
+    }
+}
+
+/// Signals that ask a process to stop: the first one gracefully, the second one at once.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn first(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
+    async fn unless_second(&mut self, stop: impl Future<Output = ()>) -> Exit {
+        tokio::select! {
+            () = stop => Exit::Done,
+            () = self.first() => {
+                log_event!(Event::Cut, "second signal");
+                Exit::Cut
+            }
+        }
+    }
+}
--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -102,6 +102,8 @@
     HostListDown = 5003,
     /// the process does not answer its control address
     ProcessUnreachable = 5004,
+    /// the process can not be started
+    NotStarted = 5010,
     /// the control token is missing or wrong
     AccessDenied = 8001,
     /// too many control calls
@@ -159,6 +161,7 @@
         Self::WeightStoreDown,
         Self::HostListDown,
         Self::ProcessUnreachable,
+        Self::NotStarted,
         Self::AccessDenied,
         Self::RateLimited,
     ];
@@ -214,6 +217,7 @@
             Self::WeightStoreDown => 503,
             Self::HostListDown => 503,
             Self::ProcessUnreachable => 503,
+            Self::NotStarted => 503,
             Self::AccessDenied => 403,
             Self::RateLimited => 429,
         }
@@ -270,6 +274,7 @@
             Self::WeightStoreDown => RunState::NotRun,
             Self::HostListDown => RunState::NotRun,
             Self::ProcessUnreachable => RunState::NotRun,
+            Self::NotStarted => RunState::NotRun,
             Self::AccessDenied => RunState::NotRun,
             Self::RateLimited => RunState::NotRun,
         }
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -11,6 +11,8 @@
     Stopped = 102,
     /// settings were refused
     SettingsRefused = 103,
+    /// process was cut while requests ran
+    Cut = 104,
     /// configuration adopted
     ConfigAdopted = 200,
     /// object API does not answer
@@ -56,6 +58,7 @@
             Self::Stopping => log::Level::Info,
             Self::Stopped => log::Level::Info,
             Self::SettingsRefused => log::Level::Error,
+            Self::Cut => log::Level::Warn,
             Self::ConfigAdopted => log::Level::Info,
             Self::StoreLost => log::Level::Warn,
             Self::StoreBack => log::Level::Info,
