Measure time to N ready against the physical limit

Cause: no figure for weight transfer yet. N real services run over rate-limited links in one process; plans origin and tree run over the same links. The owner's calls of the service are in order now: two versions wanted in quick succession could arrive the wrong way round.

--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::print_stdout)]
 
 mod report;
+mod weights;
 
 use std::process::ExitCode;
 
@@ -56,6 +57,7 @@
 /// Runs the named measurement; `None` when there is none of that name.
 async fn run(args: &Args) -> Option<Report> {
     match args.name.as_str() {
+        "weights" => Some(weights::run(args).await),
         "nothing" => Some(Report::new("nothing")),
         _ => None,
     }
--- /dev/null
+++ b/examples/measure/weights/fleet.rs
@@ -0,0 +1,247 @@
+//! Hosts that run the product's weight service over rate-limited links.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use limpetloom::types::Digest;
+use limpetloom::weights::{Peer, WeightsConfig, WeightsNotice, WeightsService, WeightsState};
+use tokio::sync::mpsc;
+
+use super::host::{Context, Listener, Role, Seen, bind, listen};
+use super::model::Copy;
+use super::net::{HostLink, Net, Pipe};
+
+/// Copies that a host's link carries in T, each way.
+pub const HOST_COPIES: f64 = 2.0;
+/// Copies that the origin's link carries in T.
+pub const ORIGIN_COPIES: f64 = 4.0;
+/// Copies that the link between regions carries in T.
+pub const BETWEEN_COPIES: f64 = 4.0;
+
+/// Size of a fleet and of its links.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Number of hosts.
+    pub hosts: usize,
+    /// Number of regions.
+    pub regions: usize,
+    /// The time T.
+    pub t: Duration,
+    /// Seed of every random choice.
+    pub seed: u64,
+    /// Host whose link has a tenth of the rate.
+    pub slow: Option<usize>,
+    /// Host that corrupts one chunk in twenty that it sends.
+    pub corrupts: Option<usize>,
+}
+
+/// One version that became complete at a host.
+#[derive(Clone, Debug)]
+pub struct Ready {
+    /// Number of the host.
+    pub host: usize,
+    /// The version.
+    pub version: Digest,
+    /// Time at which it was complete.
+    pub at: Instant,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// Its shape.
+    pub shape: Shape,
+    /// The links.
+    pub net: Arc<Net>,
+    /// Counters of the listeners.
+    pub seen: Arc<Seen>,
+    cx: Context,
+    origin_addr: SocketAddr,
+    origin: Option<Listener>,
+    peers: Vec<Peer>,
+    hosts: Vec<Option<(WeightsService, Listener)>>,
+    ready_tx: mpsc::UnboundedSender<Ready>,
+    ready: mpsc::UnboundedReceiver<Ready>,
+}
+
+impl Fleet {
+    /// Starts the origin and binds the hosts, none of which runs yet.
+    pub async fn new(shape: Shape, copies: &Arc<Vec<Copy>>) -> Self {
+        let net = Arc::new(links(&shape, copies[0].size as f64));
+        let seen = Arc::new(Seen::default());
+        let cx = Context {
+            net: net.clone(),
+            seen: seen.clone(),
+            copies: copies.clone(),
+        };
+        let listener = bind(None).await;
+        let origin_addr = listener
+            .local_addr()
+            .expect("a bound listener has an address");
+        let origin = listen(listener, Role::Origin(copies.clone()), cx.clone());
+        let mut peers = Vec::new();
+        for number in 0..shape.hosts {
+            let listener = bind(None).await;
+            let addr = listener
+                .local_addr()
+                .expect("a bound listener has an address");
+            peers.push(peer(number, net.hosts[number].region, addr));
+        }
+        let (ready_tx, ready) = mpsc::unbounded_channel();
+        Self {
+            hosts: (0..shape.hosts).map(|_| None).collect(),
+            shape,
+            net,
+            seen,
+            cx,
+            origin_addr,
+            origin: Some(origin),
+            peers,
+            ready_tx,
+            ready,
+        }
+    }
+
+    /// Starts a host with empty memory.
+    pub async fn start(&mut self, number: usize) {
+        let listener = bind(Some(self.peers[number].addr)).await;
+        let cfg = self.config(number);
+        let (service, notices) = WeightsService::spawn(cfg, self.shape.seed + number as u64);
+        let corrupts = self.shape.corrupts == Some(number);
+        let role = Role::Host {
+            number,
+            service: service.clone(),
+            corrupts,
+        };
+        tokio::spawn(follow(number, notices, self.ready_tx.clone()));
+        service.set_peers(self.peers.clone());
+        self.hosts[number] = Some((service, listen(listener, role, self.cx.clone())));
+    }
+
+    /// Starts every host.
+    pub async fn start_all(&mut self) {
+        for number in 0..self.shape.hosts {
+            self.start(number).await;
+        }
+    }
+
+    /// Kills a host with its connections.
+    pub fn kill(&mut self, number: usize) {
+        self.hosts[number] = None;
+    }
+
+    /// Stops the origin.
+    pub fn stop_origin(&mut self) {
+        self.origin = None;
+    }
+
+    /// Wants a version at a host.
+    pub fn want_at(&self, number: usize, copy: &Copy) {
+        if let Some((service, _)) = &self.hosts[number] {
+            service.fetch(copy.wanted());
+        }
+    }
+
+    /// Wants a version at every running host.
+    pub fn want(&self, copy: &Copy) {
+        for number in 0..self.shape.hosts {
+            self.want_at(number, copy);
+        }
+    }
+
+    /// Waits for the hosts to hold a version; returns when each one did, as far as `until`.
+    pub async fn wait(
+        &mut self,
+        version: &Digest,
+        hosts: usize,
+        until: Instant,
+    ) -> Vec<(usize, Instant)> {
+        let mut done: Vec<(usize, Instant)> = Vec::new();
+        let mut progress = tokio::time::interval(Duration::from_secs(2));
+        while done.len() < hosts {
+            tokio::select! {
+                Some(ready) = self.ready.recv() => {
+                    let known = done.iter().any(|(host, _)| *host == ready.host);
+                    if ready.version == *version && !known {
+                        done.push((ready.host, ready.at));
+                    }
+                }
+                _ = progress.tick() => eprintln!("{} of {hosts} hosts ready", done.len()),
+                () = tokio::time::sleep_until(until.into()) => break,
+            }
+        }
+        done
+    }
+
+    /// State of a host.
+    pub async fn state(&self, number: usize) -> WeightsState {
+        match &self.hosts[number] {
+            Some((service, _)) => service.state().await,
+            None => WeightsState::default(),
+        }
+    }
+
+    /// Chunks of a version that a host holds with other bytes than the true ones.
+    pub fn bad_chunks(&self, number: usize, copy: &Copy) -> usize {
+        let Some((service, _)) = &self.hosts[number] else {
+            return 0;
+        };
+        let wrong = (0..copy.chunks()).filter(|index| {
+            service
+                .chunk(&copy.digest, *index)
+                .is_none_or(|bytes| bytes != copy.chunk(*index))
+        });
+        wrong.count()
+    }
+
+    fn config(&self, number: usize) -> WeightsConfig {
+        let limit = self.shape.t / 2;
+        let mut cfg = WeightsConfig::new(self.peers[number].clone(), vec![self.origin_addr]);
+        cfg.announce_interval = limit / 100;
+        cfg.takeover = limit / 10;
+        cfg.fetch_timeout = limit;
+        cfg
+    }
+}
+
+async fn follow(
+    host: usize,
+    mut notices: mpsc::UnboundedReceiver<WeightsNotice>,
+    ready: mpsc::UnboundedSender<Ready>,
+) {
+    while let Some(notice) = notices.recv().await {
+        if let WeightsNotice::Held { version } = notice {
+            let at = Instant::now();
+            let _ = ready.send(Ready { host, version, at });
+        }
+    }
+}
+
+fn links(shape: &Shape, copy: f64) -> Net {
+    let rate = |copies: f64| copies * copy / shape.t.as_secs_f64();
+    let hosts = (0..shape.hosts).map(|number| {
+        let share = match shape.slow == Some(number) {
+            true => 0.1,
+            false => 1.0,
+        };
+        HostLink {
+            region: number % shape.regions,
+            up: Pipe::new(rate(HOST_COPIES) * share),
+            down: Pipe::new(rate(HOST_COPIES) * share),
+        }
+    });
+    Net {
+        hosts: hosts.collect(),
+        origin: Pipe::new(rate(ORIGIN_COPIES)),
+        between: Pipe::new(rate(BETWEEN_COPIES)),
+    }
+}
+
+fn peer(number: usize, region: usize, addr: SocketAddr) -> Peer {
+    Peer {
+        host: format!("h{number}").into(),
+        zone: format!("z{region}-{}", number / 2 % 3).into(),
+        region: format!("r{region}").into(),
+        addr,
+    }
+}
--- /dev/null
+++ b/examples/measure/weights/model.rs
@@ -0,0 +1,82 @@
+//! A copy of a model's weights.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use limpetloom::types::Digest;
+use limpetloom::weights::{Wanted, manifest_digest};
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
+
+/// Name of the model.
+const MODEL: &str = "model";
+
+/// One version of the weights.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    /// Name of the version.
+    pub name: Arc<str>,
+    /// Digest of the manifest.
+    pub digest: Digest,
+    /// Bytes of all chunks.
+    pub size: usize,
+    chunk_size: usize,
+    manifest: Bytes,
+    bytes: Bytes,
+}
+
+impl Copy {
+    /// A version of random bytes.
+    pub fn new(name: &str, chunks: usize, chunk_size: usize, seed: u64) -> Self {
+        let size = chunks * chunk_size;
+        let mut bytes = vec![0; size];
+        SmallRng::seed_from_u64(seed).fill_bytes(&mut bytes);
+        let digests: Vec<String> = bytes
+            .chunks(chunk_size)
+            .map(|chunk| blake3::hash(chunk).to_hex().to_string())
+            .collect();
+        let manifest = serde_json::json!({
+            "model": MODEL, "version": name, "size": size, "chunk_size": chunk_size,
+            "chunks": digests,
+        });
+        let manifest = Bytes::from(manifest.to_string());
+        Self {
+            name: name.into(),
+            digest: manifest_digest(&manifest),
+            size,
+            chunk_size,
+            manifest,
+            bytes: bytes.into(),
+        }
+    }
+
+    /// What the origin answers on a path.
+    pub fn publish(&self, path: &str) -> Option<Bytes> {
+        if path == format!("/manifests/{MODEL}/{}", self.name) {
+            return Some(self.manifest.clone());
+        }
+        let index = path.strip_prefix(&format!("/chunks/{MODEL}/{}/", self.name))?;
+        Some(self.chunk(index.parse().ok()?))
+    }
+
+    /// Bytes of a chunk.
+    pub fn chunk(&self, index: u32) -> Bytes {
+        let start = index as usize * self.chunk_size;
+        self.bytes.slice(start..start + self.chunk_size)
+    }
+
+    /// Number of chunks.
+    pub fn chunks(&self) -> u32 {
+        (self.size / self.chunk_size) as u32
+    }
+
+    /// The version as a host wants it.
+    pub fn wanted(&self) -> Wanted {
+        Wanted {
+            model: MODEL.into(),
+            name: self.name.clone(),
+            version: self.digest.clone(),
+            hosts: None,
+        }
+    }
+}
--- a/src/agent/followers.rs
+++ b/src/agent/followers.rs
@@ -66,7 +66,7 @@
     let mut is_first = true;
     while !reports.is_closed() {
         if let Ok(list) = hosts.hosts().await {
-            weights.set_peers(peers(&list)).await;
+            weights.set_peers(peers(&list));
             if std::mem::take(&mut is_first) {
                 ticks = timer.every_jittered(HOST_LIST_PERIOD);
             }
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -51,7 +51,7 @@
                 name,
                 version,
             } => {
-                self.fetch(Wanted {
+                self.weights.fetch(Wanted {
                     model,
                     name,
                     version,
@@ -67,12 +67,6 @@
         }
     }
 
-    fn fetch(&self, wanted: Wanted) {
-        let weights = self.weights.clone();
-        self.runtime
-            .spawn(async move { weights.fetch(wanted).await });
-    }
-
     /// The order goes to every model engine of the host; one that does not know the attempt
     /// ignores it.
     fn job(&self, attempt: AttemptId, order: JobOrder) {
--- a/src/weights/driver.rs
+++ b/src/weights/driver.rs
@@ -83,18 +83,23 @@
         }
     }
 
-    pub async fn run(mut self, mut rx: mpsc::Receiver<Input>) {
+    pub async fn run(
+        mut self,
+        mut owner: mpsc::UnboundedReceiver<Input>,
+        mut rx: mpsc::Receiver<WeightsEvent>,
+    ) {
         let mut ticks = tokio::time::interval(self.tick);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         loop {
             tokio::select! {
-                input = rx.recv() => match input {
+                input = owner.recv() => match input {
                     Some(Input::Event(event)) => self.handle(event),
                     Some(Input::Inspect(reply)) => {
                         let _ = reply.send(self.state());
                     }
                     None => return,
                 },
+                Some(event) = rx.recv() => self.handle(event),
                 Some(done) = self.tasks.join_next() => {
                     // A task that was stopped has no outcome.
                     if let Ok(done) = done {
--- a/src/weights/serve.rs
+++ b/src/weights/serve.rs
@@ -11,7 +11,7 @@
 use super::bitmap::ChunkSet;
 use super::client::{HAVE_LIMIT, have_body};
 use super::core::{Have, WeightsEvent};
-use super::service::{Input, WeightsService};
+use super::service::WeightsService;
 use super::wire::{self, PeerRequest, Sender};
 
 /// Answer to a peer.
@@ -92,7 +92,7 @@
             have,
         };
         // A full buffer drops the announcement; the next one carries all that it said.
-        let _ = self.inner.events.try_send(Input::Event(event));
+        let _ = self.inner.events.try_send(event);
         match self.inner.store.have(version) {
             Have::Nothing => status(StatusCode::NO_CONTENT),
             have => ok(have_body(&have)),
--- a/src/weights/service.rs
+++ b/src/weights/service.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use bytes::Bytes;
 use tokio::sync::{Semaphore, mpsc};
 
 use crate::types::{Digest, TargetId};
@@ -29,13 +30,16 @@
 #[derive(Debug)]
 pub(super) struct Inner {
     pub store: Arc<ChunkStore>,
-    pub events: mpsc::Sender<Input>,
+    /// Peers' announcements; one that finds it full is dropped.
+    pub events: mpsc::Sender<WeightsEvent>,
+    /// What the owner asks for, in the order in which it asked.
+    owner: mpsc::UnboundedSender<Input>,
     pub uploads: Semaphore,
     pub upload_rate: Option<Mutex<RateLimit>>,
     client: WeightsClient,
 }
 
-/// What the service passes to its decision logic.
+/// What the owner of the service asks for.
 #[derive(Debug)]
 pub(super) enum Input {
     /// An event.
@@ -80,6 +84,7 @@
     /// The notices end when the last clone of the service is dropped.
     pub fn spawn(cfg: WeightsConfig, seed: u64) -> (Self, mpsc::UnboundedReceiver<WeightsNotice>) {
         let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+        let (owner, owner_rx) = mpsc::unbounded_channel();
         let (notices, notices_rx) = mpsc::unbounded_channel();
         let store = Arc::new(ChunkStore::default());
         let own = Sender {
@@ -90,11 +95,12 @@
         let inner = Inner {
             store: store.clone(),
             events: tx,
+            owner,
             uploads: Semaphore::new(cfg.uploads),
             upload_rate: cfg.upload_rate.map(|rate| Mutex::new(RateLimit::new(rate))),
             client: client.clone(),
         };
-        tokio::spawn(Driver::new(cfg, seed, store, client, notices).run(rx));
+        tokio::spawn(Driver::new(cfg, seed, store, client, notices).run(owner_rx, rx));
         let service = Self {
             inner: Arc::new(inner),
         };
@@ -102,18 +108,18 @@
     }
 
     /// Wants a version; work on an older one of the model stops at once.
-    pub async fn fetch(&self, wanted: Wanted) {
-        self.send(WeightsEvent::Wanted(wanted)).await;
+    pub fn fetch(&self, wanted: Wanted) {
+        self.send(WeightsEvent::Wanted(wanted));
     }
 
     /// Wants no version of the model any longer.
-    pub async fn release(&self, model: TargetId) {
-        self.send(WeightsEvent::Unwanted { model }).await;
+    pub fn release(&self, model: TargetId) {
+        self.send(WeightsEvent::Unwanted { model });
     }
 
     /// Tells who the hosts are, this one included or not.
-    pub async fn set_peers(&self, peers: Vec<Peer>) {
-        self.send(WeightsEvent::PeersListed(peers)).await;
+    pub fn set_peers(&self, peers: Vec<Peer>) {
+        self.send(WeightsEvent::PeersListed(peers));
     }
 
     /// Puts a held version into an engine's staging.
@@ -128,14 +134,19 @@
     /// Size of the state.
     pub async fn state(&self) -> WeightsState {
         let (tx, rx) = tokio::sync::oneshot::channel();
-        if self.inner.events.send(Input::Inspect(tx)).await.is_err() {
+        if self.inner.owner.send(Input::Inspect(tx)).is_err() {
             return WeightsState::default();
         }
         rx.await.unwrap_or_default()
     }
 
-    async fn send(&self, event: WeightsEvent) {
+    /// Verified bytes of a chunk that the host holds.
+    pub fn chunk(&self, version: &str, index: u32) -> Option<Bytes> {
+        self.inner.store.chunk(version, index)
+    }
+
+    fn send(&self, event: WeightsEvent) {
         // The driver lives as long as any clone of the service.
-        let _ = self.inner.events.send(Input::Event(event)).await;
+        let _ = self.inner.owner.send(Input::Event(event));
     }
 }
