Entry core: keyed requests by claims, quarantine, small heartbeats

Cause: keyed work was refused, a request that breaks endpoints was tried up to four times, and every heartbeat carried the whole placement. Change: a keyed request has a place before its claim is written and is sent when the claim is held; an attempt whose endpoint has become unfit meanwhile is claimed anew. A refusal that does not say not run counts as a break: the next attempt runs alone, a second break marks the request everywhere. Placement and quarantine go only to agents that lack them. Code 3005 for a request that broke endpoints. Fault tables for both.

--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -274,16 +274,17 @@
             .note(now);
     }
 
-    /// Removes a request whose caller has gone.
-    pub fn remove(&mut self, req: RequestId) {
+    /// Removes a request; false when it does not wait.
+    pub fn remove(&mut self, req: RequestId) -> bool {
         let Some(waiting) = self.forget_waiting(req) else {
-            return;
+            return false;
         };
         if let Some(class) = self.classes.get_mut(&waiting.class)
             && !class.queue.remove(&waiting.customer, req)
         {
             class.returned.retain(|(_, ticket)| ticket.req != req);
         }
+        true
     }
 
     /// Takes the requests that can no longer start in time.
--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -66,6 +66,8 @@
     AnswerBroken = 3003,
     /// the answer did not arrive in time
     AnswerTimeout = 3004,
+    /// endpoints crashed while they ran the request
+    RequestHarmful = 3005,
     /// the file can not be read
     FileUnreadable = 4001,
     /// the line is not INI
@@ -143,6 +145,7 @@
         Self::StillRunning,
         Self::AnswerBroken,
         Self::AnswerTimeout,
+        Self::RequestHarmful,
         Self::FileUnreadable,
         Self::SyntaxError,
         Self::UnknownSection,
@@ -199,6 +202,7 @@
             Self::StillRunning => 409,
             Self::AnswerBroken => 502,
             Self::AnswerTimeout => 504,
+            Self::RequestHarmful => 422,
             Self::FileUnreadable => 400,
             Self::SyntaxError => 400,
             Self::UnknownSection => 400,
@@ -256,6 +260,7 @@
             Self::StillRunning => RunState::Running,
             Self::AnswerBroken => RunState::Unknown,
             Self::AnswerTimeout => RunState::Unknown,
+            Self::RequestHarmful => RunState::Unknown,
             Self::FileUnreadable => RunState::NotRun,
             Self::SyntaxError => RunState::NotRun,
             Self::UnknownSection => RunState::NotRun,
--- a/src/entry/core/config.rs
+++ b/src/entry/core/config.rs
@@ -1,6 +1,6 @@
 //! Settings of the entry's decision logic.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use crate::routing::Policy;
 use crate::types::{EntryId, InstanceId, RegionId, ZoneId};
@@ -18,6 +18,8 @@
     pub store_region: RegionId,
     /// Instance of the process.
     pub instance: InstanceId,
+    /// Wall clock at the start of the process, for the age of keys.
+    pub wall_clock: SystemTime,
     /// How endpoints are chosen.
     pub policy: Policy,
     /// Requests that wait in the queue of one class at most.
@@ -50,6 +52,7 @@
             store_region: region.clone(),
             region,
             instance,
+            wall_clock: SystemTime::now(),
             policy: Policy::default(),
             queue_len: 1_000,
             heartbeat: Duration::from_secs(1),
--- a/src/entry/core/control.rs
+++ b/src/entry/core/control.rs
@@ -7,7 +7,7 @@
 use crate::routing::Endpoint;
 use crate::telemetry::Event;
 use crate::types::{HostId, TargetId};
-use crate::wire::{ConfigDoc, EndpointReport, SyncReply, SyncRequest};
+use crate::wire::{ConfigDoc, EndpointReport, QuarantineEntry, SyncReply, SyncRequest};
 
 use super::{EntryAction, EntryCore, HostEntry, HostRole};
 
@@ -46,6 +46,9 @@
         if let Some(doc) = reply.placement {
             self.placement_seen(doc);
         }
+        if self.quarantine.merge(now, &reply.quarantine) {
+            self.quarantine_changed(now);
+        }
         self.teach_at_once(now, host);
         self.look_for_targets(now, host);
     }
@@ -164,6 +167,17 @@
             event: Event::ConfigAdopted,
             detail: format!("generation {}", held.generation),
         });
+        self.heartbeat_all(now);
+    }
+
+    /// The quarantine has news for every member.
+    pub(super) fn quarantine_changed(&mut self, now: Instant) {
+        self.quarantine_revision += 1;
+        self.heartbeat_all(now);
+    }
+
+    /// Sends news to every member without waiting for the next heartbeat.
+    pub(super) fn heartbeat_all(&mut self, now: Instant) {
         for agent in self.membership.members_mut() {
             agent.next_sync = now;
         }
@@ -177,12 +191,13 @@
     }
 
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
+        let revision = self.quarantine_revision;
         let due: Vec<Agent> = self
             .membership
             .members_mut()
             .filter(|agent| !agent.sync_pending && agent.next_sync <= now)
             .map(|agent| {
-                agent.sync_sent(now);
+                agent.sync_sent(now, revision);
                 agent.clone()
             })
             .collect();
@@ -202,14 +217,30 @@
             config: known.and_then(|generation| self.config.doc_for(generation)),
             entry: self.cfg.entry.to_string(),
             generation: self.config.generation(),
-            placement: self.placement.clone(),
+            placement: self.placement_for(agent),
             placement_version: self.placement.as_ref().map(|doc| doc.generation),
-            quarantine: Vec::new(),
+            quarantine: self.quarantine_for(now, agent),
             store: self.config.sync_fields(now, &agent.host),
             zone: Some(self.cfg.zone.to_string()),
         }
     }
 
+    /// The placement for an agent that has answered and is behind.
+    fn placement_for(&self, agent: &Agent) -> Option<ConfigDoc> {
+        agent.instance?;
+        self.placement
+            .clone()
+            .filter(|doc| doc.generation > agent.placement_version)
+    }
+
+    /// The quarantine for an agent that has not got its latest revision.
+    fn quarantine_for(&self, now: Instant, agent: &Agent) -> Vec<QuarantineEntry> {
+        if agent.quarantine_revision == self.quarantine_revision {
+            return Vec::new();
+        }
+        self.quarantine.entries(now)
+    }
+
     pub(super) fn next_heartbeat(&self) -> Option<Instant> {
         self.membership
             .members()
--- a/src/entry/core/ends.rs
+++ b/src/entry/core/ends.rs
@@ -1,16 +1,19 @@
-//! Ends of attempts: what is passed on, tried again or refused.
+//! Ends of attempts and of requests: what is passed on, tried again or refused.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use crate::codes::{Code, RunState};
 use crate::types::{AttemptEnd, Digest, Refusal, RequestId};
 
-use super::requests::{Phase, Request, Resume};
+use super::requests::{Attempt, Phase, Request, Resume};
 use super::traffic::RETRY_AFTER;
 use super::{EntryAction, EntryCore};
 
 /// Attempts at one request.
 const MAX_TRIES: u32 = 4;
+/// Attempts at one request that may break off at an endpoint.
+const MAX_BREAKS: usize = 2;
 
 impl EntryCore {
     pub(super) fn attempt_ended(
@@ -19,85 +22,109 @@
         req: RequestId,
         attempt: &str,
         end: AttemptEnd,
+        answer: Option<Arc<str>>,
     ) {
-        let Some(running) = self.requests.get(&req).and_then(|r| r.attempt(attempt)) else {
+        let Some(request) = self.requests.get_mut(&req) else {
             return;
         };
-        let (endpoint, version) = (running.endpoint.clone(), running.version.clone());
-        let started = running.started;
-        let request = self.requests.get_mut(&req).expect("it was just found");
-        let phase = std::mem::replace(&mut request.phase, Phase::Waiting);
-        request.avoid = Some(endpoint.clone());
+        let Some(running) = request.take_attempt(attempt) else {
+            return;
+        };
+        request.avoid = Some(running.endpoint.clone());
         let target = request.meta.target.clone();
-        self.release(now, &phase);
+        let keyed = request.meta.key.is_some();
+        self.give_place_back(now, &running);
+        match &end {
+            AttemptEnd::Answered => self.admission.ended(now, &target),
+            AttemptEnd::Refused(code) => self.note_refusal(now, req, &running, *code),
+            AttemptEnd::NotSent => self.note_unreachable(&running),
+            _ => self.ask_soon(now, &running),
+        }
+        match keyed {
+            true => self.claim_ended(now, req, &end, answer),
+            false => self.repeatable_ended(now, req, running, end),
+        }
+    }
+
+    fn repeatable_ended(&mut self, now: Instant, req: RequestId, run: Attempt, end: AttemptEnd) {
         match end {
             AttemptEnd::Answered => {
-                self.admission.ended(now, &target);
-                self.answered(req);
+                self.end_answered(now, req);
                 self.actions.push(EntryAction::Complete { req });
             }
-            AttemptEnd::Refused(code) => {
-                self.note_refusal(&endpoint, code);
-                self.refused(now, req, code);
-            }
-            AttemptEnd::NotSent => {
-                self.note_unreachable(&endpoint);
-                self.retry(now, req, Code::NoEndpoint);
+            AttemptEnd::Refused(Code::Quarantined) => self.give_up(now, req, Code::Quarantined),
+            AttemptEnd::Refused(code) if code.run_state() == RunState::NotRun => {
+                self.retry(now, req, code);
             }
-            AttemptEnd::Broken { delivered } => self.broken(now, req, version, delivered),
-            AttemptEnd::Mismatch(_) => self.failed(now, req, started, Code::AnswerBroken),
-            AttemptEnd::TimedOut => self.failed(now, req, started, Code::AnswerTimeout),
+            AttemptEnd::Refused(_) => self.broken(now, req, run.version, 0),
+            AttemptEnd::NotSent => self.retry(now, req, Code::NoEndpoint),
+            AttemptEnd::Broken { delivered } => self.broken(now, req, run.version, delivered),
+            AttemptEnd::Mismatch(_) => self.failed(now, req, run.started, Code::AnswerBroken),
+            AttemptEnd::TimedOut => self.failed(now, req, run.started, Code::AnswerTimeout),
         }
     }
 
-    fn answered(&mut self, req: RequestId) {
-        if let Some(request) = self.requests.remove(&req)
-            && let Some(stats) = self.stats.get_mut(&request.meta.class)
-        {
-            stats.answered += 1;
+    fn note_refusal(&mut self, now: Instant, req: RequestId, run: &Attempt, code: Code) {
+        if code.run_state() != RunState::NotRun {
+            return self.note_break(now, req, run);
         }
-    }
-
-    fn note_refusal(&mut self, endpoint: &str, code: Code) {
-        let Some(endpoint) = self.endpoints.get_mut(endpoint) else {
+        let Some(endpoint) = self.endpoints.get_mut(&run.endpoint) else {
             return;
         };
         match code {
             Code::EndpointFull | Code::PowerLimit | Code::DeadlineUnreachable => {
                 endpoint.was_full();
             }
+            Code::Quarantined | Code::Fenced => {}
             _ => endpoint.was_refused(),
         }
     }
 
-    fn note_unreachable(&mut self, endpoint: &str) {
-        let Some(endpoint) = self.endpoints.get(endpoint) else {
+    /// The agent lives and says that its endpoint broke off. The next attempt runs alone; after a
+    /// second break the request is held to have crashed both endpoints.
+    fn note_break(&mut self, now: Instant, req: RequestId, run: &Attempt) {
+        self.ask_soon(now, run);
+        let Some(endpoint) = self.endpoints.get(&run.endpoint) else {
             return;
         };
-        if let Some(agent) = self.membership.agent_mut(&endpoint.host) {
+        let Some(request) = self.requests.get_mut(&req) else {
+            return;
+        };
+        request.broke_at.push(endpoint.instance);
+        if request.broke_at.len() < MAX_BREAKS {
+            return;
+        }
+        for instance in &request.broke_at {
+            self.quarantine
+                .crashed(now, &request.meta.fingerprint, *instance);
+        }
+        self.quarantine_changed(now);
+    }
+
+    fn note_unreachable(&mut self, run: &Attempt) {
+        if let Some(agent) = self.membership.agent_mut(&run.host) {
             agent.unreachable = true;
         }
     }
 
-    /// The agent refused, so the endpoint has not seen the request.
-    fn refused(&mut self, now: Instant, req: RequestId, code: Code) {
-        match code {
-            Code::Quarantined | Code::Malformed | Code::TooLarge => self.give_up(req, code),
-            _ => self.retry(now, req, code),
+    /// Asks the agent for its state without waiting for the next heartbeat.
+    fn ask_soon(&mut self, now: Instant, run: &Attempt) {
+        if let Some(agent) = self.membership.agent_mut(&run.host) {
+            agent.next_sync = now;
         }
     }
 
     /// Tries again what this attempt has certainly not run, while its caller still waits.
-    fn retry(&mut self, now: Instant, req: RequestId, code: Code) {
+    pub(super) fn retry(&mut self, now: Instant, req: RequestId, code: Code) {
         let request = &self.requests[&req];
         if request.resume.is_some() {
             return self.resume(now, req);
         }
         if request.tries >= MAX_TRIES || request.ticket.latest_start <= now {
-            return self.give_up(req, code);
+            return self.give_up(now, req, code);
         }
         if !self.retries.draw() {
-            return self.give_up(req, Code::RetriesSpent);
+            return self.give_up(now, req, Code::RetriesSpent);
         }
         self.wait_again(req);
     }
@@ -114,7 +141,7 @@
                 request.resume = Some(Resume { version, from });
                 self.resume(now, req);
             }
-            None => self.give_up(req, Code::AnswerBroken),
+            None => self.give_up(now, req, Code::AnswerBroken),
         }
     }
 
@@ -123,7 +150,7 @@
         let request = self.requests.get_mut(&req).expect("its attempt ended");
         request.may_have_run = true;
         if started {
-            self.give_up(req, code);
+            self.give_up(now, req, code);
         } else {
             self.repeat(now, req, code);
         }
@@ -132,14 +159,16 @@
     /// Runs a repeatable request again that may have run; its time starts anew.
     fn repeat(&mut self, now: Instant, req: RequestId, code: Code) {
         let request = self.requests.get_mut(&req).expect("its attempt ended");
-        if request.tries >= MAX_TRIES || !self.retries.draw() {
-            return self.give_up(req, code);
+        let is_harmful = request.broke_at.len() >= MAX_BREAKS;
+        if is_harmful || request.tries >= MAX_TRIES || !self.retries.draw() {
+            return self.give_up(now, req, code);
         }
         request.ticket.latest_start = now + request.first_token;
+        request.patience = now.saturating_duration_since(request.arrived_at) + request.first_token;
         self.wait_again(req);
     }
 
-    fn wait_again(&mut self, req: RequestId) {
+    pub(super) fn wait_again(&mut self, req: RequestId) {
         let Request { meta, ticket, .. } = &self.requests[&req];
         self.admission
             .give_back(&meta.class, &meta.customer, *ticket);
@@ -150,22 +179,60 @@
         let within_limits = self.requests[&req].tries < MAX_TRIES;
         match self.choose_same_version(now, req) {
             Some(endpoint) if within_limits && self.retries.draw() => {
-                self.dispatch(now, req, &endpoint);
+                let attempt = self.plan_attempt(now, &endpoint);
+                self.send(now, req, attempt);
             }
-            _ => self.give_up(req, Code::AnswerBroken),
+            _ => self.give_up(now, req, Code::AnswerBroken),
         }
     }
 
     /// Gives the final negative answer; never "not run" for what may have run.
-    pub(super) fn give_up(&mut self, req: RequestId, code: Code) {
-        let Some(request) = self.requests.remove(&req) else {
+    pub(super) fn give_up(&mut self, now: Instant, req: RequestId, code: Code) {
+        let Some(request) = self.requests.get(&req) else {
             return;
         };
-        let code = match code.run_state() {
-            RunState::NotRun if request.may_have_run => Code::AnswerBroken,
-            _ => code,
+        let code = match code {
+            _ if code.run_state() != RunState::NotRun || !request.may_have_run => code,
+            Code::Quarantined => Code::RequestHarmful,
+            _ => Code::AnswerBroken,
+        };
+        let refusal = match code {
+            Code::Quarantined | Code::RequestHarmful => Refusal::new(code),
+            _ => Refusal::new(code).after(RETRY_AFTER),
         };
-        let refusal = Refusal::new(code).after(RETRY_AFTER);
-        self.refuse(req, &request.meta.class, refusal);
+        if !self.give_claim_up(now, req, refusal.clone()) {
+            self.end_refused(now, req, refusal);
+        }
+    }
+
+    /// Ends a request with a refusal.
+    pub(super) fn end_refused(&mut self, now: Instant, req: RequestId, refusal: Refusal) {
+        if let Some(request) = self.end(now, req) {
+            self.refuse(req, &request.meta.class, refusal);
+        }
+    }
+
+    /// Ends a request whose caller got its answer.
+    pub(super) fn end_answered(&mut self, now: Instant, req: RequestId) {
+        if let Some(request) = self.end(now, req)
+            && let Some(stats) = self.stats.get_mut(&request.meta.class)
+        {
+            stats.answered += 1;
+        }
+    }
+
+    /// Forgets a request and gives the place back that it holds.
+    pub(super) fn end(&mut self, now: Instant, req: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&req)?;
+        if let Phase::Running(attempt) | Phase::Claiming(attempt) = &request.phase {
+            self.give_place_back(now, attempt);
+        }
+        Some(request)
+    }
+
+    pub(super) fn give_place_back(&mut self, now: Instant, attempt: &Attempt) {
+        if let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) {
+            endpoint.ended(now);
+        }
     }
 }
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -8,6 +8,7 @@
 mod dump;
 mod ends;
 mod event;
+mod keyed;
 mod requests;
 mod stats;
 mod status;
@@ -24,6 +25,7 @@
 
 use crate::admission::Admission;
 use crate::config::{ConfigParams, ConfigState, InForce};
+use crate::delivery::{Claim, Quarantine};
 use crate::membership::{Membership, Mesh};
 use crate::routing::{Chooser, Endpoint, RetryBudget};
 use crate::types::{ClassId, EndpointId, RequestId};
@@ -52,6 +54,15 @@
     retries: RetryBudget,
     /// Invariant: only classes that a configuration has declared.
     stats: BTreeMap<ClassId, ClassStats>,
+    quarantine: Quarantine,
+    /// Grows with every change of the quarantine.
+    quarantine_revision: u64,
+    /// Claims of keyed requests; a claim outlives its request until the outcome is recorded.
+    claims: BTreeMap<RequestId, Claim>,
+    /// Requests on whose behalf the object API was called.
+    store_ops: BTreeMap<StoreOp, RequestId>,
+    next_store_op: StoreOp,
+    started_at: Instant,
     attempts: u64,
     stopped: Option<Instant>,
     actions: Vec<EntryAction>,
@@ -82,6 +93,12 @@
             endpoints: BTreeMap::new(),
             requests: BTreeMap::new(),
             stats: BTreeMap::new(),
+            quarantine: Quarantine::default(),
+            quarantine_revision: 0,
+            claims: BTreeMap::new(),
+            store_ops: BTreeMap::new(),
+            next_store_op: 0,
+            started_at: now,
             attempts: 0,
             stopped: None,
             actions: Vec::new(),
@@ -101,9 +118,13 @@
                 limit,
             } => self.load_seen(now, &endpoint, in_flight, limit),
             EntryEvent::AttemptEnded {
-                req, attempt, end, ..
-            } => self.attempt_ended(now, req, &attempt, end),
-            EntryEvent::StoreReplied { .. } | EntryEvent::SettleReplied { .. } => {}
+                req,
+                attempt,
+                end,
+                answer,
+            } => self.attempt_ended(now, req, &attempt, end, answer),
+            EntryEvent::StoreReplied { op, reply } => self.store_replied(now, op, reply),
+            EntryEvent::SettleReplied { req, reply } => self.settle_replied(now, req, reply),
             EntryEvent::Synced { host, reply } => self.synced(now, &host, reply),
             EntryEvent::SyncFailed { host } => self.sync_failed(now, &host),
             EntryEvent::HostsListed(hosts) => self.hosts_listed(now, &hosts),
@@ -128,9 +149,9 @@
             .min()
     }
 
-    /// True when no request is waiting or in flight.
+    /// True when no request is waiting or in flight and every outcome is recorded.
     pub fn is_drained(&self) -> bool {
-        self.requests.is_empty()
+        self.requests.is_empty() && self.claims.is_empty()
     }
 
     /// Configuration that is held, in force or not.
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::admission::Ticket;
-use crate::types::{AttemptId, Digest, EndpointId, RequestMeta};
+use crate::types::{AttemptId, Digest, EndpointId, HostId, InstanceId, RequestMeta};
 
 /// A request that has not got its final answer.
 #[derive(Debug)]
@@ -23,6 +23,10 @@
     pub avoid: Option<EndpointId>,
     /// True when an attempt may have run, so that no refusal may say "not run".
     pub may_have_run: bool,
+    /// True when nobody reads the answer any more.
+    pub caller_gone: bool,
+    /// Instances of endpoints that broke off while they ran the request.
+    pub broke_at: Vec<InstanceId>,
     /// Where a broken answer has to go on.
     pub resume: Option<Resume>,
 }
@@ -41,6 +45,8 @@
 pub enum Phase {
     /// Waits for a place at an endpoint.
     Waiting,
+    /// Has a place; its key is being claimed.
+    Claiming(Attempt),
     /// An attempt runs.
     Running(Attempt),
 }
@@ -50,6 +56,8 @@
 pub struct Attempt {
     pub id: AttemptId,
     pub endpoint: EndpointId,
+    pub host: HostId,
+    pub agent_instance: InstanceId,
     /// Version that must answer.
     pub version: Option<Digest>,
     pub sent_at: Instant,
@@ -58,11 +66,14 @@
 }
 
 impl Request {
-    /// The attempt that runs under this name.
-    pub fn attempt(&self, id: &str) -> Option<&Attempt> {
-        match &self.phase {
+    /// Takes out the attempt that runs under this name; the request waits then.
+    pub fn take_attempt(&mut self, id: &str) -> Option<Attempt> {
+        match std::mem::replace(&mut self.phase, Phase::Waiting) {
             Phase::Running(attempt) if &*attempt.id == id => Some(attempt),
-            _ => None,
+            other => {
+                self.phase = other;
+                None
+            }
         }
     }
 }
--- a/src/entry/core/status.rs
+++ b/src/entry/core/status.rs
@@ -23,7 +23,7 @@
             generation: self.config.generation(),
             hosts: self.host_statuses(now),
             in_force: self.config.in_force(now).is_ok(),
-            quarantine: Vec::new(),
+            quarantine: self.quarantine.entries(now),
             store: self.config.sync_fields(now, &self.cfg.entry),
             zone: self.cfg.zone.to_string(),
         }
--- a/src/entry/core/tests/fixture.rs
+++ b/src/entry/core/tests/fixture.rs
@@ -6,10 +6,11 @@
 use crate::codes::Code;
 use crate::config::{Class, Customer, Model, Targets};
 use crate::entry::core::{
-    Dispatch, EntryAction, EntryCore, EntryCoreConfig, EntryEvent, HostEntry, HostRole,
+    Dispatch, EntryAction, EntryCore, EntryCoreConfig, EntryEvent, HostEntry, HostRole, StoreCall,
+    StoreOp, StoreReply,
 };
 use crate::types::{AttemptEnd, RequestId, RequestMeta};
-use crate::wire::{ConfigDoc, EndpointReport, EndpointState, StoreContact, SyncReply};
+use crate::wire::{ConfigDoc, EndpointReport, EndpointState, SettleReply, StoreContact, SyncReply};
 
 pub const FIRST_TOKEN: Duration = Duration::from_millis(890);
 
@@ -22,6 +23,9 @@
     pub refused: Vec<(RequestId, Code)>,
     pub completed: Vec<RequestId>,
     pub synced: Vec<String>,
+    pub stored: Vec<(StoreOp, StoreCall)>,
+    pub replayed: Vec<RequestId>,
+    pub settles: Vec<RequestId>,
     next_req: RequestId,
 }
 
@@ -36,7 +40,11 @@
         deferrable: false,
     };
     Targets {
-        classes: vec![class("answers", 0, false), class("summaries", 1, false)],
+        classes: vec![
+            class("answers", 0, false),
+            class("summaries", 1, false),
+            class("bookings", 0, true),
+        ],
         customers: ["small", "large"]
             .map(|id| Customer {
                 id: id.into(),
@@ -136,6 +144,9 @@
             refused: Vec::new(),
             completed: Vec::new(),
             synced: Vec::new(),
+            stored: Vec::new(),
+            replayed: Vec::new(),
+            settles: Vec::new(),
             next_req: 0,
         };
         fixture.configure(1, &[]);
@@ -154,7 +165,10 @@
                 EntryAction::Refuse { req, refusal } => self.refused.push((req, refusal.code)),
                 EntryAction::Complete { req } => self.completed.push(req),
                 EntryAction::Sync { host, .. } => self.synced.push(host.to_string()),
-                _ => {}
+                EntryAction::Store { op, call } => self.stored.push((op, call)),
+                EntryAction::Replay { req, .. } => self.replayed.push(req),
+                EntryAction::Settle { req, .. } => self.settles.push(req),
+                EntryAction::Log { .. } => {}
             }
         }
     }
@@ -209,6 +223,16 @@
         });
     }
 
+    /// The object API answers the latest call.
+    pub fn store_replies(&mut self, reply: StoreReply) {
+        let (op, _) = self.stored.last().unwrap();
+        self.event(EntryEvent::StoreReplied { op: *op, reply });
+    }
+
+    pub fn settled(&mut self, req: RequestId, reply: Option<SettleReply>) {
+        self.event(EntryEvent::SettleReplied { req, reply });
+    }
+
     pub fn start(&mut self, req: RequestId) {
         let attempt = self.latest(req).attempt.clone();
         self.event(EntryEvent::AttemptStarted { req, attempt });
--- a/src/entry/core/tests/mod.rs
+++ b/src/entry/core/tests/mod.rs
@@ -1,4 +1,6 @@
 mod fixture;
+mod harmful;
+mod keyed;
 mod membership;
 mod overload;
 mod requests;
--- a/src/entry/core/traffic.rs
+++ b/src/entry/core/traffic.rs
@@ -6,6 +6,7 @@
 use crate::admission::{Offer, Ticket};
 use crate::codes::Code;
 use crate::config::{Class, Customer, Targets};
+use crate::delivery::Standing;
 use crate::membership::Membership;
 use crate::routing::{Choice, Endpoint, Want};
 use crate::types::{AttemptId, EndpointId, Refusal, RequestId, RequestMeta};
@@ -32,6 +33,9 @@
         }
         let config = self.config.in_force(now).map_err(Refusal::new)?;
         let (class, customer) = validate(&config.targets, &meta).map_err(Refusal::new)?;
+        if self.quarantine.standing(&meta.fingerprint) == Standing::Quarantined {
+            return Err(Refusal::new(Code::Quarantined));
+        }
         let first_token = class.first_token;
         let time = meta.patience.unwrap_or(first_token);
         let offer = Offer {
@@ -46,7 +50,7 @@
         };
         self.check_open(now, &offer.target)?;
         if let Some(evicted) = self.admission.offer(now, &offer)? {
-            self.give_up(evicted, Code::OverShare);
+            self.give_up(now, evicted, Code::OverShare);
         }
         let request = Request {
             meta,
@@ -62,6 +66,8 @@
             tries: 0,
             avoid: None,
             may_have_run: false,
+            caller_gone: false,
+            broke_at: Vec::new(),
             resume: None,
         };
         self.requests.insert(req, request);
@@ -97,19 +103,12 @@
     }
 
     pub(super) fn caller_gone(&mut self, now: Instant, req: RequestId) {
-        self.admission.remove(req);
-        if let Some(request) = self.requests.remove(&req) {
-            self.release(now, &request.phase);
-        }
-    }
-
-    /// Gives the place of a running attempt back.
-    pub(super) fn release(&mut self, now: Instant, phase: &Phase) {
-        if let Phase::Running(attempt) = phase
-            && let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint)
-        {
-            endpoint.ended(now);
+        let keyed = |request: &Request| request.meta.key.is_some();
+        if self.requests.get(&req).is_some_and(keyed) {
+            return self.keyed_caller_gone(now, req);
         }
+        self.admission.remove(req);
+        self.end(now, req);
     }
 
     pub(super) fn load_seen(&mut self, now: Instant, endpoint: &str, in_flight: u32, limit: u32) {
@@ -141,19 +140,19 @@
     /// Starts waiting requests while there are places, and refuses those that are too late.
     pub(super) fn pump(&mut self, now: Instant) {
         for req in self.admission.take_late(now) {
-            self.give_up(req, Code::DeadlineUnreachable);
+            self.give_up(now, req, Code::DeadlineUnreachable);
         }
         if let Err(code) = self.config.in_force(now) {
-            return self.refuse_waiting(code);
+            return self.refuse_waiting(now, code);
         }
         for target in self.admission.targets() {
             while self.start_next(now, &target) {}
         }
     }
 
-    fn refuse_waiting(&mut self, code: Code) {
+    fn refuse_waiting(&mut self, now: Instant, code: Code) {
         for req in self.admission.take_all() {
-            self.give_up(req, code);
+            self.give_up(now, req, code);
         }
     }
 
@@ -170,7 +169,11 @@
             return false;
         };
         self.admission.started(now, &class);
-        self.dispatch(now, ticket.req, &endpoint);
+        let attempt = self.plan_attempt(now, &endpoint);
+        match self.requests[&ticket.req].meta.key {
+            Some(_) => self.claim(now, ticket.req, attempt),
+            None => self.send(now, ticket.req, attempt),
+        }
         true
     }
 
@@ -199,42 +202,53 @@
             .map(|choice| choice.endpoint.id.clone())
     }
 
-    /// Sends the request to an endpoint.
-    pub(super) fn dispatch(&mut self, now: Instant, req: RequestId, endpoint: &str) {
-        let generation = self.config.generation();
-        let attempt = self.next_attempt();
+    /// Takes a place at an endpoint for an attempt.
+    pub(super) fn plan_attempt(&mut self, now: Instant, endpoint: &str) -> Attempt {
+        let id = self.next_attempt();
         let endpoint = self.endpoints.get_mut(endpoint).expect("it was chosen");
+        endpoint.sent(now);
         let agent = self
             .membership
             .agent(&endpoint.host)
             .expect("it was chosen");
-        endpoint.sent(now);
-        let request = self.requests.get_mut(&req).expect("it was waiting");
+        Attempt {
+            id,
+            endpoint: endpoint.id.clone(),
+            host: endpoint.host.clone(),
+            agent_instance: agent.instance.expect("an agent with a share has answered"),
+            version: endpoint.version.clone(),
+            sent_at: now,
+            started: false,
+        }
+    }
+
+    /// Sends an attempt.
+    pub(super) fn send(&mut self, now: Instant, req: RequestId, mut attempt: Attempt) {
+        let Some(agent) = self.membership.agent(&attempt.host) else {
+            return;
+        };
+        let request = self.requests.get_mut(&req).expect("it has an attempt");
         if request.tries == 0 {
             self.retries.first_try();
         }
         request.tries += 1;
-        let resume_from = request.resume.as_ref().map_or(0, |resume| resume.from);
-        request.phase = Phase::Running(Attempt {
-            id: attempt.clone(),
-            endpoint: endpoint.id.clone(),
-            version: endpoint.version.clone(),
-            sent_at: now,
-            started: resume_from > 0,
-        });
+        attempt.sent_at = now;
+        attempt.started = request.resume.is_some();
+        let standing = self.quarantine.standing(&request.meta.fingerprint);
         self.actions.push(EntryAction::Dispatch(Dispatch {
             req,
-            attempt,
-            host: agent.host.clone(),
+            attempt: attempt.id.clone(),
+            host: attempt.host.clone(),
             traffic: agent.traffic,
-            endpoint: endpoint.id.clone(),
-            agent_instance: agent.instance.expect("an agent with a share has answered"),
-            version: endpoint.version.clone(),
-            generation,
-            resume_from,
+            endpoint: attempt.endpoint.clone(),
+            agent_instance: attempt.agent_instance,
+            version: attempt.version.clone(),
+            generation: self.config.generation(),
+            resume_from: request.resume.as_ref().map_or(0, |resume| resume.from),
             patience: (request.arrived_at + request.patience).saturating_duration_since(now),
-            suspect: false,
+            suspect: standing == Standing::Suspect || !request.broke_at.is_empty(),
         }));
+        request.phase = Phase::Running(attempt);
     }
 
     fn next_attempt(&mut self) -> AttemptId {
@@ -259,9 +273,6 @@
     if class.keyed && meta.key.is_none() {
         return Err(Code::KeyMissing);
     }
-    if class.keyed {
-        return Err(Code::StoreUnavailable);
-    }
     Ok((class, customer))
 }
 
--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -28,6 +28,12 @@
     pub instance: Option<InstanceId>,
     /// Generation in force at the agent, once it has answered.
     pub generation: Generation,
+    /// Version of the placement at the agent, once it has answered.
+    pub placement_version: Generation,
+    /// Revision of the quarantine that the agent has got.
+    pub quarantine_revision: u64,
+    /// Revision of the quarantine in the heartbeat that is in flight.
+    pub quarantine_sent: u64,
     /// True while this entry keeps a control connection to the agent.
     pub member: bool,
     /// True when the agent was added to the subset for the targets that it serves.
@@ -57,6 +63,9 @@
             said_leaving: false,
             instance: None,
             generation: 0,
+            placement_version: 0,
+            quarantine_revision: 0,
+            quarantine_sent: 0,
             member: false,
             scouted: false,
             last_heard: None,
@@ -85,7 +94,14 @@
     ///
     /// The agent's own word replaces that of an earlier instance.
     pub fn heard(&mut self, now: Instant, reply: &SyncReply) {
+        let is_restarted = self.instance != Some(reply.agent_instance);
         self.instance = Some(reply.agent_instance);
+        self.placement_version = reply.placement_version.unwrap_or(0);
+        self.quarantine_revision = if is_restarted {
+            0
+        } else {
+            self.quarantine_sent
+        };
         self.said_leaving = reply.leaving;
         self.generation = reply.generation;
         self.last_heard = Some(now);
@@ -95,8 +111,9 @@
         self.next_sync = self.next_sync.max(now);
     }
 
-    /// Notes that a heartbeat goes out.
-    pub fn sync_sent(&mut self, now: Instant) {
+    /// Notes that a heartbeat with a revision of the quarantine goes out.
+    pub fn sync_sent(&mut self, now: Instant, quarantine_revision: u64) {
+        self.quarantine_sent = quarantine_revision;
         self.sync_pending = true;
         self.unanswered_since.get_or_insert(now);
     }
