Failures of commands go to standard error; one name for an entry

Scripts read standard output only. The entry is known by its host name, as in the host list and in the subset of the membership; by another name its outage reports and its subset would not match. Settings take key = value only (the library takes a colon too).

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -29,21 +29,22 @@
 
 use tokio::runtime::{Builder, Runtime};
 
+use crate::codes::Code;
 use crate::settings::{FromIni, OperatorSettings};
 
 /// Runs the command line of this process.
 pub fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let stdout = io::stdout();
-    let colour = stdout.is_terminal();
-    let mut out = Output::new(stdout, args.command.is_json(), colour);
-    match runtime(&args.command) {
-        Ok(runtime) => runtime.block_on(run(args.command, &mut out)).into(),
-        Err(e) => {
-            out.line(format!("the runtime does not start: {e}"));
-            Exit::NotStarted.into()
-        }
-    }
+    let is_json = args.command.is_json();
+    let colour = io::stdout().is_terminal();
+    let mut out = Output::new(io::stdout(), io::stderr(), is_json, colour);
+    let end = runtime(&args.command)
+        .map(|runtime| runtime.block_on(run(args.command, &mut out)))
+        .map_err(|e| Failure::NotStarted {
+            code: Code::NotStarted,
+            detail: e.to_string(),
+        });
+    finish(end, &mut out).into()
 }
 
 /// Processes carry traffic on several threads; a command needs one.
@@ -66,6 +67,10 @@
         Command::Status(args) => status::run(&args, out).await,
         Command::Dump(args) => dump::run(&args, out).await,
     };
+    finish(end, out)
+}
+
+fn finish(end: Result<Exit, Failure>, out: &mut Output) -> Exit {
     end.unwrap_or_else(|failure| {
         out.failure(&failure);
         failure.exit()
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -1,6 +1,6 @@
 //! Where commands print to.
 
-use std::io::Write;
+use std::io::{self, Write};
 
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -12,6 +12,7 @@
 /// Printer of a command's result.
 pub struct Output {
     out: Box<dyn Write + Send>,
+    err: Box<dyn Write + Send>,
     json: bool,
     colour: bool,
 }
@@ -28,10 +29,17 @@
 }
 
 impl Output {
-    /// Prints to `out`, as JSON for scripts or as text, with colour on a terminal only.
-    pub fn new(out: impl Write + Send + 'static, json: bool, colour: bool) -> Self {
+    /// Prints to `out`, as JSON for scripts or as text, with colour on a terminal only. Failures
+    /// go to `err` as text.
+    pub fn new(
+        out: impl Write + Send + 'static,
+        err: impl Write + Send + 'static,
+        json: bool,
+        colour: bool,
+    ) -> Self {
         Self {
             out: Box::new(out),
+            err: Box::new(err),
             json,
             colour: colour && !json,
         }
@@ -93,16 +101,29 @@
             "name": format!("{code:?}"),
             "detail": detail(failure),
         }));
+        if !self.json {
+            // Nobody reads a closed standard error.
+            let _ = self.explain(failure);
+        }
+    }
+
+    fn explain(&mut self, failure: &Failure) -> io::Result<()> {
         match failure {
-            Failure::File(_) => self.line(failure.to_string()),
-            _ => self.line(format!("{failure} ({})", code.number())),
+            Failure::File(_) => writeln!(self.err, "{failure}")?,
+            _ => writeln!(self.err, "{failure} ({})", failure.code().number())?,
+        }
+        let Failure::RaceLost { theirs, ours, .. } = failure else {
+            return Ok(());
+        };
+        writeln!(self.err, "changed by the other operator:")?;
+        for difference in theirs {
+            writeln!(self.err, "{difference}")?;
         }
-        if let Failure::RaceLost { theirs, ours, .. } = failure {
-            self.line("changed by the other operator:");
-            self.differences(theirs);
-            self.line("this change on top of it:");
-            self.differences(ours);
+        writeln!(self.err, "this change on top of it:")?;
+        for difference in ours {
+            writeln!(self.err, "{difference}")?;
         }
+        Ok(())
     }
 
     fn write(&mut self, text: &str) {
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -126,7 +126,7 @@
 async fn a_failure_is_a_line_for_people_and_an_object_for_scripts() {
     for json in [false, true] {
         let buffer = Buffer::default();
-        let mut out = Output::new(buffer.clone(), json, true);
+        let mut out = Output::new(buffer.clone(), buffer.clone(), json, true);
         let args = Args::from_args(&["limpetloom"], &["check", "no-such-file.ini"]).unwrap();
         assert_eq!(run(args.command, &mut out).await, Exit::FileRefused);
         let text = String::from_utf8(buffer.0.lock().unwrap().clone()).unwrap();
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -204,7 +204,7 @@
     let process = &settings.process;
     let instance = seed ^ u64::from(std::process::id()) ^ rand::random::<u64>();
     let mut cfg = EntryCoreConfig::new(
-        process.name.clone(),
+        process.host.clone(),
         process.zone.clone(),
         process.region.clone(),
         instance,
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -297,10 +297,16 @@
     let head = ini.sections().flatten().next();
     match (head, entry, entries.next()) {
         (Some(head), None, _) => Some(Line::Head(head.to_owned())),
-        (None, Some((_, key, value)), None) => {
+        (None, Some((_, key, value)), None) if !uses_colon(text) => {
             Some(Line::Entry(key.trim().to_owned(), value.trim().to_owned()))
         }
         (None, None, _) => Some(Line::Blank),
         _ => None,
     }
 }
+
+/// The library takes `key: value` too, which would be a second way to write the same.
+fn uses_colon(text: &str) -> bool {
+    text.find([':', '='])
+        .is_some_and(|at| text[at..].starts_with(':'))
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -96,6 +96,7 @@
 )]
 #[case::short_secret("0123456789abcdef", "short", 18, "security.token", Code::OutOfRange)]
 #[case::no_ini("region = kochi", "region", 5, "", Code::SyntaxError)]
+#[case::colon("region = kochi", "region: kochi", 5, "", Code::SyntaxError)]
 #[case::unknown_section("[limits]", "[limit]", 15, "limit", Code::UnknownSection)]
 #[case::twice("[limits]", "[process]", 15, "process", Code::Duplicate)]
 #[case::unnamed("[endpoint engine-1]", "[endpoint]", 19, "endpoint", Code::Missing)]
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -170,7 +170,7 @@
         }
         let args = Args::from_args(&["limpetloom"], &words).unwrap();
         let buffer = Buffer::default();
-        let mut out = Output::new(buffer.clone(), true, false);
+        let mut out = Output::new(buffer.clone(), buffer.clone(), true, false);
         let exit = run(args.command, &mut out).await;
         let text = buffer.0.lock().unwrap().clone();
         (exit, serde_json::from_slice(&text).unwrap())
