--- /dev/null
+++ b/examples/common/builder.rs
@@ -0,0 +1,270 @@
+//! Builder of a site.
+
+use std::error::Error;
+use std::time::Duration;
+
+use limpetloom::config::{Class, Customer, Model, Service as ServiceTarget, Targets};
+use limpetloom::settings::{AgentSettings, EntrySettings};
+use limpetloom_fakes::engine::EngineConfig;
+use limpetloom_fakes::hosts::HostsConfig;
+use limpetloom_fakes::objects::ObjectsConfig;
+use limpetloom_fakes::origin::OriginConfig;
+use limpetloom_fakes::service::ServiceConfig;
+
+use super::site::Site;
+
+/// Names of the availability zones, in the order in which they are used.
+const ZONES: [&str; 6] = [
+    "kochi-a",
+    "kozhikode-a",
+    "trivandrum-a",
+    "bkk-a",
+    "cnx-a",
+    "hdy-a",
+];
+/// Names of the regions.
+const REGIONS: [&str; 2] = ["kerala", "thailand"];
+/// Cap of a site that does not set its own, in milliwatts.
+const SITE_POWER_MW: u64 = 1_000_000_000;
+
+type EngineTweak = Box<dyn Fn(usize, &mut EngineConfig) + Send + Sync>;
+type EntryTweak = Box<dyn Fn(usize, &mut EntrySettings) + Send + Sync>;
+type AgentTweak = Box<dyn Fn(usize, &mut AgentSettings) + Send + Sync>;
+type TargetsTweak = Box<dyn Fn(&mut Targets) + Send + Sync>;
+
+/// Builder of a [`Site`].
+pub struct SiteBuilder {
+    pub(super) zones: usize,
+    pub(super) regions: usize,
+    pub(super) entries: usize,
+    pub(super) models: usize,
+    pub(super) services: usize,
+    pub(super) customers: usize,
+    pub(super) seed: u64,
+    pub(super) preloaded: bool,
+    pub(super) weight_bytes: u64,
+    pub(super) chunk_bytes: u32,
+    pub(super) objects: ObjectsConfig,
+    pub(super) hosts: HostsConfig,
+    pub(super) origin: OriginConfig,
+    pub(super) store: OriginConfig,
+    pub(super) service: ServiceConfig,
+    pub(super) engine_tweak: EngineTweak,
+    pub(super) entry_tweak: EntryTweak,
+    pub(super) agent_tweak: AgentTweak,
+    pub(super) targets_tweak: TargetsTweak,
+}
+
+impl Default for SiteBuilder {
+    fn default() -> Self {
+        Self {
+            zones: 3,
+            regions: 1,
+            entries: 2,
+            models: 2,
+            services: 1,
+            customers: 10,
+            seed: 1,
+            preloaded: false,
+            weight_bytes: 1 << 20,
+            chunk_bytes: 64 << 10,
+            objects: ObjectsConfig::default(),
+            hosts: HostsConfig::default(),
+            origin: OriginConfig::default(),
+            store: OriginConfig::default(),
+            service: ServiceConfig::default(),
+            engine_tweak: Box::new(|_, _| {}),
+            entry_tweak: Box::new(|_, _| {}),
+            agent_tweak: Box::new(|_, _| {}),
+            targets_tweak: Box::new(|_| {}),
+        }
+    }
+}
+
+impl SiteBuilder {
+    /// Sets the number of availability zones, six at most.
+    pub fn zones(mut self, zones: usize) -> Self {
+        self.zones = zones.clamp(1, ZONES.len());
+        self
+    }
+
+    /// Sets the number of regions that the zones are spread over, two at most.
+    pub fn regions(mut self, regions: usize) -> Self {
+        self.regions = regions.clamp(1, REGIONS.len());
+        self
+    }
+
+    /// Sets the number of entries.
+    pub fn entries(mut self, entries: usize) -> Self {
+        self.entries = entries;
+        self
+    }
+
+    /// Sets the number of model endpoints; each has its own host and agent.
+    pub fn models(mut self, models: usize) -> Self {
+        self.models = models;
+        self
+    }
+
+    /// Sets the number of endpoints of the plain service; each has its own host and agent.
+    pub fn services(mut self, services: usize) -> Self {
+        self.services = services;
+        self
+    }
+
+    /// Sets the number of customers, named `customer-1` and so on.
+    pub fn customers(mut self, customers: usize) -> Self {
+        self.customers = customers;
+        self
+    }
+
+    /// Sets the seed of the processes' random choices.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Starts the engines with the first version active, for what does not concern weights.
+    pub fn preloaded(mut self) -> Self {
+        self.preloaded = true;
+        self
+    }
+
+    /// Sets the size of a version and of its chunks, in bytes.
+    pub fn weights(mut self, bytes: u64, chunk_bytes: u32) -> Self {
+        self.weight_bytes = bytes;
+        self.chunk_bytes = chunk_bytes;
+        self
+    }
+
+    /// Sets up the object API.
+    pub fn objects(mut self, cfg: ObjectsConfig) -> Self {
+        self.objects = cfg;
+        self
+    }
+
+    /// Sets the lag of the host list.
+    pub fn host_list_lag(mut self, lag: Duration) -> Self {
+        self.hosts.lag = lag;
+        self
+    }
+
+    /// Sets the rate of the origin's link, in bytes a second.
+    pub fn origin_link(mut self, bytes_per_s: u64) -> Self {
+        self.origin.link_bytes_per_s = bytes_per_s;
+        self
+    }
+
+    /// Sets the rate of the weight store's link, in bytes a second.
+    pub fn store_link(mut self, bytes_per_s: u64) -> Self {
+        self.store.link_bytes_per_s = bytes_per_s;
+        self
+    }
+
+    /// Sets the time that a call of the plain service takes.
+    pub fn service_delay(mut self, delay: Duration) -> Self {
+        self.service.delay = delay;
+        self
+    }
+
+    /// Changes the configuration of each engine, given its number.
+    pub fn engine(mut self, f: impl Fn(usize, &mut EngineConfig) + Send + Sync + 'static) -> Self {
+        self.engine_tweak = Box::new(f);
+        self
+    }
+
+    /// Changes the settings of each entry, given its number.
+    pub fn entry_settings(
+        mut self,
+        f: impl Fn(usize, &mut EntrySettings) + Send + Sync + 'static,
+    ) -> Self {
+        self.entry_tweak = Box::new(f);
+        self
+    }
+
+    /// Changes the settings of each agent, given its number; those of services come last.
+    pub fn agent_settings(
+        mut self,
+        f: impl Fn(usize, &mut AgentSettings) + Send + Sync + 'static,
+    ) -> Self {
+        self.agent_tweak = Box::new(f);
+        self
+    }
+
+    /// Changes the first targets.
+    pub fn targets(mut self, f: impl Fn(&mut Targets) + Send + Sync + 'static) -> Self {
+        self.targets_tweak = Box::new(f);
+        self
+    }
+
+    /// Starts the site. Endpoints become ready later; see [`Site::wait_ready`].
+    ///
+    /// # Errors
+    /// Fails when a listener can not be bound.
+    pub async fn start(self) -> Result<Site, Box<dyn Error + Send + Sync>> {
+        Site::start(self).await
+    }
+
+    pub(super) fn zone(&self, index: usize) -> String {
+        ZONES[index % self.zones].to_owned()
+    }
+
+    pub(super) fn region(&self, index: usize) -> String {
+        let zone = index % self.zones;
+        REGIONS[zone * self.regions / self.zones].to_owned()
+    }
+
+    /// The first targets, for a version with the given digest.
+    pub(super) fn first_targets(&self, version: &str, manifest: &str) -> Targets {
+        let mut targets = Targets {
+            site_power: SITE_POWER_MW,
+            classes: classes(),
+            customers: (1..=self.customers).map(customer).collect(),
+            models: vec![Model {
+                id: super::MODEL.into(),
+                version: version.into(),
+                manifest: manifest.into(),
+                replicas: None,
+            }],
+            services: vec![ServiceTarget {
+                id: super::SERVICE.into(),
+            }],
+            ..Targets::default()
+        };
+        (self.targets_tweak)(&mut targets);
+        targets
+    }
+}
+
+fn customer(number: usize) -> Customer {
+    Customer {
+        id: format!("customer-{number}").into(),
+        weight: 1,
+    }
+}
+
+fn classes() -> Vec<Class> {
+    let class = |id: &str, target: &str| Class {
+        id: id.into(),
+        target: target.into(),
+        first_token: Duration::from_millis(890),
+        power: SITE_POWER_MW / 4,
+        priority: 10,
+        keyed: false,
+        deferrable: false,
+    };
+    vec![
+        class("chat", super::MODEL),
+        Class {
+            first_token: Duration::from_secs(30),
+            priority: 100,
+            deferrable: true,
+            ..class("batch", super::MODEL)
+        },
+        Class {
+            keyed: true,
+            ..class("booking", super::SERVICE)
+        },
+        class("lookup", super::SERVICE),
+    ]
+}
--- /dev/null
+++ b/examples/common/caller.rs
@@ -0,0 +1,442 @@
+//! Caller that checks whether it got the whole answer to its own request.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use limpetloom_fakes::engine::answer_tag;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::outcome::{Answer, Outcome, Refused};
+
+/// Longest time that a caller waits for the end of an answer.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// A chat request.
+#[derive(Clone, Debug)]
+pub struct Chat {
+    /// Class of work.
+    pub class: String,
+    /// Customer.
+    pub customer: String,
+    /// Prompt; the answer follows from it.
+    pub prompt: String,
+    /// Number of tokens in the answer.
+    pub tokens: u64,
+    /// True for a streamed answer.
+    pub stream: bool,
+    /// Time that the caller is willing to wait for the first token.
+    pub patience: Option<Duration>,
+}
+
+impl Chat {
+    /// A streamed request of class `chat` and the first customer, with 16 tokens.
+    pub fn new(prompt: impl Into<String>) -> Self {
+        Self {
+            class: "chat".to_owned(),
+            customer: "customer-1".to_owned(),
+            prompt: prompt.into(),
+            tokens: 16,
+            stream: true,
+            patience: None,
+        }
+    }
+
+    fn body(&self) -> String {
+        json!({
+            "model": super::MODEL,
+            "messages": [{"role": "user", "content": self.prompt}],
+            "max_tokens": self.tokens,
+            "stream": self.stream,
+        })
+        .to_string()
+    }
+}
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// Class of work.
+    pub class: String,
+    /// Customer.
+    pub customer: String,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Body.
+    pub body: String,
+}
+
+impl ServiceCall {
+    /// A keyed booking of the first customer.
+    pub fn booking(key: impl Into<String>) -> Self {
+        let key = key.into();
+        Self {
+            class: "booking".to_owned(),
+            customer: "customer-1".to_owned(),
+            body: format!("{{\"seat\":\"{key}\"}}"),
+            key: Some(key),
+        }
+    }
+}
+
+/// Client that pools connections; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Caller {
+    /// Makes a caller with its own connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self { client }
+    }
+
+    /// Sends a chat request to an entry, or straight to an engine.
+    pub async fn chat(&self, addr: SocketAddr, chat: &Chat) -> Outcome {
+        let mut req = post(addr, "/v1/chat/completions", &chat.class, &chat.customer);
+        if let Some(patience) = chat.patience {
+            let patience = patience.as_millis().to_string();
+            req = req.header("x-limpetloom-patience-ms", patience);
+        }
+        let sent = Instant::now();
+        let req = req
+            .header("content-type", "application/json")
+            .header("x-request-id", answer_tag(&chat.prompt))
+            .body(Full::new(chat.body().into()))
+            .expect("a valid request");
+        match self.send(req, sent).await {
+            Err(outcome) => outcome,
+            Ok(res) if chat.stream => {
+                within(sent, read_stream(res.into_body(), chat, sent)).await
+            }
+            Ok(res) => within(sent, read_plain(res.into_body(), chat, sent)).await,
+        }
+    }
+
+    /// Calls a plain service through an entry.
+    pub async fn call(&self, addr: SocketAddr, call: &ServiceCall) -> Outcome {
+        let path = format!("/services/{}/hold", super::SERVICE);
+        let mut req = post(addr, &path, &call.class, &call.customer);
+        if let Some(key) = &call.key {
+            req = req.header("idempotency-key", key);
+        }
+        let sent = Instant::now();
+        let req = req
+            .body(Full::new(Bytes::from(call.body.clone())))
+            .expect("a valid request");
+        match self.send(req, sent).await {
+            Err(outcome) => outcome,
+            Ok(res) => within(sent, read_service(res.into_body(), call, sent)).await,
+        }
+    }
+
+    /// Reads a path; `None` when there is no answer.
+    pub async fn get(&self, addr: SocketAddr, path: &str) -> Option<(u16, String)> {
+        let req = Request::get(format!("http://{addr}{path}"))
+            .body(Full::default())
+            .ok()?;
+        let res = self.client.request(req).await.ok()?;
+        let status = res.status().as_u16();
+        let body = res.into_body().collect().await.ok()?.to_bytes();
+        Some((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// Sends a request and returns the answer when its status is 200.
+    async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+        sent: Instant,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let res = tokio::time::timeout(LIMIT, self.client.request(req))
+            .await
+            .map_err(|_| Outcome::Lost("no answer in time".to_owned()))?
+            .map_err(|e| Outcome::Lost(describe(&e)))?;
+        if res.status() == 200 {
+            return Ok(res);
+        }
+        let status = res.status().as_u16();
+        let head = res.headers().clone();
+        let body = res.into_body().collect().await;
+        let body = body
+            .map_err(|e| Outcome::Lost(describe(&e)))?
+            .to_bytes();
+        Err(refusal(status, &head, &body, sent.elapsed()))
+    }
+}
+
+/// Names an error and its causes.
+fn describe(e: &dyn std::error::Error) -> String {
+    match e.source() {
+        Some(source) => format!("{e}: {}", describe(source)),
+        None => e.to_string(),
+    }
+}
+
+fn post(addr: SocketAddr, path: &str, class: &str, customer: &str) -> hyper::http::request::Builder {
+    Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{addr}{path}"))
+        .header("x-limpetloom-class", class)
+        .header("x-limpetloom-customer", customer)
+}
+
+async fn within(sent: Instant, reading: impl Future<Output = Outcome>) -> Outcome {
+    let left = LIMIT.saturating_sub(sent.elapsed());
+    tokio::time::timeout(left, reading)
+        .await
+        .unwrap_or_else(|_| Outcome::Lost("no end of the answer in time".to_owned()))
+}
+
+#[derive(Debug, Deserialize)]
+struct RefusalBody {
+    code: u16,
+    run: String,
+}
+
+fn refusal(status: u16, head: &HeaderMap, body: &[u8], took: Duration) -> Outcome {
+    let Ok(refusal) = serde_json::from_slice::<RefusalBody>(body) else {
+        let body = String::from_utf8_lossy(body);
+        return Outcome::Wrong(format!("status {status} without a code: {body}"));
+    };
+    let retry_after = head
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok())
+        .map(Duration::from_secs_f64);
+    Outcome::Refused(Refused {
+        code: refusal.code,
+        run: refusal.run,
+        status,
+        retry_after,
+        took,
+    })
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamEvent {
+    version: String,
+    index: u64,
+    choices: Vec<StreamChoice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamChoice {
+    delta: StreamDelta,
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamDelta {
+    content: String,
+}
+
+/// Reads a streamed answer and checks each token of it.
+async fn read_stream(mut body: Incoming, chat: &Chat, sent: Instant) -> Outcome {
+    let mut check = StreamCheck::new(chat, sent);
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(e) => return Outcome::Lost(format!("{} after {} tokens", describe(&e), check.next)),
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buf.extend_from_slice(&data);
+        if let Err(fault) = check.take_events(&mut buf) {
+            return Outcome::Wrong(fault);
+        }
+    }
+    check.finish()
+}
+
+/// Checks of a streamed answer.
+struct StreamCheck<'a> {
+    chat: &'a Chat,
+    tag: String,
+    sent: Instant,
+    last: Instant,
+    next: u64,
+    version: String,
+    first: Option<Duration>,
+    longest_gap: Duration,
+    is_done: bool,
+}
+
+impl<'a> StreamCheck<'a> {
+    fn new(chat: &'a Chat, sent: Instant) -> Self {
+        Self {
+            chat,
+            tag: answer_tag(&chat.prompt),
+            sent,
+            last: sent,
+            next: 0,
+            version: String::new(),
+            first: None,
+            longest_gap: Duration::ZERO,
+            is_done: false,
+        }
+    }
+
+    /// Takes the whole events from the front of a buffer.
+    fn take_events(&mut self, buf: &mut Vec<u8>) -> Result<(), String> {
+        let mut start = 0;
+        while let Some(len) = find_event(&buf[start..]) {
+            let event = &buf[start..start + len];
+            start += len + EVENT_END.len();
+            if let Some(data) = event.strip_prefix(b"data: ") {
+                self.take_event(data)?;
+            }
+        }
+        buf.drain(..start);
+        Ok(())
+    }
+
+    fn take_event(&mut self, data: &[u8]) -> Result<(), String> {
+        if self.is_done {
+            return Err("an event after the end mark".to_owned());
+        }
+        if data == b"[DONE]" {
+            self.is_done = true;
+            return Ok(());
+        }
+        let event = serde_json::from_slice::<StreamEvent>(data).map_err(|e| e.to_string())?;
+        self.check_token(event)?;
+        let now = Instant::now();
+        match self.first {
+            None => self.first = Some(now - self.sent),
+            Some(_) => self.longest_gap = self.longest_gap.max(now - self.last),
+        }
+        self.last = now;
+        Ok(())
+    }
+
+    fn check_token(&mut self, event: StreamEvent) -> Result<(), String> {
+        let expected = format!("{}:{} ", self.tag, self.next);
+        let content = event
+            .choices
+            .first()
+            .map_or("", |choice| choice.delta.content.as_str());
+        if event.index != self.next || content != expected {
+            return Err(format!("token {content:?} in place of {expected:?}"));
+        }
+        if self.next == 0 {
+            self.version = event.version;
+        } else if self.version != event.version {
+            return Err(format!("version {} after {}", event.version, self.version));
+        }
+        self.next += 1;
+        Ok(())
+    }
+
+    fn finish(self) -> Outcome {
+        if !self.is_done {
+            return Outcome::Lost(format!("no end mark after {} tokens", self.next));
+        }
+        if self.next != self.chat.tokens {
+            return Outcome::Wrong(format!("{} tokens of {}", self.next, self.chat.tokens));
+        }
+        Outcome::Whole(Answer {
+            first: self.first.unwrap_or_default(),
+            longest_gap: self.longest_gap,
+            total: self.sent.elapsed(),
+            tokens: self.next,
+            version: self.version,
+            run: 0,
+        })
+    }
+}
+
+/// End of a server-sent event.
+const EVENT_END: &[u8] = b"\n\n";
+
+fn find_event(buf: &[u8]) -> Option<usize> {
+    buf.windows(EVENT_END.len())
+        .position(|window| window == EVENT_END)
+}
+
+#[derive(Debug, Deserialize)]
+struct PlainAnswer {
+    version: String,
+    choices: Vec<PlainChoice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct PlainChoice {
+    message: StreamDelta,
+}
+
+async fn read_plain(body: Incoming, chat: &Chat, sent: Instant) -> Outcome {
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => return Outcome::Lost(describe(&e)),
+    };
+    let Ok(answer) = serde_json::from_slice::<PlainAnswer>(&body) else {
+        return Outcome::Wrong(String::from_utf8_lossy(&body).into_owned());
+    };
+    let tag = answer_tag(&chat.prompt);
+    let expected = (0..chat.tokens)
+        .map(|index| format!("{tag}:{index} "))
+        .collect::<String>();
+    let content = answer
+        .choices
+        .first()
+        .map_or("", |choice| choice.message.content.as_str());
+    if content != expected {
+        return Outcome::Wrong(format!("content {content:?}"));
+    }
+    Outcome::Whole(Answer {
+        first: sent.elapsed(),
+        longest_gap: Duration::ZERO,
+        total: sent.elapsed(),
+        tokens: chat.tokens,
+        version: answer.version,
+        run: 0,
+    })
+}
+
+#[derive(Debug, Deserialize)]
+struct ServiceAnswer {
+    key: String,
+    run: u64,
+    tag: String,
+}
+
+async fn read_service(body: Incoming, call: &ServiceCall, sent: Instant) -> Outcome {
+    let first = sent.elapsed();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => return Outcome::Lost(describe(&e)),
+    };
+    let Ok(answer) = serde_json::from_slice::<ServiceAnswer>(&body) else {
+        return Outcome::Wrong(String::from_utf8_lossy(&body).into_owned());
+    };
+    let is_own = answer.tag == answer_tag(&call.body);
+    if !is_own || answer.key != call.key.clone().unwrap_or_default() {
+        return Outcome::Wrong(format!("the answer of key {:?}", answer.key));
+    }
+    Outcome::Whole(Answer {
+        first,
+        longest_gap: Duration::ZERO,
+        total: sent.elapsed(),
+        tokens: 0,
+        version: String::new(),
+        run: answer.run,
+    })
+}
--- /dev/null
+++ b/examples/common/site.rs
@@ -0,0 +1,460 @@
+//! A running site.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use limpetloom::agent::{self, AgentHandle};
+use limpetloom::config::Targets;
+use limpetloom::entry::{self, EntryHandle};
+use limpetloom::settings::{
+    AgentSettings, EndpointKind, EndpointSettings, EntrySettings, LimitsSettings, ListenSettings,
+    LogSettings, PlatformSettings, ProcessSettings, Secret, SecuritySettings,
+};
+use limpetloom_fakes::engine::{Engine, EngineConfig};
+use limpetloom_fakes::hosts::{Host, Hosts, Role};
+use limpetloom_fakes::objects::Objects;
+use limpetloom_fakes::origin::Origin;
+use limpetloom_fakes::server::ANY_PORT;
+use limpetloom_fakes::service::Service;
+
+use super::builder::SiteBuilder;
+use super::{Balancer, Caller};
+
+type BoxError = Box<dyn Error + Send + Sync>;
+
+/// Key of the configuration in the object API.
+const CONFIG_KEY: &str = "config/current";
+/// Interval at which conditions are looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+/// An entry of the site.
+pub struct EntrySeat {
+    /// Settings that the entry was started with.
+    pub settings: EntrySettings,
+    /// The entry; `None` while it is stopped.
+    pub entry: Option<EntryHandle>,
+}
+
+/// A model endpoint of the site, with its agent.
+pub struct ModelSeat {
+    /// Settings that the agent was started with.
+    pub settings: AgentSettings,
+    /// The engine.
+    pub engine: Engine,
+    /// The agent; `None` while it is stopped.
+    pub agent: Option<AgentHandle>,
+}
+
+/// An endpoint of the plain service, with its agent.
+pub struct ServiceSeat {
+    /// Settings that the agent was started with.
+    pub settings: AgentSettings,
+    /// The service.
+    pub service: Service,
+    /// The agent; `None` while it is stopped.
+    pub agent: Option<AgentHandle>,
+}
+
+/// A running site: stand-ins, entries and agents in this process.
+pub struct Site {
+    /// Object API.
+    pub objects: Objects,
+    /// Host list.
+    pub hosts: Hosts,
+    /// Origin.
+    pub origin: Origin,
+    /// Weight store, with the same versions as the origin.
+    pub store: Origin,
+    /// Entries.
+    pub entries: Vec<EntrySeat>,
+    /// Model endpoints.
+    pub models: Vec<ModelSeat>,
+    /// Endpoints of the plain service.
+    pub services: Vec<ServiceSeat>,
+    builder: SiteBuilder,
+}
+
+impl Site {
+    /// Begins to describe a site.
+    pub fn builder() -> SiteBuilder {
+        SiteBuilder::default()
+    }
+
+    pub(super) async fn start(builder: SiteBuilder) -> Result<Self, BoxError> {
+        let mut site = Self {
+            objects: Objects::spawn(builder.objects.clone())?,
+            hosts: Hosts::spawn(builder.hosts.clone())?,
+            origin: Origin::spawn(builder.origin.clone())?,
+            store: Origin::spawn(builder.store.clone())?,
+            entries: Vec::new(),
+            models: Vec::new(),
+            services: Vec::new(),
+            builder,
+        };
+        let digest = site.publish("v1");
+        let targets = site.builder.first_targets("v1", &digest);
+        site.write_targets(&targets)?;
+        for index in 0..site.builder.models {
+            site.add_model(index, &digest).await?;
+        }
+        for index in 0..site.builder.services {
+            site.add_service(index).await?;
+        }
+        for index in 0..site.builder.entries {
+            site.add_entry(index).await?;
+        }
+        Ok(site)
+    }
+
+    /// Publishes a version of the model at origin and weight store, and returns its digest.
+    pub fn publish(&self, version: &str) -> String {
+        let seed = version.bytes().fold(self.builder.seed, |seed, byte| {
+            seed.wrapping_mul(31).wrapping_add(byte.into())
+        });
+        let (bytes, chunk_bytes) = (self.builder.weight_bytes, self.builder.chunk_bytes);
+        self.store
+            .publish(super::MODEL, version, seed, bytes, chunk_bytes);
+        self.origin
+            .publish(super::MODEL, version, seed, bytes, chunk_bytes)
+    }
+
+    /// Size of a version, in bytes.
+    pub fn weight_bytes(&self) -> u64 {
+        self.builder.weight_bytes
+    }
+
+    /// Targets that are in force, as the object API has them.
+    pub fn targets(&self) -> Targets {
+        let (_, value) = self.objects.peek(CONFIG_KEY).unwrap_or_default();
+        serde_json::from_str(&value).unwrap_or_default()
+    }
+
+    /// Changes the targets, as an operator would, and returns the new generation.
+    ///
+    /// # Errors
+    /// Fails when the targets can not be written as JSON.
+    pub fn apply(&self, change: impl FnOnce(&mut Targets)) -> Result<u64, BoxError> {
+        let mut targets = self.targets();
+        change(&mut targets);
+        self.write_targets(&targets)
+    }
+
+    /// Makes a published version the one that callers see.
+    ///
+    /// # Errors
+    /// As [`Site::apply`].
+    pub fn push_version(&self, version: &str, digest: &str) -> Result<u64, BoxError> {
+        self.apply(|targets| {
+            for model in &mut targets.models {
+                model.version = version.into();
+                model.manifest = digest.into();
+            }
+        })
+    }
+
+    /// Takes a zone out.
+    ///
+    /// # Errors
+    /// As [`Site::apply`].
+    pub fn zone_out(&self, zone: &str) -> Result<u64, BoxError> {
+        self.apply(|targets| {
+            targets.zones_out.insert(zone.into());
+        })
+    }
+
+    /// Brings a zone back.
+    ///
+    /// # Errors
+    /// As [`Site::apply`].
+    pub fn zone_in(&self, zone: &str) -> Result<u64, BoxError> {
+        self.apply(|targets| {
+            targets.zones_out.remove(zone);
+        })
+    }
+
+    /// Traffic addresses of the running entries.
+    pub fn entry_addrs(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .filter_map(|seat| seat.entry.as_ref())
+            .map(EntryHandle::traffic)
+            .collect()
+    }
+
+    /// Starts a balancer before the running entries.
+    pub fn balancer(&self) -> Balancer {
+        Balancer::spawn(self.entry_addrs())
+    }
+
+    /// Number of engines on which a version is active.
+    pub fn replicas(&self, digest: &str) -> usize {
+        self.models
+            .iter()
+            .filter(|seat| seat.engine.version().as_deref() == Some(digest))
+            .count()
+    }
+
+    /// Digest of the version that callers should see.
+    pub fn wanted_version(&self) -> Option<String> {
+        let targets = self.targets();
+        Some(targets.model(super::MODEL)?.manifest.to_string())
+    }
+
+    /// Waits until every engine has the wanted version, and every entry is ready and answers.
+    ///
+    /// # Errors
+    /// Says what was missing when the limit has passed.
+    pub async fn wait_ready(&self, limit: Duration) -> Result<Duration, BoxError> {
+        let start = Instant::now();
+        let caller = Caller::new();
+        loop {
+            let lacking = self.lacking(&caller).await;
+            if lacking.is_empty() {
+                return Ok(start.elapsed());
+            }
+            if start.elapsed() > limit {
+                return Err(format!("not ready after {limit:?}: {lacking}").into());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// What keeps the site from being ready; empty when it is ready.
+    async fn lacking(&self, caller: &Caller) -> String {
+        let digest = self.wanted_version().unwrap_or_default();
+        let replicas = self.replicas(&digest);
+        if replicas < self.models.len() {
+            return format!("{replicas} of {} replicas", self.models.len());
+        }
+        for addr in self.entry_addrs() {
+            match caller.get(addr, "/ready").await {
+                Some((200, _)) => {}
+                answer => return format!("entry {addr} says {answer:?}"),
+            }
+            if self.models.is_empty() {
+                continue;
+            }
+            let outcome = caller.chat(addr, &super::Chat::new("ready?")).await;
+            if outcome.answer().is_none() {
+                return format!("entry {addr} answers {outcome:?}");
+            }
+        }
+        String::new()
+    }
+
+    /// Starts a stopped entry again, as a new process would.
+    ///
+    /// # Errors
+    /// Fails when its address can not be bound.
+    pub async fn start_entry(&mut self, index: usize) -> Result<(), BoxError> {
+        let entry = entry::spawn(self.entries[index].settings.clone()).await?;
+        let process = &self.entries[index].settings.process;
+        let host = host(process, Role::Entry, entry.control(), entry.traffic());
+        self.hosts.add(host);
+        self.entries[index].entry = Some(entry);
+        Ok(())
+    }
+
+    /// Takes an entry away from the site, to be stopped or killed by the caller.
+    pub fn take_entry(&mut self, index: usize) -> Option<EntryHandle> {
+        self.entries[index].entry.take()
+    }
+
+    /// Starts the stopped agent of a model endpoint again, as a new process would.
+    ///
+    /// # Errors
+    /// Fails when its address can not be bound.
+    pub async fn start_model_agent(&mut self, index: usize) -> Result<(), BoxError> {
+        let agent = self.spawn_agent(&self.models[index].settings).await?;
+        self.models[index].agent = Some(agent);
+        Ok(())
+    }
+
+    /// Starts the stopped agent of a service endpoint again, as a new process would.
+    ///
+    /// # Errors
+    /// Fails when its address can not be bound.
+    pub async fn start_service_agent(&mut self, index: usize) -> Result<(), BoxError> {
+        let agent = self.spawn_agent(&self.services[index].settings).await?;
+        self.services[index].agent = Some(agent);
+        Ok(())
+    }
+
+    /// Runs of all keys at the services that went beyond the first.
+    pub fn doubled(&self) -> u64 {
+        self.services
+            .iter()
+            .map(|seat| seat.service.counters().doubled)
+            .sum()
+    }
+
+    /// How often a key took effect, over all services.
+    pub fn runs(&self, key: &str) -> u64 {
+        self.services
+            .iter()
+            .map(|seat| seat.service.runs(key))
+            .sum()
+    }
+
+    /// Stops all entries, then all agents, gracefully.
+    pub async fn stop(mut self) {
+        let entries = self
+            .entries
+            .iter_mut()
+            .filter_map(|seat| seat.entry.take())
+            .map(|entry| tokio::spawn(entry.stop()));
+        futures_util::future::join_all(entries).await;
+        let models = self.models.iter_mut().filter_map(|seat| seat.agent.take());
+        let services = self
+            .services
+            .iter_mut()
+            .filter_map(|seat| seat.agent.take());
+        let agents = models
+            .chain(services)
+            .map(|agent| tokio::spawn(agent.stop()));
+        futures_util::future::join_all(agents).await;
+    }
+
+    fn write_targets(&self, targets: &Targets) -> Result<u64, BoxError> {
+        Ok(self
+            .objects
+            .poke(CONFIG_KEY, &serde_json::to_string(targets)?))
+    }
+
+    async fn add_entry(&mut self, index: usize) -> Result<(), BoxError> {
+        let mut settings = EntrySettings {
+            process: self.process(&format!("entry-{index}"), index),
+            listen: ListenSettings::new(ANY_PORT, ANY_PORT),
+            platform: self.platform(),
+            limits: LimitsSettings::new(),
+            log: LogSettings::new(),
+            security: security(),
+        };
+        (self.builder.entry_tweak)(index, &mut settings);
+        self.entries.push(EntrySeat {
+            settings,
+            entry: None,
+        });
+        self.start_entry(index).await
+    }
+
+    async fn add_model(&mut self, index: usize, digest: &str) -> Result<(), BoxError> {
+        let mut cfg = EngineConfig::default();
+        if self.builder.preloaded {
+            cfg.version = Some(digest.to_owned());
+        }
+        (self.builder.engine_tweak)(index, &mut cfg);
+        let engine = Engine::spawn(cfg.clone())?;
+        let mut endpoint = EndpointSettings::new(
+            format!("{}-{index}", super::MODEL).into(),
+            super::MODEL.into(),
+            EndpointKind::Model,
+            engine.addr(),
+        );
+        endpoint.cold_limit = cfg.cold_bound;
+        endpoint.limit = cfg.full_bound;
+        endpoint.checks_fencing = cfg.checks_fence;
+        endpoint.idle_power = cfg.idle_mw;
+        endpoint.energy_per_token = cfg.token_mj;
+        let mut settings = self.agent(&format!("model-host-{index}"), index, endpoint);
+        (self.builder.agent_tweak)(index, &mut settings);
+        let agent = self.spawn_agent(&settings).await?;
+        self.models.push(ModelSeat {
+            settings,
+            engine,
+            agent: Some(agent),
+        });
+        Ok(())
+    }
+
+    async fn add_service(&mut self, index: usize) -> Result<(), BoxError> {
+        let service = Service::spawn(self.builder.service.clone())?;
+        let mut endpoint = EndpointSettings::new(
+            format!("{}-{index}", super::SERVICE).into(),
+            super::SERVICE.into(),
+            EndpointKind::Service,
+            service.addr(),
+        );
+        endpoint.cold_limit = 64;
+        endpoint.limit = 64;
+        let mut settings = self.agent(&format!("service-host-{index}"), index, endpoint);
+        (self.builder.agent_tweak)(self.builder.models + index, &mut settings);
+        let agent = self.spawn_agent(&settings).await?;
+        self.services.push(ServiceSeat {
+            settings,
+            service,
+            agent: Some(agent),
+        });
+        Ok(())
+    }
+
+    async fn spawn_agent(&self, settings: &AgentSettings) -> Result<AgentHandle, BoxError> {
+        let agent = agent::spawn(settings.clone()).await?;
+        let host = host(
+            &settings.process,
+            Role::Agent,
+            agent.control(),
+            agent.traffic(),
+        );
+        self.hosts.add(host);
+        Ok(agent)
+    }
+
+    fn agent(&self, name: &str, index: usize, endpoint: EndpointSettings) -> AgentSettings {
+        AgentSettings {
+            process: self.process(name, index),
+            listen: ListenSettings::new(ANY_PORT, ANY_PORT),
+            platform: self.platform(),
+            limits: LimitsSettings::new(),
+            log: LogSettings::new(),
+            security: security(),
+            endpoints: vec![endpoint],
+        }
+    }
+
+    fn process(&self, name: &str, index: usize) -> ProcessSettings {
+        let mut process = ProcessSettings::new(
+            name.into(),
+            name.into(),
+            self.builder.zone(index).into(),
+            self.builder.region(index).into(),
+        );
+        let hash = name.bytes().fold(self.builder.seed, |seed, byte| {
+            seed.wrapping_mul(131).wrapping_add(byte.into())
+        });
+        process.seed = Some(hash);
+        process
+    }
+
+    fn platform(&self) -> PlatformSettings {
+        PlatformSettings::new(
+            self.objects.addr(),
+            self.hosts.addr(),
+            self.store.addr(),
+            self.origin.addr(),
+            self.builder.region(0).into(),
+        )
+    }
+}
+
+fn security() -> SecuritySettings {
+    SecuritySettings::new(Secret::new(super::TOKEN))
+}
+
+fn host(
+    process: &ProcessSettings,
+    role: Role,
+    control: SocketAddr,
+    traffic: SocketAddr,
+) -> Host {
+    Host {
+        host: process.host.to_string(),
+        zone: process.zone.to_string(),
+        region: process.region.to_string(),
+        role,
+        control,
+        traffic,
+        leaving: false,
+    }
+}
--- a/fakes/src/hosts.rs
+++ b/fakes/src/hosts.rs
@@ -6,14 +6,24 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::reply::answer;
 use crate::server::{ANY_PORT, Server};
 
+/// What runs on a host.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// An agent.
+    Agent,
+}
+
 /// One line of the list.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Host {
     /// Name of the host.
     pub host: String,
@@ -21,13 +31,14 @@
     pub zone: String,
     /// Region.
     pub region: String,
-    /// `entry` or `agent`.
-    pub role: &'static str,
+    /// What runs there.
+    pub role: Role,
     /// Address of the control listener.
     pub control: SocketAddr,
     /// Address of the traffic listener.
     pub traffic: SocketAddr,
     /// True when the host is about to leave.
+    #[serde(default)]
     pub leaving: bool,
 }
 
--- a/tests/contract_sources.rs
+++ b/tests/contract_sources.rs
@@ -6,7 +6,7 @@
 use limpetloom::platform::{
     HostList, HttpClient, HttpHostList, HttpTimeouts, HttpWeightSource, PlatformError, WeightSource,
 };
-use limpetloom_fakes::hosts::{Host, Hosts, HostsConfig};
+use limpetloom_fakes::hosts::{Host, Hosts, HostsConfig, Role};
 use limpetloom_fakes::origin::{Origin, OriginConfig, OriginFaults};
 use rstest::rstest;
 
@@ -16,7 +16,7 @@
 };
 const CHUNK_BYTES: u32 = 1000;
 
-fn host(name: &str, role: &'static str) -> Host {
+fn host(name: &str, role: Role) -> Host {
     Host {
         host: name.to_owned(),
         zone: "kochi-a".to_owned(),
@@ -33,8 +33,8 @@
     let hosts = Hosts::spawn(HostsConfig::default()).unwrap();
     let list = HttpHostList::new(hosts.addr(), HttpClient::new(TIMEOUTS));
     assert_eq!(list.hosts().await, Ok(Vec::new()));
-    hosts.add(host("e1", "entry"));
-    hosts.add(host("a1", "agent"));
+    hosts.add(host("e1", Role::Entry));
+    hosts.add(host("a1", Role::Agent));
     hosts.set_leaving("a1", true);
     let lines = list.hosts().await.unwrap();
     assert_eq!(lines.len(), 2);
@@ -53,7 +53,7 @@
     })
     .unwrap();
     let list = HttpHostList::new(hosts.addr(), HttpClient::new(TIMEOUTS));
-    hosts.add(host("a1", "agent"));
+    hosts.add(host("a1", Role::Agent));
     assert_eq!(list.hosts().await.unwrap().len(), shown);
 }
 
