--- a/examples/common/caller.rs
+++ b/examples/common/caller.rs
@@ -123,9 +123,7 @@
             .expect("a valid request");
         match self.send(req, sent).await {
             Err(outcome) => outcome,
-            Ok(res) if chat.stream => {
-                within(sent, read_stream(res.into_body(), chat, sent)).await
-            }
+            Ok(res) if chat.stream => within(sent, read_stream(res.into_body(), chat, sent)).await,
             Ok(res) => within(sent, read_plain(res.into_body(), chat, sent)).await,
         }
     }
@@ -174,9 +172,7 @@
         let status = res.status().as_u16();
         let head = res.headers().clone();
         let body = res.into_body().collect().await;
-        let body = body
-            .map_err(|e| Outcome::Lost(describe(&e)))?
-            .to_bytes();
+        let body = body.map_err(|e| Outcome::Lost(describe(&e)))?.to_bytes();
         Err(refusal(status, &head, &body, sent.elapsed()))
     }
 }
@@ -189,7 +185,12 @@
     }
 }
 
-fn post(addr: SocketAddr, path: &str, class: &str, customer: &str) -> hyper::http::request::Builder {
+fn post(
+    addr: SocketAddr,
+    path: &str,
+    class: &str,
+    customer: &str,
+) -> hyper::http::request::Builder {
     Request::builder()
         .method(Method::POST)
         .uri(format!("http://{addr}{path}"))
@@ -253,7 +254,9 @@
     while let Some(frame) = body.frame().await {
         let frame = match frame {
             Ok(frame) => frame,
-            Err(e) => return Outcome::Lost(format!("{} after {} tokens", describe(&e), check.next)),
+            Err(e) => {
+                return Outcome::Lost(format!("{} after {} tokens", describe(&e), check.next));
+            }
         };
         let Ok(data) = frame.into_data() else {
             continue;
--- a/examples/common/load.rs
+++ b/examples/common/load.rs
@@ -174,7 +174,10 @@
     balancer: Arc<Balancer>,
 ) -> (Outcome, Duration) {
     let Some(addr) = balancer.pick() else {
-        return (Outcome::Lost("no entry is ready".to_owned()), Duration::ZERO);
+        return (
+            Outcome::Lost("no entry is ready".to_owned()),
+            Duration::ZERO,
+        );
     };
     let delay = planned.elapsed();
     let outcome = match ask {
--- a/examples/common/site.rs
+++ b/examples/common/site.rs
@@ -442,12 +442,7 @@
     SecuritySettings::new(Secret::new(super::TOKEN))
 }
 
-fn host(
-    process: &ProcessSettings,
-    role: Role,
-    control: SocketAddr,
-    traffic: SocketAddr,
-) -> Host {
+fn host(process: &ProcessSettings, role: Role, control: SocketAddr, traffic: SocketAddr) -> Host {
     Host {
         host: process.host.to_string(),
         zone: process.zone.to_string(),
