--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,6 +4,8 @@
 
 #![allow(clippy::print_stdout)]
 
+#[path = "../common/mod.rs"]
+mod common;
 mod report;
 mod weights;
 
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -115,7 +115,6 @@
         progress.show();
         if let Some(addr) = balancer.pick() {
             let outcome = caller.chat(addr, &Chat::new("is anybody there?")).await;
-            println!("{outcome:?}");
             if outcome.answer().is_some() {
                 println!("first answer after {:.1} s", start.elapsed().as_secs_f64());
                 return Ok(());
