--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -18,7 +18,7 @@
 use limpetloom::control::{ControlLimits, ControlServer};
 use limpetloom::settings::Secret;
 use limpetloom::wire::{EntryControlServer, EntryStatus, ProcessControlServer, StoreContact};
-use limpetloom_fakes::hosts::{Host, Hosts, HostsConfig};
+use limpetloom_fakes::hosts::{Host, Hosts, HostsConfig, Role};
 use limpetloom_fakes::objects::{Objects, ObjectsConfig, Outage};
 use limpetloom_fakes::origin::{Origin, OriginConfig};
 use rstest::rstest;
@@ -132,7 +132,7 @@
             host: name.to_owned(),
             zone: zone.to_owned(),
             region: "r".to_owned(),
-            role: "entry",
+            role: Role::Entry,
             control: self.entry.addr(),
             traffic: self.entry.addr(),
             leaving: false,
