Routing: pending prompts count, stall limit of streams, policy in the settings

Cause: prompts take turns at an engine, so load alone says little of the next first token; a stream on a stalled link waited for the timeout of the whole answer; the baselines could not be switched on; a resumed attempt that timed out before its first token could have started anew on any version. Change: the choice compares own requests without a first token before load; limits.stall_timeout (2 s, not for deferrable classes) and limits.routing; a resumed attempt resumes again.

--- a/codegen/src/settings/source.rs
+++ b/codegen/src/settings/source.rs
@@ -207,6 +207,10 @@
 }
 
 fn pascal_case(name: &str) -> String {
-    let (first, rest) = name.split_at(1);
+    name.split('-').map(capitalized).collect()
+}
+
+fn capitalized(word: &str) -> String {
+    let (first, rest) = word.split_at(1);
     first.to_uppercase() + rest
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -112,7 +112,7 @@
         };
         tokio::select! {
             () = self.abandoned(caller) => Err(Failure::CallerGone),
-            sent = tokio::time::timeout(self.limits.silence, self.client.request(req)) => match sent {
+            sent = tokio::time::timeout(self.head_limit(), self.client.request(req)) => match sent {
                 Err(_) => Err(Failure::End(AttemptEnd::TimedOut)),
                 Ok(Err(err)) if err.is_connect() => Err(Failure::End(AttemptEnd::NotSent)),
                 Ok(Err(_)) => Err(broken(delivered)),
@@ -121,6 +121,20 @@
         }
     }
 
+    /// Time within which the head of the answer must arrive.
+    fn head_limit(&self) -> Duration {
+        match self.request.is_streamed {
+            true => (self.dispatch.patience + self.stream_silence()).min(self.limits.silence),
+            false => self.limits.silence,
+        }
+    }
+
+    /// Silence after which a stream has broken off.
+    fn stream_silence(&self) -> Duration {
+        let silence = self.dispatch.silence.unwrap_or(self.limits.silence);
+        silence.min(self.limits.silence)
+    }
+
     fn build(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let Dispatch {
             traffic,
@@ -248,7 +262,7 @@
     ) -> Result<Option<Bytes>, Failure> {
         let frame = tokio::select! {
             () = self.abandoned(caller) => return Err(Failure::CallerGone),
-            frame = tokio::time::timeout(self.limits.silence, body.frame()) => frame,
+            frame = tokio::time::timeout(self.stream_silence(), body.frame()) => frame,
         };
         match frame {
             // A stalled stream goes on elsewhere, like one that broke.
--- a/src/entry/core/action.rs
+++ b/src/entry/core/action.rs
@@ -96,6 +96,8 @@
     pub generation: Generation,
     /// Number of tokens already delivered by an earlier attempt with the same version.
     pub resume_from: u64,
+    /// Silence of a stream after which the attempt has broken off; `None` where work may be paused.
+    pub silence: Option<Duration>,
     /// Time left until the answer has to start.
     pub patience: Duration,
     /// True when the request is suspected of crashing endpoints and must run alone.
--- a/src/entry/core/config.rs
+++ b/src/entry/core/config.rs
@@ -38,6 +38,8 @@
     /// Time without contact to the object API, directly or through peers, after which the entry
     /// takes no new work.
     pub isolation: Duration,
+    /// Silence of a stream after which its answer goes on elsewhere.
+    pub stall: Duration,
     /// Time after [`super::EntryEvent::Stop`] for which new requests are still served, so that the
     /// balancer can follow.
     pub stop_grace: Duration,
@@ -53,7 +55,7 @@
             region,
             instance,
             wall_clock: SystemTime::now(),
-            policy: Policy::default(),
+            policy: Policy::Adaptive,
             queue_len: 1_000,
             heartbeat: Duration::from_secs(1),
             heartbeats_per_second: 100,
@@ -61,6 +63,7 @@
             full_mesh: 40,
             entries_per_agent: 2,
             isolation: Duration::from_secs(5),
+            stall: Duration::from_secs(2),
             stop_grace: Duration::from_secs(3),
         }
     }
--- a/src/entry/core/ends.rs
+++ b/src/entry/core/ends.rs
@@ -149,7 +149,9 @@
     fn failed(&mut self, now: Instant, req: RequestId, started: bool, code: Code) {
         let request = self.requests.get_mut(&req).expect("its attempt ended");
         request.may_have_run = true;
-        if started {
+        if request.resume.is_some() && !started {
+            self.resume(now, req);
+        } else if started {
             self.give_up(now, req, code);
         } else {
             self.repeat(now, req, code);
@@ -232,7 +234,7 @@
 
     pub(super) fn give_place_back(&mut self, now: Instant, attempt: &Attempt) {
         if let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) {
-            endpoint.ended(now);
+            endpoint.ended(now, attempt.started);
         }
     }
 }
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -14,6 +14,8 @@
     pub first_token: Duration,
     /// Time from the arrival within which the answer has to start.
     pub patience: Duration,
+    /// Silence of a stream after which it goes on elsewhere; `None` where work may be paused.
+    pub silence: Option<Duration>,
     /// Place in the queue.
     pub ticket: Ticket,
     pub phase: Phase,
--- a/src/entry/core/tests/requests.rs
+++ b/src/entry/core/tests/requests.rs
@@ -72,7 +72,7 @@
         third.resume_from, 12,
         "a refusal does not start the answer anew"
     );
-    f.end(req, AttemptEnd::Broken { delivered: 12 });
+    f.end(req, AttemptEnd::TimedOut);
     assert_eq!(f.latest(req).resume_from, 12);
 }
 
--- a/src/entry/core/traffic.rs
+++ b/src/entry/core/traffic.rs
@@ -37,6 +37,7 @@
             return Err(Refusal::new(Code::Quarantined));
         }
         let first_token = class.first_token;
+        let silence = (!class.deferrable).then_some(self.cfg.stall);
         let time = meta.patience.unwrap_or(first_token);
         let offer = Offer {
             req,
@@ -57,6 +58,7 @@
             arrived_at: now,
             first_token,
             patience: time,
+            silence,
             ticket: Ticket {
                 req,
                 cost: offer.cost,
@@ -128,7 +130,9 @@
             return;
         }
         running.started = true;
-        if let Some(stats) = self.stats.get_mut(&request.meta.class) {
+        if request.resume.is_none()
+            && let Some(stats) = self.stats.get_mut(&request.meta.class)
+        {
             stats.first_token(now.saturating_duration_since(request.arrived_at));
         }
         let wait = now.saturating_duration_since(running.sent_at);
@@ -233,7 +237,6 @@
         }
         request.tries += 1;
         attempt.sent_at = now;
-        attempt.started = request.resume.is_some();
         let standing = self.quarantine.standing(&request.meta.fingerprint);
         self.actions.push(EntryAction::Dispatch(Dispatch {
             req,
@@ -245,6 +248,7 @@
             version: attempt.version.clone(),
             generation: self.config.generation(),
             resume_from: request.resume.as_ref().map_or(0, |resume| resume.from),
+            silence: request.silence,
             patience: (request.arrived_at + request.patience).saturating_duration_since(now),
             suspect: standing == Standing::Suspect || !request.broke_at.is_empty(),
         }));
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -213,6 +213,8 @@
     cfg.queue_len = settings.limits.queue_length as usize;
     cfg.heartbeat = settings.limits.heartbeat;
     cfg.isolation = settings.limits.isolation_after;
+    cfg.policy = settings.limits.routing;
+    cfg.stall = settings.limits.stall_timeout;
     cfg.stop_grace = settings.limits.stop_deadline;
     cfg
 }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -44,6 +44,8 @@
     pub(super) content_type: Option<String>,
     /// Body, passed on as it is.
     pub(super) body: Bytes,
+    /// True when the caller wants a stream.
+    pub(super) is_streamed: bool,
 }
 
 /// Reads a request.
@@ -105,6 +107,8 @@
     #[serde(default)]
     messages: Vec<Message>,
     max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
 }
 
 #[derive(Deserialize)]
@@ -128,14 +132,14 @@
         tokens: 0,
         patience: patience(head)?,
     };
-    let path = match route {
+    let (path, is_streamed) = match route {
         Route::Chat => {
-            describe_chat(&mut meta, &body)?;
-            CHAT_PATH.to_owned()
+            let is_streamed = describe_chat(&mut meta, &body)?;
+            (CHAT_PATH.to_owned(), is_streamed)
         }
         Route::Service { target, path } => {
             meta.target = target;
-            path
+            (path, false)
         }
     };
     let content_type = header_text(headers, "content-type").map(str::to_owned);
@@ -145,10 +149,12 @@
         path,
         content_type,
         body,
+        is_streamed,
     })
 }
 
-fn describe_chat(meta: &mut RequestMeta, body: &[u8]) -> Result<(), Code> {
+/// Reads what a chat request says of itself; true when it wants a stream.
+fn describe_chat(meta: &mut RequestMeta, body: &[u8]) -> Result<bool, Code> {
     let chat: Chat = serde_json::from_slice(body).map_err(|_| Code::Malformed)?;
     meta.target = chat.model;
     meta.tokens = chat.max_tokens.unwrap_or(DEFAULT_TOKENS);
@@ -156,7 +162,7 @@
         .messages
         .first()
         .map(|message| prefix(&message.content));
-    Ok(())
+    Ok(chat.stream)
 }
 
 fn prefix(content: &str) -> Digest {
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -31,6 +31,8 @@
     pub last_report: EndpointReport,
     /// Requests of this entry.
     own: OwnLoad,
+    /// Requests of this entry that wait for their first token.
+    pending: u32,
     /// Estimate of the requests of other entries.
     others: u32,
     /// True after a refusal that holds until the agent's next report.
@@ -52,6 +54,7 @@
             reported: 0,
             last_report: report.clone(),
             own: OwnLoad::new(now),
+            pending: 0,
             others: 0,
             refused: false,
             latency: Latency::default(),
@@ -89,16 +92,26 @@
     /// A request of this entry was sent there.
     pub fn sent(&mut self, now: Instant) {
         self.own.add(now);
+        self.pending += 1;
     }
 
-    /// A request of this entry has ended there.
-    pub fn ended(&mut self, now: Instant) {
+    /// A request of this entry has ended there; `started` when its answer had started.
+    pub fn ended(&mut self, now: Instant, started: bool) {
         self.own.remove(now);
+        if !started {
+            self.pending = self.pending.saturating_sub(1);
+        }
     }
 
     /// A request of this entry got its first token after `wait`.
     pub fn started(&mut self, now: Instant, wait: Duration) {
         self.latency.observe(now, wait);
+        self.pending = self.pending.saturating_sub(1);
+    }
+
+    /// Requests of this entry that wait for their first token.
+    pub fn pending(&self) -> u32 {
+        self.pending
     }
 
     /// The agent said that the endpoint holds as much as it bears.
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+pub use crate::settings::RoutingPolicy as Policy;
 use crate::types::EndpointId;
 use crate::wire::EndpointState;
 
@@ -18,34 +19,6 @@
 /// Load above the mean, as a factor, up to which a prefix stays with its home.
 const HOME_BOUND: f64 = 1.25;
 
-/// How an endpoint is chosen.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Policy {
-    /// Prefix affinity, else the better of two random choices among the endpoints that are not
-    /// slow; slow ones only when the wait for another would be longer.
-    #[default]
-    Adaptive,
-    /// Baseline: any endpoint.
-    Random,
-    /// Baseline: the endpoints in turn.
-    RoundRobin,
-    /// Baseline: the lowest load as last reported.
-    LeastReported,
-}
-
-impl Policy {
-    /// Finds a policy by the name that the measuring tool uses.
-    pub fn from_name(name: &str) -> Option<Self> {
-        match name {
-            "adaptive" => Some(Self::Adaptive),
-            "random" => Some(Self::Random),
-            "round-robin" => Some(Self::RoundRobin),
-            "least-reported" => Some(Self::LeastReported),
-            _ => None,
-        }
-    }
-}
-
 /// What a request wants of its endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Want<'a> {
@@ -65,7 +38,7 @@
 }
 
 /// Chooses endpoints by a policy.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Chooser {
     policy: Policy,
     turn: usize,
@@ -173,7 +146,7 @@
         .map(|index| choices[index].endpoint)
 }
 
-/// The less loaded of two random endpoints with room.
+/// The better of two random endpoints with room.
 fn two_choices<'a>(choices: &[&Choice<'a>], rng: &mut SmallRng) -> Option<&'a Endpoint> {
     let open: Vec<&'a Endpoint> = choices
         .iter()
@@ -185,9 +158,13 @@
     }
     let first = open[rng.random_range(0..open.len())];
     let second = open[rng.random_range(0..open.len())];
-    Some(if first.load() <= second.load() {
-        first
-    } else {
-        second
+    Some(match cost(first) <= cost(second) {
+        true => first,
+        false => second,
     })
 }
+
+/// Prompts take turns at an engine, so those that wait for their first token count before load.
+fn cost(endpoint: &Endpoint) -> (u32, f64) {
+    (endpoint.pending(), endpoint.load())
+}
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -71,7 +71,7 @@
     let chosen: Vec<_> = (0..8)
         .filter_map(|seed| {
             let mut rng = SmallRng::seed_from_u64(seed);
-            Chooser::default().choose(now, &all(&endpoints), Want::default(), &mut rng)
+            Chooser::new(Policy::Adaptive).choose(now, &all(&endpoints), Want::default(), &mut rng)
         })
         .collect();
     let distinct: BTreeSet<_> = chosen.iter().collect();
@@ -98,7 +98,7 @@
         wait: Duration::from_millis(wait_ms),
     };
     let mut rng = SmallRng::seed_from_u64(1);
-    let chosen = Chooser::default().choose(now, &all(&endpoints), want, &mut rng);
+    let chosen = Chooser::new(Policy::Adaptive).choose(now, &all(&endpoints), want, &mut rng);
     assert_eq!(chosen == Some("e0".into()), used);
 }
 
@@ -125,7 +125,7 @@
             now += Duration::from_millis(170);
             match kind {
                 0 => { endpoint.sent(now); own += 1; }
-                1 if own > 0 => { endpoint.ended(now); own -= 1; }
+                1 if own > 0 => { endpoint.ended(now, false); own -= 1; }
                 _ => endpoint.load_seen(now, reported, 8),
             }
             prop_assert_eq!(endpoint.own(), own);
--- a/src/settings/generated.rs
+++ b/src/settings/generated.rs
@@ -22,6 +22,31 @@
         }
     }
 }
+/// How an entry chooses endpoints.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, PartialOrd)]
+pub enum RoutingPolicy {
+    /// By prefix, load and latency.
+    Adaptive,
+    /// Baseline: any endpoint.
+    Random,
+    /// Baseline: the endpoints in turn.
+    RoundRobin,
+    /// Baseline: the lowest load as last reported.
+    LeastReported,
+}
+impl Kind for RoutingPolicy {
+    type Value = Self;
+    const EXPECTED: &'static str = "adaptive or random or round-robin or least-reported";
+    fn parse(text: &str) -> Result<Self, ValueFault> {
+        match text {
+            "adaptive" => Ok(Self::Adaptive),
+            "random" => Ok(Self::Random),
+            "round-robin" => Ok(Self::RoundRobin),
+            "least-reported" => Ok(Self::LeastReported),
+            _ => Err(ValueFault::Form),
+        }
+    }
+}
 /// Format of the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, PartialOrd)]
 pub enum LogFormat {
@@ -289,6 +314,10 @@
     pub body_timeout: std::time::Duration,
     /// Time within which an answer ends.
     pub answer_timeout: std::time::Duration,
+    /// Silence of a stream after which its answer goes on at another endpoint.
+    pub stall_timeout: std::time::Duration,
+    /// How endpoints are chosen; the other policies serve comparison.
+    pub routing: RoutingPolicy,
     /// Time for which a caller may leave its answer unread.
     pub write_timeout: std::time::Duration,
     /// Requests that wait in one class.
@@ -347,6 +376,20 @@
             min: Some("10 ms"),
             max: Some("1 h"),
         },
+        Key {
+            name: "stall_timeout",
+            expected: <kind::Duration as Kind>::EXPECTED,
+            default: Some("2 s"),
+            min: Some("10 ms"),
+            max: Some("10 min"),
+        },
+        Key {
+            name: "routing",
+            expected: <RoutingPolicy as Kind>::EXPECTED,
+            default: Some("adaptive"),
+            min: None,
+            max: None,
+        },
         Key {
             name: "write_timeout",
             expected: <kind::Duration as Kind>::EXPECTED,
@@ -447,19 +490,21 @@
             header_bytes: Self::KEYS[1].default_value::<kind::Size>(),
             body_timeout: Self::KEYS[2].default_value::<kind::Duration>(),
             answer_timeout: Self::KEYS[3].default_value::<kind::Duration>(),
-            write_timeout: Self::KEYS[4].default_value::<kind::Duration>(),
-            queue_length: Self::KEYS[5].default_value::<kind::Count>(),
-            traffic_connections: Self::KEYS[6].default_value::<kind::Count>(),
-            control_connections: Self::KEYS[7].default_value::<kind::Count>(),
-            control_bytes: Self::KEYS[8].default_value::<kind::Size>(),
-            control_rate: Self::KEYS[9].default_value::<kind::Count>(),
-            stop_deadline: Self::KEYS[10].default_value::<kind::Duration>(),
-            heartbeat: Self::KEYS[11].default_value::<kind::Duration>(),
-            probe_interval: Self::KEYS[12].default_value::<kind::Duration>(),
-            isolation_after: Self::KEYS[13].default_value::<kind::Duration>(),
-            chunk_memory: Self::KEYS[14].default_value::<kind::Size>(),
-            upload_rate: Self::KEYS[15].default_value::<kind::Rate>(),
-            download_rate: Self::KEYS[16].default_value::<kind::Rate>(),
+            stall_timeout: Self::KEYS[4].default_value::<kind::Duration>(),
+            routing: Self::KEYS[5].default_value::<RoutingPolicy>(),
+            write_timeout: Self::KEYS[6].default_value::<kind::Duration>(),
+            queue_length: Self::KEYS[7].default_value::<kind::Count>(),
+            traffic_connections: Self::KEYS[8].default_value::<kind::Count>(),
+            control_connections: Self::KEYS[9].default_value::<kind::Count>(),
+            control_bytes: Self::KEYS[10].default_value::<kind::Size>(),
+            control_rate: Self::KEYS[11].default_value::<kind::Count>(),
+            stop_deadline: Self::KEYS[12].default_value::<kind::Duration>(),
+            heartbeat: Self::KEYS[13].default_value::<kind::Duration>(),
+            probe_interval: Self::KEYS[14].default_value::<kind::Duration>(),
+            isolation_after: Self::KEYS[15].default_value::<kind::Duration>(),
+            chunk_memory: Self::KEYS[16].default_value::<kind::Size>(),
+            upload_rate: Self::KEYS[17].default_value::<kind::Rate>(),
+            download_rate: Self::KEYS[18].default_value::<kind::Rate>(),
         }
     }
     fn read(section: &SectionView<'_>, faults: &mut Faults) -> Option<Self> {
@@ -468,24 +513,28 @@
         let header_bytes = section.read::<kind::Size>(&Self::KEYS[1], faults);
         let body_timeout = section.read::<kind::Duration>(&Self::KEYS[2], faults);
         let answer_timeout = section.read::<kind::Duration>(&Self::KEYS[3], faults);
-        let write_timeout = section.read::<kind::Duration>(&Self::KEYS[4], faults);
-        let queue_length = section.read::<kind::Count>(&Self::KEYS[5], faults);
-        let traffic_connections = section.read::<kind::Count>(&Self::KEYS[6], faults);
-        let control_connections = section.read::<kind::Count>(&Self::KEYS[7], faults);
-        let control_bytes = section.read::<kind::Size>(&Self::KEYS[8], faults);
-        let control_rate = section.read::<kind::Count>(&Self::KEYS[9], faults);
-        let stop_deadline = section.read::<kind::Duration>(&Self::KEYS[10], faults);
-        let heartbeat = section.read::<kind::Duration>(&Self::KEYS[11], faults);
-        let probe_interval = section.read::<kind::Duration>(&Self::KEYS[12], faults);
-        let isolation_after = section.read::<kind::Duration>(&Self::KEYS[13], faults);
-        let chunk_memory = section.read::<kind::Size>(&Self::KEYS[14], faults);
-        let upload_rate = section.read::<kind::Rate>(&Self::KEYS[15], faults);
-        let download_rate = section.read::<kind::Rate>(&Self::KEYS[16], faults);
+        let stall_timeout = section.read::<kind::Duration>(&Self::KEYS[4], faults);
+        let routing = section.read::<RoutingPolicy>(&Self::KEYS[5], faults);
+        let write_timeout = section.read::<kind::Duration>(&Self::KEYS[6], faults);
+        let queue_length = section.read::<kind::Count>(&Self::KEYS[7], faults);
+        let traffic_connections = section.read::<kind::Count>(&Self::KEYS[8], faults);
+        let control_connections = section.read::<kind::Count>(&Self::KEYS[9], faults);
+        let control_bytes = section.read::<kind::Size>(&Self::KEYS[10], faults);
+        let control_rate = section.read::<kind::Count>(&Self::KEYS[11], faults);
+        let stop_deadline = section.read::<kind::Duration>(&Self::KEYS[12], faults);
+        let heartbeat = section.read::<kind::Duration>(&Self::KEYS[13], faults);
+        let probe_interval = section.read::<kind::Duration>(&Self::KEYS[14], faults);
+        let isolation_after = section.read::<kind::Duration>(&Self::KEYS[15], faults);
+        let chunk_memory = section.read::<kind::Size>(&Self::KEYS[16], faults);
+        let upload_rate = section.read::<kind::Rate>(&Self::KEYS[17], faults);
+        let download_rate = section.read::<kind::Rate>(&Self::KEYS[18], faults);
         Some(Self {
             request_bytes: request_bytes?,
             header_bytes: header_bytes?,
             body_timeout: body_timeout?,
             answer_timeout: answer_timeout?,
+            stall_timeout: stall_timeout?,
+            routing: routing?,
             write_timeout: write_timeout?,
             queue_length: queue_length?,
             traffic_connections: traffic_connections?,
