Placement decides what endpoints hold, proposed by any entry

Cause: agents followed the targets alone, so that a push switched every replica of a model at once; nothing wrote the placement. Change: entries review the placement, propose the next one by conditional update and pass each agent its own part, only when that part changed (an entry that knows a subset of the agents keeps the assignments of the others); agents fetch and switch as their part says, with its version as the fencing number. Ruled out: sending the whole object to each agent, for its size at 1,200 endpoints. Conclusion: a push goes on in steps.

--- a/src/agent/core/control.rs
+++ b/src/agent/core/control.rs
@@ -4,11 +4,12 @@
 
 use crate::codes::Code;
 use crate::config::Observation;
+use crate::placement::Placement;
 use crate::power::PlacementGrants;
 use crate::telemetry::Event;
 use crate::wire::{ConfigDoc, SettleReply, SettleRequest, SyncReply, SyncRequest};
 
-use super::{AgentAction, AgentCore};
+use super::{AgentAction, AgentCore, HeldPlacement};
 
 impl AgentCore {
     pub(super) fn synced(
@@ -18,17 +19,16 @@
         actions: &mut Vec<AgentAction>,
     ) {
         let theirs = request.generation;
-        let their_placement = request.placement_version.unwrap_or(0);
         if let Some(doc) = request.config {
             self.adopt(now, &doc, actions);
         }
         if let Some(doc) = request.placement {
-            self.adopt_placement(doc);
+            self.adopt_placement(&doc);
         }
         self.config
             .peer_contact(now, &request.entry, theirs, &request.store);
         self.quarantine.merge(now, &request.quarantine);
-        let reply = self.sync_reply(now, &request.entry, theirs, their_placement);
+        let reply = self.sync_reply(now, &request.entry, theirs);
         actions.push(AgentAction::SyncReply(Box::new(reply)));
     }
 
@@ -72,39 +72,39 @@
         self.apply(now, steps, actions);
     }
 
-    fn adopt_placement(&mut self, doc: ConfigDoc) {
-        let known = self.placement.as_ref().map_or(0, |doc| doc.generation);
-        if doc.generation <= known {
+    fn adopt_placement(&mut self, doc: &ConfigDoc) {
+        if self
+            .placement
+            .as_ref()
+            .is_some_and(|held| doc.generation <= held.version)
+        {
             return;
         }
-        let Ok(grants) = serde_json::from_str::<PlacementGrants>(&doc.body) else {
+        let (Ok(placement), Ok(grants)) = (
+            Placement::from_json(&doc.body),
+            serde_json::from_str::<PlacementGrants>(&doc.body),
+        ) else {
             return;
         };
         for gate in self.gates.values_mut() {
             let grant = grants.of(&gate.cfg().id);
             gate.set_grant(grant);
         }
-        self.placement = Some(doc);
+        self.placement = Some(HeldPlacement {
+            version: doc.generation,
+            placement,
+        });
     }
 
-    fn sync_reply(
-        &mut self,
-        now: Instant,
-        entry: &str,
-        theirs: u64,
-        their_placement: u64,
-    ) -> SyncReply {
-        let placement = self.placement.as_ref();
+    fn sync_reply(&mut self, now: Instant, entry: &str, theirs: u64) -> SyncReply {
         SyncReply {
             host: self.cfg.host.to_string(),
             zone: self.cfg.zone.to_string(),
             agent_instance: self.cfg.instance,
             generation: self.generation(),
             config: self.config.doc_for(theirs),
-            placement: placement
-                .filter(|doc| doc.generation > their_placement)
-                .cloned(),
-            placement_version: placement.map(|doc| doc.generation),
+            placement: None,
+            placement_version: self.placement.as_ref().map(|held| held.version),
             store: self.config.sync_fields(now, entry),
             leaving: self.leaving,
             endpoints: self.gates.values().map(|gate| gate.report(now)).collect(),
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -26,8 +26,8 @@
 
 use crate::config::{ConfigState, Targets};
 use crate::delivery::{Ledger, Quarantine};
+use crate::placement::{Assignment, Placement};
 use crate::types::{AttemptId, EndpointId, Generation};
-use crate::wire::ConfigDoc;
 
 use crash::CrashWatch;
 use gate::Gate;
@@ -42,13 +42,27 @@
     pub limit: u32,
 }
 
+/// The host's own part of a placement.
+#[derive(Debug)]
+struct HeldPlacement {
+    /// Version of the placement; the fencing number of orders that follow from it.
+    version: Generation,
+    placement: Placement,
+}
+
+impl HeldPlacement {
+    fn assignment(&self, endpoint: &str) -> Option<&Assignment> {
+        self.placement.endpoints.get(endpoint)
+    }
+}
+
 /// Decision logic of one agent.
 #[derive(Debug)]
 pub struct AgentCore {
     cfg: AgentCoreConfig,
     config: ConfigState,
     /// Invariant: its version never falls.
-    placement: Option<ConfigDoc>,
+    placement: Option<HeldPlacement>,
     gates: BTreeMap<EndpointId, Gate>,
     /// Endpoint of each attempt that waits or runs.
     attempts: BTreeMap<AttemptId, EndpointId>,
@@ -155,7 +169,7 @@
             "region": &*self.cfg.region,
             "instance": self.cfg.instance,
             "generation": self.generation(),
-            "placement": self.placement.as_ref().map(|doc| doc.generation),
+            "placement": self.placement.as_ref().map(|held| held.version),
             "leaving": self.leaving,
             "attempts": self.attempts.len(),
             "ledger": self.ledger.len(),
--- a/src/agent/core/tests.rs
+++ b/src/agent/core/tests/mod.rs
@@ -1,3 +1,5 @@
+mod placed;
+
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -5,7 +7,7 @@
 use super::*;
 use crate::config::{Class, Model, Service};
 use crate::wire::{
-    EndpointState, SettleRequest, SettleState, StoreContact, SyncReply, SyncRequest,
+    ConfigDoc, EndpointState, SettleRequest, SettleState, StoreContact, SyncReply, SyncRequest,
 };
 
 const AGENT: u64 = 7;
--- /dev/null
+++ b/src/agent/core/tests/placed.rs
@@ -0,0 +1,116 @@
+use rstest::rstest;
+
+use super::{AgentAction, AgentEvent, Bench, ConfigDoc, StoreContact, SyncRequest, targets};
+use crate::placement::{Assignment, Placement};
+
+fn placement(version: &str, next: Option<&str>) -> Placement {
+    let assignment = Assignment {
+        host: "h1".into(),
+        model: "clay".into(),
+        version: version.into(),
+        next: next.map(Into::into),
+    };
+    Placement {
+        generation: 6,
+        endpoints: [("engine".into(), assignment)].into(),
+    }
+}
+
+/// An entry passes version `fence` of the placement on.
+fn place(bench: &mut Bench, fence: u64, placement: &Placement) -> Vec<AgentAction> {
+    let request = SyncRequest {
+        entry: "e1".into(),
+        zone: None,
+        generation: 6,
+        config: None,
+        placement: Some(ConfigDoc {
+            generation: fence,
+            body: placement.to_json(),
+        }),
+        placement_version: Some(fence),
+        store: StoreContact {
+            age_ms: 0,
+            reachable: true,
+            outages: Vec::new(),
+            stamp_ms: None,
+            echo_ms: None,
+        },
+        quarantine: Vec::new(),
+    };
+    bench.handle(AgentEvent::Synced(Box::new(request)))
+}
+
+fn fetches(actions: &[AgentAction]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, AgentAction::Fetch { .. }))
+}
+
+fn load(actions: &[AgentAction]) -> Option<(&str, u64)> {
+    actions.iter().find_map(|action| match action {
+        AgentAction::Load { version, fence, .. } => Some((&**version, *fence)),
+        _ => None,
+    })
+}
+
+/// The placement knows version `v1`, and the targets name `v2`.
+fn pushed() -> Bench {
+    let mut bench = Bench::new();
+    place(&mut bench, 10, &placement("v1", None));
+    bench.sync(6, Some(targets("v2")));
+    bench
+}
+
+#[test]
+fn a_push_is_fetched_ahead_and_switched_when_the_placement_says_so() {
+    let mut bench = pushed();
+    assert!(fetches(&place(
+        &mut bench,
+        11,
+        &placement("v1", Some("v2"))
+    )));
+    let held = bench.handle(AgentEvent::VersionHeld {
+        version: "v2".into(),
+    });
+    assert_eq!(load(&held), None);
+    let switched = place(&mut bench, 12, &placement("v2", None));
+    assert_eq!(load(&switched), Some(("v2", 12)));
+}
+
+#[test]
+fn a_switch_waits_for_the_last_chunk() {
+    let mut bench = pushed();
+    let early = place(&mut bench, 11, &placement("v2", None));
+    assert!(fetches(&early));
+    assert_eq!(load(&early), None);
+    let held = bench.handle(AgentEvent::VersionHeld {
+        version: "v2".into(),
+    });
+    assert_eq!(load(&held), Some(("v2", 11)));
+}
+
+#[rstest]
+#[case::older(9)]
+#[case::same(12)]
+fn a_placement_that_is_not_newer_gives_no_order(#[case] fence: u64) {
+    let mut bench = pushed();
+    place(&mut bench, 12, &placement("v1", None));
+    bench.handle(AgentEvent::VersionHeld {
+        version: "v2".into(),
+    });
+    assert_eq!(
+        load(&place(&mut bench, fence, &placement("v2", None))),
+        None
+    );
+}
+
+#[test]
+fn an_endpoint_without_a_place_gets_no_order() {
+    let mut bench = Bench::new();
+    place(&mut bench, 10, &Placement::default());
+    bench.sync(6, Some(targets("v2")));
+    let held = bench.handle(AgentEvent::VersionHeld {
+        version: "v2".into(),
+    });
+    assert!(!fetches(&held) && load(&held).is_none());
+}
--- a/src/agent/core/versions.rs
+++ b/src/agent/core/versions.rs
@@ -1,4 +1,4 @@
-//! Brings the endpoints of a host to the versions that the configuration names.
+//! Brings the endpoints of a host to the versions that the placement names.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -7,7 +7,7 @@
 use crate::telemetry::Event;
 use crate::types::{Digest, EndpointId, Generation, TargetId};
 
-use super::gate::Phase;
+use super::gate::{Gate, Phase};
 use super::{AgentAction, AgentCore, EndpointKind};
 
 /// Wait after a switch before the next endpoint of the same model switches, unless the first one
@@ -41,8 +41,9 @@
     /// Orders the fetches and switches that are due.
     pub(super) fn drive_versions(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
         self.versions.settle_until.retain(|_, at| *at > now);
-        for model in self.wanted_models().into_values() {
-            self.drive_model(now, &model, actions);
+        self.fetch_wanted(actions);
+        for model in self.models() {
+            self.switch_next(now, &model, actions);
         }
         for gate in self.gates.values_mut() {
             if let Some((version, fence)) = gate.due_order() {
@@ -89,55 +90,115 @@
     fn fence(&self) -> Generation {
         self.placement
             .as_ref()
-            .map_or(self.generation(), |doc| doc.generation)
+            .map_or(self.generation(), |held| held.version)
     }
 
-    fn wanted_models(&self) -> BTreeMap<TargetId, Model> {
-        self.gates
+    fn models(&self) -> BTreeSet<TargetId> {
+        let gates = self
+            .gates
             .values()
-            .filter(|gate| gate.cfg().kind == EndpointKind::Model)
-            .filter_map(|gate| self.targets().model(&gate.cfg().target))
-            .map(|model| (model.id.clone(), model.clone()))
-            .collect()
+            .filter(|gate| gate.cfg().kind == EndpointKind::Model);
+        gates.map(|gate| gate.cfg().target.clone()).collect()
     }
 
-    fn drive_model(&mut self, now: Instant, model: &Model, actions: &mut Vec<AgentAction>) {
-        let wanted = &model.manifest;
-        let behind = self.gates_behind(&model.id, wanted);
-        if behind.is_empty() {
-            return;
+    /// Version that an endpoint has to serve: as the placement says, or as the targets say while
+    /// no placement is known.
+    fn version_to_serve(&self, gate: &Gate) -> Option<Digest> {
+        match &self.placement {
+            Some(held) => held.assignment(&gate.cfg().id).map(|a| a.version.clone()),
+            None => self
+                .targets()
+                .model(&gate.cfg().target)
+                .map(|model| model.manifest.clone()),
         }
-        if !self.versions.held.contains(wanted) {
-            let asked = self
-                .versions
-                .fetching
-                .insert(model.id.clone(), wanted.clone());
-            if asked.as_ref() != Some(wanted) {
-                actions.push(AgentAction::Fetch {
-                    model: model.id.clone(),
-                    name: model.version.clone(),
-                    version: wanted.clone(),
-                });
-            }
+    }
+
+    /// Version that the host has to hold for an endpoint.
+    fn version_to_hold(&self, gate: &Gate) -> Option<Digest> {
+        match &self.placement {
+            Some(held) => held.assignment(&gate.cfg().id).map(|a| a.fetch().clone()),
+            None => self.version_to_serve(gate),
+        }
+    }
+
+    /// Fetches what the host has to hold and what was not asked for yet. Only the version that the
+    /// targets name can be fetched: an older one has no name any more.
+    fn fetch_wanted(&mut self, actions: &mut Vec<AgentAction>) {
+        let gates = self
+            .gates
+            .values()
+            .filter(|gate| gate.cfg().kind == EndpointKind::Model);
+        let wanted: Vec<Model> = gates
+            .filter_map(|gate| Some((gate, self.version_to_hold(gate)?)))
+            .filter(|(gate, version)| gate.phase().version() != Some(version))
+            .filter_map(|(gate, version)| {
+                let model = self.targets().model(&gate.cfg().target)?;
+                (model.manifest == version).then(|| model.clone())
+            })
+            .collect();
+        for model in wanted {
+            self.fetch(&model, actions);
+        }
+    }
+
+    fn fetch(&mut self, model: &Model, actions: &mut Vec<AgentAction>) {
+        if self.versions.held.contains(&model.manifest) {
             return;
         }
-        if let Some(endpoint) = self.next_switch(now, &model.id, &behind) {
-            let fence = self.fence();
-            let Some(gate) = self.gates.get_mut(&endpoint) else {
-                return;
-            };
-            let steps = gate.load(wanted.clone(), fence);
-            self.apply(now, steps, actions);
+        let asked = self
+            .versions
+            .fetching
+            .insert(model.id.clone(), model.manifest.clone());
+        if asked.as_ref() == Some(&model.manifest) {
+            return;
         }
+        self.reset_progress(&model.id);
+        actions.push(AgentAction::Fetch {
+            model: model.id.clone(),
+            name: model.version.clone(),
+            version: model.manifest.clone(),
+        });
+    }
+
+    /// Progress is that of the version that is fetched now.
+    fn reset_progress(&mut self, model: &TargetId) {
+        let gates = self
+            .gates
+            .values_mut()
+            .filter(|gate| gate.cfg().target == *model);
+        gates.for_each(|gate| gate.set_progress(0));
     }
 
-    fn gates_behind(&self, model: &TargetId, wanted: &Digest) -> Vec<EndpointId> {
-        self.gates
+    /// Starts the next switch of a model's endpoints.
+    fn switch_next(&mut self, now: Instant, model: &TargetId, actions: &mut Vec<AgentAction>) {
+        let behind = self.gates_behind(model);
+        let Some(endpoint) = self.next_switch(now, model, &behind) else {
+            return;
+        };
+        let fence = self.fence();
+        let version = self
+            .gates
+            .get(&endpoint)
+            .and_then(|gate| self.version_to_serve(gate));
+        let Some((gate, version)) = self.gates.get_mut(&endpoint).zip(version) else {
+            return;
+        };
+        let steps = gate.load(version, fence);
+        self.apply(now, steps, actions);
+    }
+
+    /// Endpoints that do not serve their version while the host holds it.
+    fn gates_behind(&self, model: &TargetId) -> Vec<EndpointId> {
+        let gates = self
+            .gates
             .values()
-            .filter(|gate| gate.cfg().target == *model)
-            .filter(|gate| gate.phase().version() != Some(wanted))
-            .map(|gate| gate.cfg().id.clone())
-            .collect()
+            .filter(|gate| gate.cfg().target == *model);
+        let behind = gates.filter(|gate| {
+            self.version_to_serve(gate).is_some_and(|version| {
+                gate.phase().version() != Some(&version) && self.versions.held.contains(&version)
+            })
+        });
+        behind.map(|gate| gate.cfg().id.clone()).collect()
     }
 
     /// An endpoint that serves nothing goes first; those that serve switch one after another.
--- a/src/entry/core/control.rs
+++ b/src/entry/core/control.rs
@@ -43,9 +43,6 @@
         }
         self.config
             .peer_contact(now, host, reply.generation, &reply.store);
-        if let Some(doc) = reply.placement {
-            self.placement_seen(doc);
-        }
         if self.quarantine.merge(now, &reply.quarantine) {
             self.quarantine_changed(now);
         }
@@ -183,13 +180,6 @@
         }
     }
 
-    pub(super) fn placement_seen(&mut self, doc: ConfigDoc) {
-        let known = self.placement.as_ref().map_or(0, |doc| doc.generation);
-        if doc.generation > known {
-            self.placement = Some(doc);
-        }
-    }
-
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         let revision = self.quarantine_revision;
         let due: Vec<Agent> = self
@@ -218,21 +208,13 @@
             entry: self.cfg.entry.to_string(),
             generation: self.config.generation(),
             placement: self.placement_for(agent),
-            placement_version: self.placement.as_ref().map(|doc| doc.generation),
+            placement_version: Some(self.placing.version()),
             quarantine: self.quarantine_for(now, agent),
             store: self.config.sync_fields(now, &agent.host),
             zone: Some(self.cfg.zone.to_string()),
         }
     }
 
-    /// The placement for an agent that has answered and is behind.
-    fn placement_for(&self, agent: &Agent) -> Option<ConfigDoc> {
-        agent.instance?;
-        self.placement
-            .clone()
-            .filter(|doc| doc.generation > agent.placement_version)
-    }
-
     /// The quarantine for an agent that has not got its latest revision.
     fn quarantine_for(&self, now: Instant, agent: &Agent) -> Vec<QuarantineEntry> {
         if agent.quarantine_revision == self.quarantine_revision {
--- a/src/entry/core/dump.rs
+++ b/src/entry/core/dump.rs
@@ -19,7 +19,7 @@
             "zone": &*self.cfg.zone,
             "instance": self.cfg.instance,
             "generation": self.config.generation(),
-            "placement": self.placement.as_ref().map(|doc| doc.generation),
+            "placement": self.placing.version(),
             "store_reachable": self.config.is_store_reachable(),
             "stopping": self.stopped.is_some(),
             "waiting": self.admission.len(),
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod event;
 mod keyed;
+mod placing;
 mod requests;
 mod stats;
 mod status;
@@ -29,12 +30,13 @@
 use crate::membership::{Membership, Mesh};
 use crate::routing::{Chooser, Endpoint, RetryBudget};
 use crate::types::{ClassId, EndpointId, RequestId};
-use crate::wire::ConfigDoc;
 
 pub use action::{Dispatch, EntryAction, StoreCall, StoreOp};
 pub use config::EntryCoreConfig;
 pub use event::{EntryEvent, HostEntry, HostRole, StoreReply};
+pub use placing::PLACEMENT_KEY;
 
+use placing::Placing;
 use requests::Request;
 use stats::ClassStats;
 
@@ -43,8 +45,8 @@
     cfg: EntryCoreConfig,
     rng: SmallRng,
     config: ConfigState,
-    /// Highest placement seen, passed on to agents.
-    placement: Option<ConfigDoc>,
+    /// Highest placement seen; each agent gets its own part.
+    placing: Placing,
     membership: Membership,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     requests: BTreeMap<RequestId, Request>,
@@ -89,7 +91,7 @@
             retries: RetryBudget::default(),
             cfg,
             rng: SmallRng::seed_from_u64(seed),
-            placement: None,
+            placing: Placing::new(),
             endpoints: BTreeMap::new(),
             requests: BTreeMap::new(),
             stats: BTreeMap::new(),
@@ -123,18 +125,23 @@
                 end,
                 answer,
             } => self.attempt_ended(now, req, &attempt, end, answer),
-            EntryEvent::StoreReplied { op, reply } => self.store_replied(now, op, reply),
+            EntryEvent::StoreReplied { op, reply } => {
+                if !self.placement_written(now, op, &reply) {
+                    self.store_replied(now, op, reply);
+                }
+            }
             EntryEvent::SettleReplied { req, reply } => self.settle_replied(now, req, reply),
             EntryEvent::Synced { host, reply } => self.synced(now, &host, reply),
             EntryEvent::SyncFailed { host } => self.sync_failed(now, &host),
             EntryEvent::HostsListed(hosts) => self.hosts_listed(now, &hosts),
             EntryEvent::ConfigSeen(doc) => self.config_seen(now, &doc),
             EntryEvent::ConfigTaught(doc) => self.config_taught(now, &doc),
-            EntryEvent::PlacementSeen(doc) => self.placement_seen(doc),
+            EntryEvent::PlacementSeen(doc) => self.placement_seen(now, &doc),
             EntryEvent::StoreContact { reached } => self.config.store_contact(now, reached),
             EntryEvent::Stop => self.stopped = self.stopped.or(Some(now)),
             EntryEvent::Tick => {}
         }
+        self.review_placement(now);
         self.send_heartbeats(now);
         self.pump(now);
         std::mem::take(&mut self.actions)
@@ -146,6 +153,7 @@
         heartbeat
             .into_iter()
             .chain(self.admission.next_late())
+            .chain(self.placing.next_review())
             .min()
     }
 
--- a/src/entry/core/tests/mod.rs
+++ b/src/entry/core/tests/mod.rs
@@ -3,4 +3,5 @@
 mod keyed;
 mod membership;
 mod overload;
+mod placing;
 mod requests;
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -10,12 +10,10 @@
 use crate::wire::ConfigDoc;
 
 use super::control::Reports;
-use super::core::EntryEvent;
+use super::core::{EntryEvent, PLACEMENT_KEY};
 
 /// Key of the configuration.
 pub const CONFIG_KEY: &str = "config/current";
-/// Key of the placement.
-pub const PLACEMENT_KEY: &str = "placement/current";
 
 /// Time for which the object API holds a watch of the configuration; short, so that its answer
 /// confirms the generation in force.
--- a/src/placement/document.rs
+++ b/src/placement/document.rs
@@ -1,6 +1,6 @@
 //! The placement object.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +46,27 @@
         serde_json::to_string(self).expect("maps with text keys are written as JSON")
     }
 
+    /// Hosts that have an assignment.
+    pub fn hosts(&self) -> BTreeSet<HostId> {
+        self.endpoints
+            .values()
+            .map(|assignment| assignment.host.clone())
+            .collect()
+    }
+
+    /// The part that one host has to know: its own assignments, and who fetches what it fetches.
+    pub fn slice(&self, host: &str) -> Self {
+        let is_own = |assignment: &Assignment| &*assignment.host == host;
+        let endpoints = self
+            .endpoints
+            .iter()
+            .filter(|(_, assignment)| is_own(assignment));
+        Self {
+            generation: self.generation,
+            endpoints: endpoints.map(|(id, a)| (id.clone(), a.clone())).collect(),
+        }
+    }
+
     /// Hosts that hold or fetch a version; the swarm of that version.
     pub fn hosts_of(&self, version: &str) -> Vec<HostId> {
         let mut hosts: Vec<HostId> = self
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -15,5 +15,5 @@
 
 pub use document::{Assignment, Placement};
 pub use order::{EndpointView, Order, OrderAction, OrderConfig, OrderEvent, OrderMachine};
-pub use plan::{EndpointFact, PlanInputs, plan};
+pub use plan::{EndpointFact, PlanInputs, merge, plan};
 pub use proposer::{Proposal, Proposer, ProposerConfig};
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -4,7 +4,7 @@
 //! host of the model fetches the new version, then endpoints whose hosts hold it switch over, as
 //! many at once as the load and the power cap leave free.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::config::{Model, Targets};
@@ -75,18 +75,41 @@
     next
 }
 
+/// Joins a plan for the endpoints that an entry knows with the assignments of all others.
+///
+/// An assignment of an endpoint that the entry does not know stays while its host is listed.
+pub fn merge(
+    current: &Placement,
+    mut planned: Placement,
+    known: &[EndpointFact],
+    is_listed: impl Fn(&HostId) -> bool,
+) -> Placement {
+    let known: BTreeSet<&EndpointId> = known.iter().map(|fact| &fact.endpoint).collect();
+    let others = current
+        .endpoints
+        .iter()
+        .filter(|(id, _)| !known.contains(id));
+    let kept = others.filter(|(_, assignment)| is_listed(&assignment.host));
+    planned
+        .endpoints
+        .extend(kept.map(|(id, assignment)| (id.clone(), assignment.clone())));
+    planned
+}
+
 /// The endpoints that serve a model: those that have it first, then spread over the zones.
 fn choose<'a>(inputs: &PlanInputs<'a>, model: &Model) -> Vec<&'a EndpointFact> {
     let mut able: Vec<&EndpointFact> = inputs
         .endpoints
         .iter()
         .filter(|fact| fact.model == model.id)
-        .filter(|fact| is_kept(inputs, fact))
+        .filter(|fact| !fact.leaving)
         .collect();
     able.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
     let Some(replicas) = model.replicas else {
         return able;
     };
+    let replicas = replicas.saturating_sub(replicas_elsewhere(inputs, model));
+    able.retain(|fact| fact.silent < inputs.replace_after);
     let (mut chosen, mut free): (Vec<_>, Vec<_>) = able
         .into_iter()
         .partition(|fact| inputs.current.endpoints.contains_key(&fact.endpoint));
@@ -99,9 +122,13 @@
     chosen
 }
 
-/// Keeps an endpoint through short silences, and gives none to one that leaves or never spoke.
-fn is_kept(inputs: &PlanInputs<'_>, fact: &EndpointFact) -> bool {
-    !fact.leaving && fact.silent < inputs.replace_after
+/// Replicas at endpoints that this entry does not know.
+fn replicas_elsewhere(inputs: &PlanInputs<'_>, model: &Model) -> u32 {
+    let is_known = |id: &EndpointId| inputs.endpoints.iter().any(|fact| fact.endpoint == *id);
+    let assigned = inputs.current.endpoints.iter();
+    assigned
+        .filter(|(id, assignment)| assignment.model == model.id && !is_known(id))
+        .count() as u32
 }
 
 /// Place among `free` of the endpoint whose zone has the fewest chosen ones; zones out come last.
