--- a/src/config/tests/write.rs
+++ b/src/config/tests/write.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 use crate::config::*;
@@ -103,6 +104,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// Whatever happens to the calls, the write takes effect at most once, never over a rival's,
     /// and its end is true.
     #[test]
