--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,262 @@
+//! The real binary as processes with the settings of `examples/settings`, against stand-ins.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "../examples/common/mod.rs"]
+mod common;
+
+use std::collections::HashMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{Ask, Balancer, Caller, Chat, Load, Outcome, ServiceCall, run_load};
+use limpetloom_fakes::engine::{Engine, EngineConfig};
+use limpetloom_fakes::hosts::{Host, Hosts, HostsConfig};
+use limpetloom_fakes::objects::{Objects, ObjectsConfig};
+use limpetloom_fakes::origin::{Origin, OriginConfig};
+use limpetloom_fakes::service::{Service, ServiceConfig};
+use rstest::rstest;
+use tokio::net::TcpSocket;
+use tokio::process::{Child, Command};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_limpetloom");
+const SETTINGS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/settings");
+const ENTRIES: [&str; 2] = ["entry-1", "entry-2"];
+const AGENTS: [&str; 4] = ["agent-1", "agent-2", "agent-3", "agent-4"];
+/// Ports of the processes' own listeners in the example settings.
+const LISTENERS: [u16; 12] = [
+    7100, 7101, 7110, 7111, 7120, 7121, 7122, 7123, 7130, 7131, 7132, 7133,
+];
+const WEIGHT_BYTES: u64 = 1 << 20;
+const CHUNK_BYTES: u32 = 64 << 10;
+const READY_LIMIT: Duration = Duration::from_secs(60);
+
+/// Stand-ins and a folder with the example settings, moved to free ports.
+struct Platform {
+    objects: Objects,
+    hosts: Hosts,
+    _origin: Origin,
+    engines: Vec<Engine>,
+    service: Service,
+    /// Bound but not listening, so that nobody else takes the ports.
+    _reserved: Vec<TcpSocket>,
+    ports: HashMap<u16, u16>,
+    folder: PathBuf,
+}
+
+impl Platform {
+    fn start(name: &str) -> Self {
+        let objects = Objects::spawn(ObjectsConfig::default()).unwrap();
+        let hosts = Hosts::spawn(HostsConfig::default()).unwrap();
+        let origin = Origin::spawn(OriginConfig::default()).unwrap();
+        origin.publish("lm", "v1", 1, WEIGHT_BYTES, CHUNK_BYTES);
+        let engine = |_| Engine::spawn(EngineConfig::default()).unwrap();
+        let engines = (0..3).map(engine).collect::<Vec<_>>();
+        let service = Service::spawn(ServiceConfig::default()).unwrap();
+        let reserved = LISTENERS.map(|port| (port, reserve()));
+        let mut ports = HashMap::from([
+            (7000, objects.addr().port()),
+            (7001, hosts.addr().port()),
+            (7002, origin.addr().port()),
+            (7003, origin.addr().port()),
+            (7013, service.addr().port()),
+        ]);
+        ports.extend((7010..).zip(engines.iter().map(|engine| engine.addr().port())));
+        ports.extend(
+            reserved
+                .iter()
+                .map(|(port, socket)| (*port, socket.local_addr().unwrap().port())),
+        );
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&folder).unwrap();
+        let platform = Self {
+            objects,
+            hosts,
+            _origin: origin,
+            engines,
+            service,
+            _reserved: reserved.into_iter().map(|(_, socket)| socket).collect(),
+            ports,
+            folder,
+        };
+        platform.write_settings();
+        platform
+    }
+
+    fn write_settings(&self) {
+        for file in fs::read_dir(SETTINGS).unwrap() {
+            let path = file.unwrap().path();
+            if path.is_file() {
+                let text = self.moved(&fs::read_to_string(&path).unwrap());
+                fs::write(self.folder.join(path.file_name().unwrap()), text).unwrap();
+            }
+        }
+        let list = fs::read_to_string(self.folder.join("hosts.json")).unwrap();
+        let list = serde_json::from_str::<Vec<Host>>(&list).unwrap();
+        self.hosts.update(|hosts| *hosts = list);
+    }
+
+    /// Puts free ports in the place of those of the example.
+    fn moved(&self, text: &str) -> String {
+        let mut parts = text.split("127.0.0.1:");
+        let mut moved = parts.next().unwrap_or_default().to_owned();
+        for part in parts {
+            let (port, rest) = part.split_at(4);
+            let port = self.ports[&port.parse::<u16>().unwrap()];
+            moved.push_str(&format!("127.0.0.1:{port}{rest}"));
+        }
+        moved
+    }
+
+    fn addr(&self, port: u16) -> SocketAddr {
+        ([127, 0, 0, 1], self.ports[&port]).into()
+    }
+
+    /// Starts a process of the binary; it ends with the test at the latest.
+    fn process(&self, role: &str, name: &str) -> Child {
+        let log = fs::File::create(self.folder.join(format!("{name}.log"))).unwrap();
+        Command::new(BINARY)
+            .arg(role)
+            .arg(self.folder.join(format!("{name}.ini")))
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap()
+    }
+
+    /// Runs an operator's command to its end.
+    async fn operator(&self, line: &str) -> ExitStatus {
+        let settings = self.folder.join("limpetloom.ini");
+        Command::new(BINARY)
+            .args(line.split(' '))
+            .arg("--settings")
+            .arg(settings)
+            .current_dir(&self.folder)
+            .stdout(Stdio::null())
+            .status()
+            .await
+            .unwrap()
+    }
+
+    /// Waits until both entries answer a streamed request.
+    async fn wait_ready(&self, caller: &Caller) {
+        let answers = async {
+            for port in [7100, 7101] {
+                while caller
+                    .chat(self.addr(port), &Chat::new("ready?"))
+                    .await
+                    .answer()
+                    .is_none()
+                {
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        let is_ready = tokio::time::timeout(READY_LIMIT, answers).await.is_ok();
+        assert!(is_ready, "see the logs in {}", self.folder.display());
+    }
+}
+
+fn reserve() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    socket
+}
+
+async fn terminate(process: &mut Child) -> ExitStatus {
+    let pid = process.id().unwrap();
+    let sent = Command::new("sh")
+        .args(["-c", &format!("kill -TERM {pid}")])
+        .status()
+        .await
+        .unwrap();
+    assert!(sent.success());
+    process.wait().await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn two_entries_and_four_agents_serve_and_one_entry_stops_without_a_cut() {
+    let platform = Platform::start("processes");
+    let _agents = AGENTS.map(|name| platform.process("agent", name));
+    let [mut first, _second] = ENTRIES.map(|name| platform.process("entry", name));
+    let entries = [7100, 7101].map(|port| platform.addr(port));
+    let caller = Caller::new();
+    while caller.get(entries[0], "/live").await.is_none()
+        || caller.get(entries[1], "/live").await.is_none()
+    {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(platform.operator("apply targets.ini").await.success());
+    assert!(platform.objects.peek("config/current").is_some());
+    platform.wait_ready(&caller).await;
+
+    let booking = ServiceCall::booking("seat-1");
+    for entry in entries {
+        let outcome = caller.call(entry, &booking).await;
+        assert_eq!(
+            outcome.answer().map(|answer| answer.run),
+            Some(1),
+            "{outcome:?}"
+        );
+    }
+    assert_eq!(platform.service.runs("seat-1"), 1);
+
+    let balancer = Arc::new(Balancer::spawn(entries.to_vec()));
+    let load = Load {
+        rate: 20.0,
+        duration: Duration::from_secs(6),
+        make: Box::new(|number| {
+            Ask::Chat(Chat {
+                tokens: 100,
+                ..Chat::new(format!("question {number}"))
+            })
+        }),
+        seed: 1,
+    };
+    while balancer.pick().is_none() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let (tally, ended) = tokio::join!(run_load(load, &caller, &balancer), async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        terminate(&mut first).await
+    });
+    assert!(ended.success(), "{ended}");
+    assert_eq!((tally.lost, tally.wrong), (Vec::new(), Vec::new()));
+    assert_eq!(tally.uncertain, 0);
+    assert!(tally.answered > 0);
+    let mixed = |engine: &Engine| engine.counters().mixed + engine.counters().bad_weights;
+    assert_eq!(platform.engines.iter().map(mixed).sum::<u64>(), 0);
+    let outcome = caller.chat(entries[1], &Chat::new("still there?")).await;
+    assert!(matches!(outcome, Outcome::Whole(_)), "{outcome:?}");
+}
+
+#[rstest]
+#[case::unknown_key("unknown-key.ini", "3: process.hostname", "4004")]
+#[case::wrong_unit("wrong-unit.ini", "22: limits.body_timeout", "4005")]
+#[case::out_of_range("out-of-range.ini", "22: limits.heartbeat", "4006")]
+#[case::duplicate("duplicate.ini", "5: process.zone", "4007")]
+#[case::missing("missing.ini", "7: listen.control", "4008")]
+#[tokio::test]
+async fn check_names_file_line_key_and_code(
+    #[case] file: &str,
+    #[case] place: &str,
+    #[case] code: &str,
+) {
+    let output = Command::new(BINARY)
+        .args(["check", &format!("{SETTINGS}/broken/{file}")])
+        .output()
+        .await
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    for part in [file, place, code] {
+        assert!(text.contains(part), "{text}");
+    }
+}
