--- a/examples/measure/weights/faults.rs
+++ b/examples/measure/weights/faults.rs
@@ -47,8 +47,8 @@
         corrupts: corrupt.then_some(CORRUPTING),
         ..shape(args, hosts, if slow { T_SLOW } else { T })
     };
-    let mut fleet = Fleet::new(shape, &copies).await;
-    fleet.start_all().await;
+    let mut fleet = Fleet::new(shape, &copies);
+    fleet.start_all();
     let start = Instant::now();
     fleet.want(&copies[0]);
     let restarted: Vec<usize> = match restart {
@@ -61,7 +61,7 @@
     }
     tokio::time::sleep(fleet.shape.t / 40).await;
     for host in &restarted {
-        fleet.start(*host).await;
+        fleet.start(*host);
         fleet.want_at(*host, &copies[0]);
     }
     let done = fleet.wait(&copies[0].digest, hosts, start + BOUND).await;
@@ -105,8 +105,8 @@
     };
     let others = hosts - usize::from(slow.is_some());
 
-    let mut idle = Fleet::new(shape.clone(), &copies).await;
-    idle.start_all().await;
+    let mut idle = Fleet::new(shape.clone(), &copies);
+    idle.start_all();
     let start = Instant::now();
     idle.want(&copies[1]);
     let done = idle
@@ -115,8 +115,8 @@
     let from_idle = last(&done, others, start);
     drop(idle);
 
-    let mut fleet = Fleet::new(shape, &copies).await;
-    fleet.start_all().await;
+    let mut fleet = Fleet::new(shape, &copies);
+    fleet.start_all();
     fleet.want(&copies[0]);
     tokio::time::sleep(fleet.shape.t / 4).await;
     let start = Instant::now();
@@ -151,9 +151,9 @@
 /// One host joins when all others have finished.
 async fn late(args: &Args, hosts: usize, report: &mut Report) {
     let copies = copies(args.seed);
-    let mut fleet = Fleet::new(shape(args, hosts, T), &copies).await;
+    let mut fleet = Fleet::new(shape(args, hosts, T), &copies);
     for host in 1..hosts {
-        fleet.start(host).await;
+        fleet.start(host);
     }
     let start = Instant::now();
     fleet.want(&copies[0]);
@@ -162,7 +162,7 @@
         .await;
     let before = fleet.net.origin.bytes();
     let joined = Instant::now();
-    fleet.start(0).await;
+    fleet.start(0);
     fleet.want_at(0, &copies[0]);
     let done = fleet.wait(&copies[0].digest, 1, joined + BOUND / 2).await;
     ready_figures(report, &fleet, &done, joined, 1, OTHERS_BOUND);
@@ -179,8 +179,8 @@
 /// The origin stops once a copy is in the fleet.
 async fn origin_down(args: &Args, hosts: usize, report: &mut Report) {
     let copies = copies(args.seed);
-    let mut fleet = Fleet::new(shape(args, hosts, T), &copies).await;
-    fleet.start_all().await;
+    let mut fleet = Fleet::new(shape(args, hosts, T), &copies);
+    fleet.start_all();
     let start = Instant::now();
     fleet.want(&copies[0]);
     while fleet.net.origin.bytes() < copies[0].size as u64 * fleet.shape.regions as u64 {
@@ -203,8 +203,8 @@
         regions: args.regions.max(2),
         ..shape(args, hosts, T)
     };
-    let mut fleet = Fleet::new(shape, &copies).await;
-    fleet.start_all().await;
+    let mut fleet = Fleet::new(shape, &copies);
+    fleet.start_all();
     let start = Instant::now();
     fleet.want(&copies[0]);
     tokio::time::sleep(fleet.shape.t / 8).await;
--- a/examples/measure/weights/fleet.rs
+++ b/examples/measure/weights/fleet.rs
@@ -8,7 +8,7 @@
 use limpetloom::weights::{Peer, WeightsConfig, WeightsNotice, WeightsService, WeightsState};
 use tokio::sync::mpsc;
 
-use super::host::{Context, Listener, Role, Seen, bind, listen};
+use super::host::{Context, Listener, Role, Seen, Socket, listen};
 use super::model::Copy;
 use super::net::{HostLink, Net, Pipe};
 
@@ -19,6 +19,9 @@
 /// Copies that the link between regions carries in T.
 pub const BETWEEN_COPIES: f64 = 4.0;
 
+/// Time between two lines of progress.
+const PROGRESS: Duration = Duration::from_millis(500);
+
 /// Size of a fleet and of its links.
 #[derive(Clone, Debug)]
 pub struct Shape {
@@ -59,6 +62,7 @@
     origin_addr: SocketAddr,
     origin: Option<Listener>,
     peers: Vec<Peer>,
+    sockets: Vec<Socket>,
     hosts: Vec<Option<(WeightsService, Listener)>>,
     ready_tx: mpsc::UnboundedSender<Ready>,
     ready: mpsc::UnboundedReceiver<Ready>,
@@ -66,7 +70,7 @@
 
 impl Fleet {
     /// Starts the origin and binds the hosts, none of which runs yet.
-    pub async fn new(shape: Shape, copies: &Arc<Vec<Copy>>) -> Self {
+    pub fn new(shape: Shape, copies: &Arc<Vec<Copy>>) -> Self {
         let net = Arc::new(links(&shape, copies[0].size as f64));
         let seen = Arc::new(Seen::default());
         let cx = Context {
@@ -74,19 +78,13 @@
             seen: seen.clone(),
             copies: copies.clone(),
         };
-        let listener = bind(None).await;
-        let origin_addr = listener
-            .local_addr()
-            .expect("a bound listener has an address");
-        let origin = listen(listener, Role::Origin(copies.clone()), cx.clone());
-        let mut peers = Vec::new();
-        for number in 0..shape.hosts {
-            let listener = bind(None).await;
-            let addr = listener
-                .local_addr()
-                .expect("a bound listener has an address");
-            peers.push(peer(number, net.hosts[number].region, addr));
-        }
+        let socket = Socket::bind();
+        let origin_addr = socket.addr();
+        let origin = listen(socket.listener(), Role::Origin(copies.clone()), cx.clone());
+        let sockets: Vec<Socket> = (0..shape.hosts).map(|_| Socket::bind()).collect();
+        let peers = sockets.iter().zip(&net.hosts).enumerate();
+        let peers = peers.map(|(number, (socket, link))| peer(number, link.region, socket.addr()));
+        let peers = peers.collect();
         let (ready_tx, ready) = mpsc::unbounded_channel();
         Self {
             hosts: (0..shape.hosts).map(|_| None).collect(),
@@ -97,14 +95,15 @@
             origin_addr,
             origin: Some(origin),
             peers,
+            sockets,
             ready_tx,
             ready,
         }
     }
 
     /// Starts a host with empty memory.
-    pub async fn start(&mut self, number: usize) {
-        let listener = bind(Some(self.peers[number].addr)).await;
+    pub fn start(&mut self, number: usize) {
+        let listener = self.sockets[number].listener();
         let cfg = self.config(number);
         let (service, notices) = WeightsService::spawn(cfg, self.shape.seed + number as u64);
         let corrupts = self.shape.corrupts == Some(number);
@@ -119,9 +118,9 @@
     }
 
     /// Starts every host.
-    pub async fn start_all(&mut self) {
+    pub fn start_all(&mut self) {
         for number in 0..self.shape.hosts {
-            self.start(number).await;
+            self.start(number);
         }
     }
 
@@ -157,7 +156,8 @@
         until: Instant,
     ) -> Vec<(usize, Instant)> {
         let mut done: Vec<(usize, Instant)> = Vec::new();
-        let mut progress = tokio::time::interval(Duration::from_secs(2));
+        let mut progress = tokio::time::interval(PROGRESS);
+        let mut sent = self.sent();
         while done.len() < hosts {
             tokio::select! {
                 Some(ready) = self.ready.recv() => {
@@ -166,13 +166,29 @@
                         done.push((ready.host, ready.at));
                     }
                 }
-                _ = progress.tick() => eprintln!("{} of {hosts} hosts ready", done.len()),
+                _ = progress.tick() => {
+                    let now = self.sent();
+                    let share = (now - sent) as f64 / self.capacity(PROGRESS);
+                    eprintln!("{} of {hosts} hosts ready, uplinks {share:.2} in use", done.len());
+                    sent = now;
+                }
                 () = tokio::time::sleep_until(until.into()) => break,
             }
         }
         done
     }
 
+    /// Bytes that all hosts have sent.
+    fn sent(&self) -> u64 {
+        self.net.hosts.iter().map(|link| link.up.bytes()).sum()
+    }
+
+    /// Bytes that all hosts can send in a time.
+    fn capacity(&self, time: Duration) -> f64 {
+        let copies = HOST_COPIES * time.as_secs_f64() / self.shape.t.as_secs_f64();
+        copies * self.shape.hosts as f64 * self.cx.copies[0].size as f64
+    }
+
     /// State of a host.
     pub async fn state(&self, number: usize) -> WeightsState {
         match &self.hosts[number] {
--- a/examples/measure/weights/host.rs
+++ b/examples/measure/weights/host.rs
@@ -96,14 +96,32 @@
     }
 }
 
-/// Binds a loopback address, a given one again after a restart.
-pub async fn bind(addr: Option<SocketAddr>) -> TcpListener {
-    let addr = addr.unwrap_or_else(|| ([127, 0, 0, 1], 0).into());
-    loop {
-        if let Ok(listener) = TcpListener::bind(addr).await {
-            return listener;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+/// A loopback address of a host, which stays bound while the host is down.
+pub struct Socket {
+    listener: std::net::TcpListener,
+}
+
+impl Socket {
+    /// Binds a free address.
+    pub fn bind() -> Self {
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("loopback has ports");
+        listener
+            .set_nonblocking(true)
+            .expect("a socket can be non-blocking");
+        Self { listener }
+    }
+
+    /// The address.
+    pub fn addr(&self) -> SocketAddr {
+        self.listener
+            .local_addr()
+            .expect("a bound listener has an address")
+    }
+
+    /// Another handle for a listener.
+    pub fn listener(&self) -> TcpListener {
+        let listener = self.listener.try_clone().expect("a socket can be cloned");
+        TcpListener::from_std(listener).expect("the runtime takes a non-blocking socket")
     }
 }
 
--- a/examples/measure/weights/mod.rs
+++ b/examples/measure/weights/mod.rs
@@ -61,8 +61,8 @@
 
 async fn healthy(args: &Args, hosts: usize, report: &mut Report) {
     let copies = copies(args.seed);
-    let mut fleet = Fleet::new(shape(args, hosts, T), &copies).await;
-    fleet.start_all().await;
+    let mut fleet = Fleet::new(shape(args, hosts, T), &copies);
+    fleet.start_all();
     let start = Instant::now();
     fleet.want(&copies[0]);
     let done = fleet.wait(&copies[0].digest, hosts, start + BOUND).await;
@@ -78,7 +78,7 @@
     // The origin's link alone takes N/4 T, which has to fit into the bound.
     let most = BOUND.mul_f64(ORIGIN_COPIES * 0.8 / hosts as f64);
     let t = if tree { T } else { T.min(most) };
-    let fleet = Fleet::new(shape(args, hosts, t), &copies).await;
+    let fleet = Fleet::new(shape(args, hosts, t), &copies);
     let took = plans::run(&fleet.net, &copies[0], tree).await;
     let ratio = took.as_secs_f64() / (t / 2).as_secs_f64();
     report.figure(
--- a/src/weights/core/exchange.rs
+++ b/src/weights/core/exchange.rs
@@ -117,8 +117,11 @@
                 chunks > 0 && talk.have.as_ref().is_some_and(|have| have.len() == chunks);
             let news = talk.told < told && !complete;
             let poll = !held && !complete;
+            // Without the manifest the peer can not start at all.
+            let first = talk.told == 0 && told > 0;
             let wait = match (talk.sent_at, news, poll) {
                 (None, _, _) => Duration::ZERO,
+                (Some(_), true, _) if first => Duration::ZERO,
                 (Some(_), true, _) => interval,
                 (Some(_), false, true) => interval * POLL_INTERVALS,
                 (Some(_), false, false) => continue,
--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -16,6 +16,9 @@
 
 /// Wait after an origin failed, before it is asked again.
 const ORIGIN_RETRY: Duration = Duration::from_secs(1);
+/// Hosts of a region that draw the manifest from the origin at once; it is small against a copy,
+/// and the transfer starts only when it has spread.
+const MANIFEST_DRAWS: u8 = 8;
 /// Step in thousandths in which progress is reported.
 const PROGRESS_STEP: u32 = 10;
 
@@ -47,7 +50,7 @@
             .filter(|(_, talk)| talk.have.is_some())
             .filter_map(|(host, _)| Some((host, self.links.get(host)?)))
             .find(|(_, link)| link.usable(now));
-        let turn = transfer.since + takeover * u32::from(transfer.manifest_rank);
+        let turn = transfer.since + takeover * u32::from(transfer.manifest_rank / MANIFEST_DRAWS);
         let own_turn = transfer.is_introduced(now, takeover) && now >= turn;
         let origin = self
             .usable_origin(now, version)
