Poison: the break of a request that runs alone counts at once

Cause: stateful fuzzing (script suspect_broke_twice in tests/fuzz/found.rs) showed a third crash: an entry that knew a request as suspect retried it after its break, because a crash was counted only when the restart of the endpoint was seen 1.5 s later. Change: agent and entry count the break of a suspect as its second crash at once; the entry retries nothing that is quarantined.

--- a/src/agent/core/work.rs
+++ b/src/agent/core/work.rs
@@ -111,8 +111,7 @@
             return;
         }
         if let Some(instance) = instance {
-            let fingerprint = running.ticket.fingerprint;
-            self.crashes.broke(now, instance, fingerprint);
+            self.note_break(now, instance, &running.ticket);
         }
         self.ledger.lost(attempt);
         let code = if keyed {
@@ -286,6 +285,17 @@
         });
     }
 
+    /// A suspect runs alone, so the break itself is evidence enough; for other work it is known
+    /// only at the restart whether the endpoint crashed.
+    fn note_break(&mut self, now: Instant, instance: InstanceId, ticket: &Ticket) {
+        let fingerprint = ticket.fingerprint.clone();
+        if ticket.suspect {
+            self.quarantine.crashed(now, &fingerprint, instance);
+        } else {
+            self.crashes.broke(now, instance, fingerprint);
+        }
+    }
+
     /// Marks everything that was in flight at a crash.
     fn crashed(
         &mut self,
--- a/src/entry/core/ends.rs
+++ b/src/entry/core/ends.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::codes::{Code, RunState};
+use crate::delivery::Standing;
 use crate::types::{AttemptEnd, Digest, Refusal, RequestId};
 
 use super::requests::{Attempt, Phase, Request, Resume};
@@ -81,7 +82,8 @@
     }
 
     /// The agent lives and says that its endpoint broke off. The next attempt runs alone; after a
-    /// second break the request is held to have crashed both endpoints.
+    /// second break, here or as other processes say, the request is held to have crashed both
+    /// endpoints.
     fn note_break(&mut self, now: Instant, req: RequestId, run: &Attempt) {
         self.ask_soon(now, run);
         let Some(endpoint) = self.endpoints.get(&run.endpoint) else {
@@ -91,7 +93,8 @@
             return;
         };
         request.broke_at.push(endpoint.instance);
-        if request.broke_at.len() < MAX_BREAKS {
+        let suspected = self.quarantine.standing(&request.meta.fingerprint) != Standing::Clear;
+        if request.broke_at.len() < MAX_BREAKS && !suspected {
             return;
         }
         for instance in &request.broke_at {
@@ -161,7 +164,8 @@
     /// Runs a repeatable request again that may have run; its time starts anew.
     fn repeat(&mut self, now: Instant, req: RequestId, code: Code) {
         let request = self.requests.get_mut(&req).expect("its attempt ended");
-        let is_harmful = request.broke_at.len() >= MAX_BREAKS;
+        let standing = self.quarantine.standing(&request.meta.fingerprint);
+        let is_harmful = request.broke_at.len() >= MAX_BREAKS || standing == Standing::Quarantined;
         if is_harmful || request.tries >= MAX_TRIES || !self.retries.draw() {
             return self.give_up(now, req, code);
         }
