--- a/tests/fuzz/planted.rs
+++ b/tests/fuzz/planted.rs
@@ -16,7 +16,7 @@
 pub enum Fault {
     /// Agents never learn of a newer configuration and are told that theirs is in force.
     StaleConfig,
-    /// Configurations on their way to agents lose the zones that are out.
+    /// Configurations lose the zones that are out.
     OldZones,
     /// Work that should wait is passed on at once.
     NoQueue,
