Entries pass over endpoints that the placement has told to switch

Ruled out: more tries. Change: an endpoint whose assignment names another version than it was reported to serve gets no new work. Test: fails without the filter. Conclusion: a switch is known to the entry before the agent has heard of it.

--- a/src/entry/core/placing.rs
+++ b/src/entry/core/placing.rs
@@ -83,6 +83,14 @@
         changed
     }
 
+    /// True when the endpoint is to serve another version than it was reported to serve, so that
+    /// its agent refuses work for the reported one, now or with its next heartbeat.
+    pub(super) fn is_switching(&self, endpoint: &Endpoint) -> bool {
+        let (placement, _) = self.proposer.current();
+        let assignment = placement.endpoints.get(&endpoint.id);
+        assignment.is_some_and(|assignment| endpoint.version.as_ref() != Some(&assignment.version))
+    }
+
     /// True when the agent has answered with its present part, so that its progress is of that.
     fn is_told(&self, agent: &Agent) -> bool {
         let changed = self.changed.get(&agent.host).copied().unwrap_or(0);
--- a/src/entry/core/tests/placing.rs
+++ b/src/entry/core/tests/placing.rs
@@ -125,3 +125,18 @@
     }
     assert!(proposals(&f).is_empty());
 }
+
+#[test]
+fn an_endpoint_that_is_told_to_switch_gets_no_work_from_then_on() {
+    let mut f = Fixture::new(TWO, 4);
+    let (_, mut placement, _) = proposed(&mut f);
+    placement.endpoints.get_mut("h1-0").unwrap().version = "v2".into();
+    show(&mut f, 9, &placement);
+    f.arrive_many(4);
+    assert!(
+        f.hosts_used().iter().all(|host| &**host == "h2"),
+        "{:?}",
+        f.hosts_used()
+    );
+    assert_eq!(f.hosts_used().len(), 4);
+}
--- a/src/entry/core/traffic.rs
+++ b/src/entry/core/traffic.rs
@@ -11,6 +11,7 @@
 use crate::routing::{Choice, Endpoint, Want};
 use crate::types::{AttemptId, EndpointId, Refusal, RequestId, RequestMeta};
 
+use super::placing::Placing;
 use super::requests::{Attempt, Phase, Request};
 use super::{Dispatch, EntryAction, EntryCore};
 
@@ -83,7 +84,15 @@
 
     /// Refuses at once when no endpoint of the target is open, instead of letting the request wait.
     fn check_open(&self, now: Instant, target: &str) -> Result<(), Refusal> {
-        if !choices(&self.endpoints, &self.membership, now, target).is_empty() {
+        if !choices(
+            &self.endpoints,
+            &self.placing,
+            &self.membership,
+            now,
+            target,
+        )
+        .is_empty()
+        {
             return Ok(());
         }
         let zone_out = self.endpoints.values().any(|endpoint| {
@@ -183,7 +192,13 @@
 
     fn choose_endpoint(&mut self, now: Instant, req: RequestId) -> Option<EndpointId> {
         let request = &self.requests[&req];
-        let mut choices = choices(&self.endpoints, &self.membership, now, &request.meta.target);
+        let mut choices = choices(
+            &self.endpoints,
+            &self.placing,
+            &self.membership,
+            now,
+            &request.meta.target,
+        );
         if choices.len() > 1 {
             choices.retain(|choice| Some(&choice.endpoint.id) != request.avoid.as_ref());
         }
@@ -198,12 +213,18 @@
     pub(super) fn choose_same_version(&self, now: Instant, req: RequestId) -> Option<EndpointId> {
         let request = &self.requests[&req];
         let version = &request.resume.as_ref()?.version;
-        choices(&self.endpoints, &self.membership, now, &request.meta.target)
-            .into_iter()
-            .filter(|choice| choice.endpoint.version.as_ref() == Some(version))
-            .filter(|choice| Some(&choice.endpoint.id) != request.avoid.as_ref())
-            .min_by(|a, b| a.endpoint.load().total_cmp(&b.endpoint.load()))
-            .map(|choice| choice.endpoint.id.clone())
+        choices(
+            &self.endpoints,
+            &self.placing,
+            &self.membership,
+            now,
+            &request.meta.target,
+        )
+        .into_iter()
+        .filter(|choice| choice.endpoint.version.as_ref() == Some(version))
+        .filter(|choice| Some(&choice.endpoint.id) != request.avoid.as_ref())
+        .min_by(|a, b| a.endpoint.load().total_cmp(&b.endpoint.load()))
+        .map(|choice| choice.endpoint.id.clone())
     }
 
     /// Takes a place at an endpoint for an attempt.
@@ -283,6 +304,7 @@
 /// Endpoints of a target that may get new work, whether or not a place is free.
 fn choices<'a>(
     endpoints: &'a BTreeMap<EndpointId, Endpoint>,
+    placing: &Placing,
     membership: &Membership,
     now: Instant,
     target: &str,
@@ -290,6 +312,7 @@
     endpoints
         .values()
         .filter(|endpoint| &*endpoint.target == target && endpoint.is_serving())
+        .filter(|endpoint| !placing.is_switching(endpoint))
         .map(|endpoint| Choice {
             endpoint,
             share: membership.share(now, &endpoint.host),
