--- a/examples/common/balancer.rs
+++ b/examples/common/balancer.rs
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     state: Arc<State>,
-    _checks: AbortOnDropHandle<()>,
+    _checks: Option<AbortOnDropHandle<()>>,
 }
 
 #[derive(Debug, Default)]
@@ -34,7 +34,17 @@
         let checks = tokio::spawn(check(Arc::clone(&state)));
         Self {
             state,
-            _checks: AbortOnDropHandle::new(checks),
+            _checks: Some(AbortOnDropHandle::new(checks)),
+        }
+    }
+
+    /// A balancer that takes its members for ready and never checks them.
+    pub fn fixed(members: Vec<SocketAddr>) -> Self {
+        let state = Arc::new(State::default());
+        *lock(&state.ready) = members;
+        Self {
+            state,
+            _checks: None,
         }
     }
 
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -6,6 +6,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod overhead;
 mod report;
 mod weights;
 
@@ -59,6 +60,7 @@
 /// Runs the named measurement; `None` when there is none of that name.
 async fn run(args: &Args) -> Option<Report> {
     match args.name.as_str() {
+        "overhead" => Some(overhead::run(args).await),
         "weights" => Some(weights::run(args).await),
         "nothing" => Some(Report::new("nothing")),
         _ => None,
