Store contact: an echo of an earlier process is no contact

The entry had echoed the stamp of the agent's earlier process, which the new one took as sent by itself, in the future. Change: stamps of a process start at a number drawn from its instance; an echo before the first stamp or after now counts as none. Conclusion: a restarted process needs one heartbeat more before it counts as in touch.

--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -83,7 +83,7 @@
             .map(|endpoint| (endpoint.id.clone(), Gate::new(endpoint.clone())))
             .collect();
         Self {
-            config: ConfigState::new(cfg.config.clone(), now),
+            config: ConfigState::new(cfg.config.clone(), cfg.instance, now),
             cfg,
             placement: None,
             gates,
--- a/src/agent/core/tests/mod.rs
+++ b/src/agent/core/tests/mod.rs
@@ -60,7 +60,8 @@
 /// An agent with one engine that serves version `v1` and one service.
 struct Bench {
     core: AgentCore,
-    start: Instant,
+    /// Newest stamp of the agent's clock.
+    stamp_ms: Option<u64>,
     now: Instant,
     attempts: u32,
 }
@@ -78,7 +79,7 @@
         let core = AgentCore::new(cfg, now);
         let mut bench = Self {
             core,
-            start: now,
+            stamp_ms: None,
             now,
             attempts: 0,
         };
@@ -110,7 +111,7 @@
                 reachable: true,
                 outages: Vec::new(),
                 stamp_ms: Some(0),
-                echo_ms: Some(self.elapsed_ms()),
+                echo_ms: self.stamp_ms,
             },
             quarantine: Vec::new(),
         };
@@ -119,12 +120,9 @@
             AgentAction::SyncReply(reply) => Some(*reply),
             _ => None,
         });
-        reply.expect("a sync reply")
-    }
-
-    fn elapsed_ms(&self) -> u64 {
-        let elapsed = self.now.saturating_duration_since(self.start);
-        elapsed.as_millis() as u64
+        let reply = reply.expect("a sync reply");
+        self.stamp_ms = reply.store.stamp_ms;
+        reply
     }
 
     fn probe(&mut self, endpoint: &str, instance: u64, version: Option<&str>) -> Vec<AgentAction> {
@@ -499,5 +497,6 @@
     assert_eq!(bench.send("chat"), "-2008 a2");
     assert_eq!(bench.answer("a1"), "");
     bench.sync(5, None);
+    bench.sync(5, None);
     assert_eq!(bench.send("chat"), "+a3");
 }
--- a/src/config/contact.rs
+++ b/src/config/contact.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use crate::types::{EntryId, HostId};
+use crate::types::{EntryId, HostId, InstanceId};
 use crate::wire::{StoreContact, StoreOutage};
 
 use super::ConfigParams;
@@ -17,8 +17,11 @@
 #[derive(Debug)]
 pub(super) struct Contact {
     params: ConfigParams,
-    /// Zero of this process's stamps.
+    /// Time of the first stamp.
     start: Instant,
+    /// First stamp of this process, in milliseconds. Processes that follow each other under one
+    /// name start far apart, so that an echo of an earlier one's stamp is not taken for an own one.
+    first_stamp_ms: u64,
     /// Invariant: every generation above the one held was accepted after this instant.
     confirmed: Option<Instant>,
     /// Value of `confirmed` before the last direct contact, for a read that turns out stale.
@@ -39,10 +42,11 @@
 }
 
 impl Contact {
-    pub(super) fn new(params: ConfigParams, now: Instant) -> Self {
+    pub(super) fn new(params: ConfigParams, instance: InstanceId, now: Instant) -> Self {
         Self {
             params,
             start: now,
+            first_stamp_ms: first_stamp_ms(instance),
             confirmed: None,
             confirmed_before: None,
             reachable: false,
@@ -69,8 +73,8 @@
     }
 
     /// Takes in the view of a peer that holds no newer generation.
-    pub(super) fn relayed(&mut self, peer: &str, contact: &StoreContact) {
-        let Some(built) = self.built_after(peer, contact) else {
+    pub(super) fn relayed(&mut self, now: Instant, contact: &StoreContact) {
+        let Some(built) = self.built_after(now, contact) else {
             return;
         };
         if let Some(confirmed) = before(built, contact.age_ms) {
@@ -106,10 +110,10 @@
     }
 
     /// Instant after which a message was built: the one at which the stamp that it echoes was sent.
-    fn built_after(&self, peer: &str, contact: &StoreContact) -> Option<Instant> {
-        debug_assert!(!peer.is_empty());
-        let echo = Duration::from_millis(contact.echo_ms?);
-        self.start.checked_add(echo)
+    fn built_after(&self, now: Instant, contact: &StoreContact) -> Option<Instant> {
+        let since_first = contact.echo_ms?.checked_sub(self.first_stamp_ms)?;
+        let sent = self.start.checked_add(Duration::from_millis(since_first))?;
+        (sent <= now).then_some(sent)
     }
 
     fn confirm(&mut self, at: Instant) {
@@ -123,7 +127,9 @@
             age_ms: self.age(now).map_or(NEVER_MS, as_millis),
             reachable: self.reachable,
             outages: self.outage_reports(now),
-            stamp_ms: Some(as_millis(now.saturating_duration_since(self.start))),
+            stamp_ms: Some(
+                self.first_stamp_ms + as_millis(now.saturating_duration_since(self.start)),
+            ),
             echo_ms: self.stamps.get(peer).map(|stamp| stamp.peer_ms),
         }
     }
@@ -179,6 +185,12 @@
     }
 }
 
+/// Spreads the instances over 52 bits, which every JSON reader keeps.
+fn first_stamp_ms(instance: InstanceId) -> u64 {
+    const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
+    instance.wrapping_mul(SPREAD) >> 12
+}
+
 fn before(at: Instant, age_ms: u64) -> Option<Instant> {
     if age_ms >= NEVER_MS {
         return None;
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -6,7 +6,7 @@
 
 use crate::codes::Code;
 use crate::settings::{LimitsSettings, PlatformSettings, ProcessSettings};
-use crate::types::{EntryId, Generation, RegionId};
+use crate::types::{EntryId, Generation, InstanceId, RegionId};
 use crate::wire::{ConfigDoc, StoreContact};
 
 use super::Targets;
@@ -88,11 +88,11 @@
 
 impl ConfigState {
     /// A process that knows no configuration yet.
-    pub fn new(params: ConfigParams, now: Instant) -> Self {
+    pub fn new(params: ConfigParams, instance: InstanceId, now: Instant) -> Self {
         Self {
             held: None,
             doc: None,
-            contact: Contact::new(params, now),
+            contact: Contact::new(params, instance, now),
         }
     }
 
@@ -143,7 +143,7 @@
         contact: &StoreContact,
     ) {
         if generation <= self.generation() {
-            self.contact.relayed(peer, contact);
+            self.contact.relayed(now, contact);
         }
         self.contact.take_stamp(now, peer, contact);
     }
--- a/src/config/tests/state.rs
+++ b/src/config/tests/state.rs
@@ -34,7 +34,7 @@
                 store_region: "a".into(),
                 isolation_after: ISOLATION_AFTER,
             };
-            ConfigState::new(params, now)
+            ConfigState::new(params, i as u64 + 1, now)
         };
         let states = regions.iter().enumerate().map(state).collect();
         Self { now, states }
@@ -258,3 +258,23 @@
     assert_eq!(fleet.states[0].doc_for(5), None);
     assert_eq!(fleet.states[0].doc_for(6), None);
 }
+
+/// A peer that knew an earlier process under the same name echoes that one's stamp.
+#[test]
+fn an_echo_of_an_earlier_process_is_no_contact() {
+    let mut fleet = Fleet::new(&["a", "a"]);
+    fleet.states[0].store_contact(fleet.now, true);
+    fleet.sync(0, 1, Duration::ZERO);
+    fleet.now += Duration::from_secs(30);
+    fleet.sync(0, 1, Duration::ZERO);
+    let late = fleet.message(0, 1);
+    let params = ConfigParams {
+        name: name(1),
+        region: "a".into(),
+        store_region: "a".into(),
+        isolation_after: ISOLATION_AFTER,
+    };
+    fleet.states[1] = ConfigState::new(params, 99, fleet.now);
+    fleet.deliver(0, 1, &late);
+    assert_eq!(fleet.states[1].contact_age(fleet.now), None);
+}
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -84,7 +84,7 @@
             isolation_after: cfg.isolation,
         };
         Self {
-            config: ConfigState::new(params, now),
+            config: ConfigState::new(params, cfg.instance, now),
             membership: Membership::new(cfg.entry.clone(), mesh, cfg.suspicion, now),
             admission: Admission::new(cfg.queue_len),
             chooser: Chooser::new(cfg.policy),
--- a/tests/fuzz/found.rs
+++ b/tests/fuzz/found.rs
@@ -37,7 +37,21 @@
     ]
 }
 
+/// An entry echoed the stamp of an agent's earlier process; the new one took it for a contact that
+/// lay ahead and served under a generation that was no longer in force.
+fn agent_restarted_and_paused() -> Vec<Step> {
+    vec![
+        Step::KillAgent(0),
+        Step::Advance(433),
+        Step::PauseAgent(0, 3_001),
+        Step::Resend { class: 0, work: 0 },
+        Step::Zone(0, false),
+        Step::Advance(10),
+    ]
+}
+
 #[rstest]
+#[case::agent_restarted_and_paused(2_077_082_044_385_089_417, agent_restarted_and_paused())]
 #[case::sent_again_before_the_restart(
     13_715_628_722_356_043_279,
     poison_sent_again_before_the_restart()
