Power: shares of the site's cap in the placement, lowered before raised

Cause: no endpoint knew its share of the cap, and no check covered the cap. Change: divide computes shares in proportion to the declared draw; a ceiling stays until the agent has followed a lower share and draws no more. Shares travel in the placement; without one an endpoint under a cap gets no work. A lowered share pauses deferrable work. The fuzzed world has a cap, bursts and a planted fault on shares.

--- a/src/agent/core/control.rs
+++ b/src/agent/core/control.rs
@@ -5,7 +5,7 @@
 use crate::codes::Code;
 use crate::config::Observation;
 use crate::placement::Placement;
-use crate::power::PlacementGrants;
+use crate::power::PowerModel;
 use crate::telemetry::Event;
 use crate::wire::{ConfigDoc, SettleReply, SettleRequest, SyncReply, SyncRequest};
 
@@ -56,6 +56,7 @@
             event: Event::ConfigAdopted,
             detail: format!("generation {}", self.generation()),
         });
+        self.share_power();
         self.refuse_if_zone_out(now, actions);
     }
 
@@ -80,20 +81,26 @@
         {
             return;
         }
-        let (Ok(placement), Ok(grants)) = (
-            Placement::from_json(&doc.body),
-            serde_json::from_str::<PlacementGrants>(&doc.body),
-        ) else {
+        let Ok(placement) = Placement::from_json(&doc.body) else {
             return;
         };
-        for gate in self.gates.values_mut() {
-            let grant = grants.of(&gate.cfg().id);
-            gate.set_grant(grant);
-        }
         self.placement = Some(HeldPlacement {
             version: doc.generation,
             placement,
         });
+        self.share_power();
+    }
+
+    /// Without a share, an endpoint under a cap gets no work: nobody counts what it draws.
+    fn share_power(&mut self) {
+        let has_cap = self.targets().site_power > 0;
+        let grants = self.placement.as_ref().map(|held| &held.placement.grants);
+        for (id, gate) in &mut self.gates {
+            let grant = grants.and_then(|grants| grants.get(id));
+            let is_counted = has_cap && PowerModel::full(gate.cfg()) > 0;
+            let share = grant.map(|grant| grant.power);
+            gate.set_grant(share.or(is_counted.then_some(0)));
+        }
     }
 
     fn sync_reply(&mut self, now: Instant, entry: &str, theirs: u64) -> SyncReply {
--- a/src/agent/core/gate/flow.rs
+++ b/src/agent/core/gate/flow.rs
@@ -30,6 +30,7 @@
             steps.push(GateStep::Admit(attempt));
         }
         let step = match self.queue.first() {
+            _ if self.active() > self.power_limit() => self.pause_one(|_| true),
             Some(next) if !next.deferrable && !next.suspect => self.make_room(now),
             _ => self.resume(now),
         };
@@ -94,21 +95,25 @@
 
     /// Pauses deferrable work for a waiting attempt of higher priority.
     fn make_room(&mut self, now: Instant) -> Option<GateStep> {
-        let next = self.queue.first()?;
-        let pausing = self
-            .running
-            .values()
-            .any(|run| run.state == RunState::Pausing);
+        let priority = self.queue.first()?.priority;
         let ready = matches!(self.phase, Phase::Ready(_));
-        if pausing || !ready || self.has_room(now) {
+        if !ready || self.has_room(now) {
+            return None;
+        }
+        self.pause_one(|candidate| candidate > priority)
+    }
+
+    /// Pauses the newest deferrable work of the lowest priority, one at a time.
+    fn pause_one(&mut self, may_pause: impl Fn(u8) -> bool) -> Option<GateStep> {
+        let mut running = self.running.values();
+        if running.any(|run| run.state == RunState::Pausing) {
             return None;
         }
-        let priority = next.priority;
         let (attempt, running) = self
             .running
             .iter_mut()
             .filter(|(_, run)| run.state == RunState::Active && run.ticket.deferrable)
-            .filter(|(_, run)| run.ticket.priority > priority)
+            .filter(|(_, run)| may_pause(run.ticket.priority))
             .max_by_key(|(_, run)| (run.ticket.priority, run.admitted))?;
         running.state = RunState::Pausing;
         Some(GateStep::Pause(attempt.clone()))
--- a/src/agent/core/gate/mod.rs
+++ b/src/agent/core/gate/mod.rs
@@ -134,6 +134,7 @@
             first_token_ms: u32::try_from(self.capacity.first_token().as_millis())
                 .unwrap_or(u32::MAX),
             power_mw: Some(self.power.draw(self.active())),
+            full_power_mw: Some(PowerModel::full(&self.cfg)),
             progress_permille: Some(self.progress_permille),
         }
     }
--- a/src/entry/core/placing.rs
+++ b/src/entry/core/placing.rs
@@ -6,6 +6,7 @@
 use crate::membership::Agent;
 use crate::placement::{EndpointFact, Placement, PlanInputs, Proposal, Proposer, ProposerConfig};
 use crate::placement::{merge, plan};
+use crate::power::{PowerFact, divide};
 use crate::routing::Endpoint;
 use crate::types::{Generation, HostId, TargetId};
 use crate::wire::{ConfigDoc, EndpointState};
@@ -167,7 +168,30 @@
             replace_after: REPLACE_AFTER,
         };
         let is_listed = |host: &HostId| self.membership.agent(host).is_some();
-        Some(merge(current, plan(inputs), &facts, is_listed))
+        let mut wanted = merge(current, plan(inputs), &facts, is_listed);
+        if held.generation >= current.generation {
+            let cap = held.targets.site_power;
+            wanted.grants = divide(cap, &current.grants, &self.power_facts(), is_listed);
+        }
+        Some(wanted)
+    }
+
+    fn power_facts(&self) -> Vec<PowerFact> {
+        let facts = self.endpoints.values().filter_map(|endpoint| {
+            let agent = self.membership.agent(&endpoint.host)?;
+            let full = endpoint
+                .last_report
+                .full_power_mw
+                .filter(|full| *full > 0)?;
+            Some(PowerFact {
+                endpoint: endpoint.id.clone(),
+                host: endpoint.host.clone(),
+                full,
+                told: self.placing.is_told(agent),
+                draw: endpoint.last_report.power_mw.unwrap_or(0),
+            })
+        });
+        facts.collect()
     }
 
     fn endpoint_facts(&self, now: Instant) -> Vec<EndpointFact> {
--- a/src/placement/document.rs
+++ b/src/placement/document.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::power::Grants;
 use crate::types::{Digest, EndpointId, Generation, HostId, TargetId};
 
 /// Which endpoint holds which version; the object's version is the fencing number.
@@ -15,6 +16,9 @@
     pub generation: Generation,
     /// Assignments by endpoint; an endpoint without one gets no orders.
     pub endpoints: BTreeMap<EndpointId, Assignment>,
+    /// Shares of the site's power by endpoint, of plain services as well.
+    #[serde(default, skip_serializing_if = "Grants::is_empty")]
+    pub grants: Grants,
 }
 
 /// What one endpoint has to do.
@@ -46,12 +50,11 @@
         serde_json::to_string(self).expect("maps with text keys are written as JSON")
     }
 
-    /// Hosts that have an assignment.
+    /// Hosts that have an assignment or a grant.
     pub fn hosts(&self) -> BTreeSet<HostId> {
-        self.endpoints
-            .values()
-            .map(|assignment| assignment.host.clone())
-            .collect()
+        let assigned = self.endpoints.values().map(|assignment| &assignment.host);
+        let granted = self.grants.values().map(|grant| &grant.host);
+        assigned.chain(granted).cloned().collect()
     }
 
     /// The part that one host has to know: its own assignments, and who fetches what it fetches.
@@ -61,9 +64,11 @@
             .endpoints
             .iter()
             .filter(|(_, assignment)| is_own(assignment));
+        let grants = self.grants.iter().filter(|(_, grant)| &*grant.host == host);
         Self {
             generation: self.generation,
             endpoints: endpoints.map(|(id, a)| (id.clone(), a.clone())).collect(),
+            grants: grants.map(|(id, g)| (id.clone(), g.clone())).collect(),
         }
     }
 
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -62,6 +62,7 @@
     let mut next = Placement {
         generation: inputs.generation,
         endpoints: BTreeMap::new(),
+        grants: inputs.current.grants.clone(),
     };
     let mut loads = power_budget(&inputs);
     for model in &inputs.targets.models {
--- a/src/placement/tests/plan.rs
+++ b/src/placement/tests/plan.rs
@@ -34,6 +34,7 @@
             current: Placement {
                 generation: 1,
                 endpoints: assignments.collect(),
+                ..Placement::default()
             },
             endpoints,
             needed: 0,
--- a/src/placement/tests/proposer.rs
+++ b/src/placement/tests/proposer.rs
@@ -29,6 +29,7 @@
     Placement {
         generation,
         endpoints: [(endpoint.into(), assignment)].into(),
+        ..Placement::default()
     }
 }
 
--- a/src/power/mod.rs
+++ b/src/power/mod.rs
@@ -3,5 +3,8 @@
 mod grant;
 mod model;
 
-pub use grant::{Grant, PlacementGrants};
+#[cfg(test)]
+mod tests;
+
+pub use grant::{Grant, Grants, PowerFact, divide};
 pub use model::PowerModel;
--- a/src/power/model.rs
+++ b/src/power/model.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::agent::core::EndpointConfig;
 use crate::types::{Millijoules, Milliwatts};
 
 /// Tokens a second of one stream, until answers show the rate.
@@ -36,6 +37,16 @@
         }
     }
 
+    /// Declared draw of an endpoint at full load.
+    pub fn full(cfg: &EndpointConfig) -> Milliwatts {
+        let streams = u64::from(cfg.limit);
+        let stream = cfg
+            .millijoules_per_token
+            .saturating_mul(NOMINAL_TOKENS_PER_SECOND);
+        cfg.idle_power_mw
+            .saturating_add(stream.saturating_mul(streams))
+    }
+
     /// Draw of one stream.
     pub fn stream(&self) -> Milliwatts {
         let declared = self.millijoules_per_token * self.stream_rate / 1_000;
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -17,6 +17,7 @@
         instance: 1,
         limit,
         power_mw: None,
+        full_power_mw: None,
         progress_permille: None,
         queued: 0,
         state: EndpointState::Ready,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -69,6 +69,9 @@
     pub endpoint: ::std::string::String,
     ///Moving average of the time to the first token.
     pub first_token_ms: u32,
+    ///Draw in milliwatts at full load as declared.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub full_power_mw: ::std::option::Option<u64>,
     pub in_flight: u32,
     ///Instance of the endpoint's process.
     pub instance: u64,
--- a/tests/fuzz/oracle.rs
+++ b/tests/fuzz/oracle.rs
@@ -23,6 +23,7 @@
     NotRunIsTrue,
     AtMostOnce,
     GracefulStop,
+    PowerCap,
     Poison,
     OneFinalAnswer,
 }
@@ -243,6 +244,12 @@
         }
     }
 
+    pub fn power(&mut self, draw: u64, cap: u64) {
+        if draw > cap {
+            self.fail(Promise::PowerCap, format!("{draw} mW above {cap} mW"));
+        }
+    }
+
     /// Fails with the first violation.
     pub fn check(&self) {
         if let Some(violation) = self.violations.first() {
--- a/tests/fuzz/planted.rs
+++ b/tests/fuzz/planted.rs
@@ -32,6 +32,8 @@
     MixedVersion,
     /// Stored answers belong to another operation.
     CrossedAnswers,
+    /// Shares of power are tripled on their way to agents.
+    LargeGrants,
     /// Crashes are not shared between processes.
     NoQuarantine,
 }
@@ -64,6 +66,7 @@
 #[case::not_run_is_true(Fault::FalseNotRun, Promise::NotRunIsTrue)]
 #[case::one_version(Fault::MixedVersion, Promise::OneVersion)]
 #[case::own_answer(Fault::CrossedAnswers, Promise::OwnAnswer)]
+#[case::power_cap(Fault::LargeGrants, Promise::PowerCap)]
 #[case::poison(Fault::NoQuarantine, Promise::Poison)]
 fn planted_fault_is_caught(#[case] fault: Fault, #[case] promise: Promise) {
     assert!(
--- a/tests/fuzz/world/endpoints.rs
+++ b/tests/fuzz/world/endpoints.rs
@@ -41,6 +41,7 @@
             .filter(|fingerprint| fingerprint.starts_with("poison"))
             .cloned();
         self.oracle.holding(&host_name(n), running, bound);
+        self.check_power();
         if let Some(poison) = poison {
             let wait = Duration::from_millis(15);
             self.send_in(wait, Message::EndpointCrash(n, instance, poison));
@@ -53,6 +54,11 @@
         self.send_in(span, Message::EndpointDone(n, instance, attempt));
     }
 
+    fn check_power(&mut self) {
+        let draw = self.agents.iter().map(|agent| agent.endpoint.draw()).sum();
+        self.oracle.power(draw, self.targets.site_power);
+    }
+
     pub(super) fn done(&mut self, n: usize, instance: u64, attempt: AttemptId) {
         if !self.runs(n, instance, &attempt) {
             return;
@@ -120,6 +126,7 @@
             endpoint.running.insert(attempt.clone(), now + left);
             let (running, bound) = (endpoint.running.len(), endpoint.bound());
             self.oracle.holding(&host_name(n), running, bound);
+            self.check_power();
             self.send_in(left, Message::EndpointDone(n, instance, attempt));
         }
     }
--- a/tests/fuzz/world/entries.rs
+++ b/tests/fuzz/world/entries.rs
@@ -91,6 +91,14 @@
         if self.fault == Some(Fault::NoQuarantine) {
             request.quarantine.clear();
         }
+        if self.fault == Some(Fault::LargeGrants)
+            && let Some(doc) = &mut request.placement
+        {
+            let mut placement = Placement::from_json(&doc.body).expect("it was a placement");
+            let grants = placement.grants.values_mut();
+            grants.for_each(|grant| grant.power *= 3);
+            doc.body = placement.to_json();
+        }
         request
     }
 
--- a/tests/fuzz/world/mod.rs
+++ b/tests/fuzz/world/mod.rs
@@ -22,6 +22,7 @@
     Dispatch, EntryAction, EntryCore, EntryCoreConfig, EntryEvent, HostEntry, HostRole, StoreCall,
     StoreOp, StoreReply,
 };
+use limpetloom::placement::Placement;
 use limpetloom::types::{AttemptEnd, AttemptId, Digest, RequestMeta};
 use limpetloom::wire::{ConfigDoc, SettleReply, SettleRequest, SyncReply, SyncRequest};
 
