A resumed stream goes on at its caller; events of another version do not pass

Cause: tests over sockets with an engine that breaks off found that a resumed answer never reached its caller: the start of the second attempt dropped the stream of the first and so cut it. Also a version change inside a stream, and a truncated but well-formed answer, were only checked by headers. Ruled out: the engine stand-in's resume. Change: a stream that has started is kept; the agent checks id and version of each event before it passes it on, and that a plain completion has its choices and usage.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -11,7 +11,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 
-use crate::answer::{StoredAnswer, is_event_stream};
+use crate::answer::{EventCheck, StoredAnswer, is_event_stream};
 use crate::codes::Code;
 use crate::http::{self, AnswerBody, header_text, names};
 use crate::settings::{EndpointKind, EndpointSettings};
@@ -256,7 +256,7 @@
     guard: AttemptGuard,
 ) -> Response<AnswerBody> {
     let (head, body) = response.into_parts();
-    let relay = Relay::new(body, guard).boxed();
+    let relay = Relay::new(body, check_of(request), guard).boxed();
     answer_head(request, head.status, head.headers.get(CONTENT_TYPE)).map(|()| relay)
 }
 
@@ -274,6 +274,11 @@
         return refuse(Code::OutcomeUnknown, None);
     };
     let body = body.to_bytes();
+    let is_whole = check_of(request).is_none_or(|check| check.passes_whole(&body));
+    if head.status.is_success() && !is_whole {
+        guard.broken(true);
+        return refuse(Code::OutcomeUnknown, None);
+    }
     let kind = head.headers.get(CONTENT_TYPE);
     let is_keyed = request.offer.key.is_some();
     let record = is_keyed.then(|| StoredAnswer::new(head.status, kind, &body).to_text());
@@ -281,6 +286,12 @@
     answer_head(request, head.status, kind).map(|()| http::full(body))
 }
 
+/// Check of an answer that is pinned to a version; none for a plain service.
+fn check_of(request: &OfferedRequest) -> Option<EventCheck> {
+    let version = request.offer.version.clone()?;
+    Some(EventCheck::new(request.offer.attempt.clone(), version))
+}
+
 fn answer_head(
     request: &OfferedRequest,
     status: StatusCode,
--- a/src/agent/relay.rs
+++ b/src/agent/relay.rs
@@ -1,59 +1,77 @@
-//! Body that passes a stream on and watches for its end mark.
+//! Body that passes a stream on and watches for its version and its end mark.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 
-use crate::answer::EventScanner;
+use crate::answer::{EventCheck, EventScanner, EventSplitter};
 use crate::http::BodyError;
 
 use super::attempt::AttemptGuard;
 
-/// A stream from an endpoint on its way to an entry.
+/// A stream from an endpoint on its way to an entry; passes whole events of the pinned version.
 pub(super) struct Relay {
     body: Incoming,
     guard: AttemptGuard,
+    /// Absent for a plain service, whose events name no version.
+    check: Option<EventCheck>,
+    splitter: EventSplitter,
     scanner: EventScanner,
     is_started: bool,
 }
 
 impl Relay {
     /// Passes `body` on; `guard` is told how it ends.
-    pub(super) fn new(body: Incoming, guard: AttemptGuard) -> Self {
+    pub(super) fn new(body: Incoming, check: Option<EventCheck>, guard: AttemptGuard) -> Self {
         Self {
             body,
             guard,
+            check,
+            splitter: EventSplitter::default(),
             scanner: EventScanner::new(),
             is_started: false,
         }
     }
 
-    fn pass(&mut self, frame: Frame<Bytes>) -> Frame<Bytes> {
-        if let Some(data) = frame.data_ref() {
-            self.scan(data);
+    fn pass(&mut self, frame: Frame<Bytes>) -> Result<Bytes, BodyError> {
+        let data = frame.into_data().unwrap_or_default();
+        let Ok(events) = self.splitter.push(data) else {
+            return Err(self.cut());
+        };
+        let passes = self
+            .check
+            .as_ref()
+            .is_none_or(|check| check.passes(&events));
+        if !passes {
+            return Err(self.cut());
         }
-        frame
+        self.scan(&events);
+        Ok(events)
     }
 
-    fn scan(&mut self, data: &Bytes) {
-        if !self.is_started {
+    fn scan(&mut self, events: &Bytes) {
+        if !self.is_started && !events.is_empty() {
             self.is_started = true;
             self.guard.started();
         }
-        self.scanner.scan(data);
+        self.scanner.scan(events);
         if self.scanner.is_ended() {
             self.guard.answered(self.scanner.events(), None);
         }
     }
 
     fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
-        if self.scanner.is_ended() {
-            return None;
+        match self.scanner.is_ended() {
+            true => None,
+            false => Some(Err(self.cut())),
         }
+    }
+
+    fn cut(&mut self) -> BodyError {
         self.guard.broken(true);
-        Some(Err(BodyError::NotWhole))
+        BodyError::NotWhole
     }
 }
 
@@ -66,11 +84,14 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
-        Pin::new(&mut this.body)
-            .poll_frame(cx)
-            .map(|frame| match frame {
-                Some(Ok(frame)) => Some(Ok(this.pass(frame))),
-                Some(Err(_)) | None => this.end(),
-            })
+        loop {
+            return match ready!(Pin::new(&mut this.body).poll_frame(cx)) {
+                Some(Ok(frame)) => match this.pass(frame) {
+                    Ok(events) if events.is_empty() => continue,
+                    passed => Poll::Ready(Some(passed.map(Frame::data))),
+                },
+                Some(Err(_)) | None => Poll::Ready(this.end()),
+            };
+        }
     }
 }
--- a/src/answer/tests.rs
+++ b/src/answer/tests.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 
-use super::{EventScanner, EventSplitter, EventTooLong, StoredAnswer};
+use super::{EventCheck, EventScanner, EventSplitter, EventTooLong, StoredAnswer};
 
 #[rstest]
 #[case::whole("data: {\"a\":1}\n\ndata: [DONE]\n\n", 1, true)]
@@ -77,3 +77,31 @@
     assert_eq!(response.headers()["content-type"], "application/json");
     assert_eq!(&response.body()[..], body);
 }
+
+#[rstest]
+#[case::own("data: {\"id\":\"a1\",\"version\":\"v1\"}\n\n", true)]
+#[case::crossed("data: {\"id\":\"a2\",\"version\":\"v1\"}\n\n", false)]
+#[case::swapped("data: {\"id\":\"a1\",\"version\":\"v2\"}\n\n", false)]
+#[case::second_event("data: {\"version\":\"v1\"}\n\ndata: {\"version\":\"v2\"}\n\n", false)]
+#[case::silent("data: {\"index\":3}\n\n", true)]
+#[case::end_mark("data: [DONE]\n\n", true)]
+#[case::comment(": v2\n\n", true)]
+fn events_of_another_request_or_version_do_not_pass(#[case] events: &str, #[case] passes: bool) {
+    let check = EventCheck::new("a1".into(), "v1".into());
+    assert_eq!(check.passes(events.as_bytes()), passes);
+}
+
+#[rstest]
+#[case::whole(
+    "{\"id\":\"a1\",\"version\":\"v1\",\"choices\":[{}],\"usage\":{}}",
+    true
+)]
+#[case::no_choices("{\"id\":\"a1\",\"choices\":[]}", false)]
+#[case::no_usage("{\"id\":\"a1\",\"choices\":[{}]}", false)]
+#[case::crossed("{\"id\":\"a2\",\"choices\":[{}],\"usage\":{}}", false)]
+#[case::swapped("{\"version\":\"v2\",\"choices\":[{}],\"usage\":{}}", false)]
+#[case::cut("{\"id\":\"a1\",\"choices\":[{}", false)]
+fn only_a_whole_completion_passes(#[case] body: &str, #[case] passes: bool) {
+    let check = EventCheck::new("a1".into(), "v1".into());
+    assert_eq!(check.passes_whole(body.as_bytes()), passes);
+}
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -37,7 +37,8 @@
 
     /// Starts a stream with the given head; does nothing when it has started already.
     pub(super) fn start(&mut self, head: Response<()>) {
-        if let Self::Waiting(tx) = std::mem::replace(self, Self::Gone) {
+        let is_waiting = matches!(self, Self::Waiting(_));
+        if is_waiting && let Self::Waiting(tx) = std::mem::replace(self, Self::Gone) {
             let (sender, body) = http::channel();
             let is_sent = tx.send(head.map(|()| body)).is_ok();
             *self = if is_sent {
