--- /dev/null
+++ b/tests/contract_agent.rs
@@ -0,0 +1,262 @@
+//! Contract of the agent's HTTP and of the control connection between entry and agent.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "../examples/common/mod.rs"]
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use limpetloom::agent::AgentHandle;
+use limpetloom::control::ControlClients;
+use limpetloom::settings::Secret;
+use limpetloom::wire::{
+    AgentControlClient, ConfigDoc, SettleReply, SettleRequest, SettleState, StoreContact,
+    SyncReply, SyncRequest,
+};
+use rstest::rstest;
+
+use common::Site;
+
+const READY_LIMIT: Duration = Duration::from_secs(60);
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+const BOOKING: &str = "{\"seat\":7}";
+
+/// A site with an entry, and an agent that is asked past the entry.
+struct Bench {
+    site: Site,
+    clients: ControlClients,
+    sync: SyncReply,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let site = Site::builder()
+            .zones(1)
+            .entries(1)
+            .models(1)
+            .preloaded()
+            .start()
+            .await
+            .unwrap();
+        site.wait_ready(READY_LIMIT).await.unwrap();
+        let clients = ControlClients::new(Secret::new(common::TOKEN), CALL_LIMIT);
+        let sync = loop {
+            let sync = sync(&clients, service_agent(&site), 0).await;
+            if sync.generation > 0 {
+                break sync;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        };
+        Self {
+            site,
+            clients,
+            sync,
+        }
+    }
+
+    fn agent(&self) -> &AgentHandle {
+        service_agent(&self.site)
+    }
+
+    /// An offer of a booking that the agent takes, but for the changed headers.
+    async fn offer(&self, attempt: &str, changes: &[(&str, &str)]) -> Offered {
+        let instance = self.sync.agent_instance.to_string();
+        let generation = self.sync.generation.to_string();
+        let mut headers = vec![
+            ("x-limpetloom-attempt", attempt),
+            ("x-limpetloom-entry", "probe"),
+            ("x-limpetloom-endpoint", "booking-0"),
+            ("x-limpetloom-agent-instance", &instance),
+            ("x-limpetloom-generation", &generation),
+            ("x-limpetloom-class", "booking"),
+            ("x-limpetloom-customer", "customer-1"),
+            ("x-limpetloom-fingerprint", "f"),
+            ("idempotency-key", "k"),
+        ];
+        headers.retain(|(name, _)| changes.iter().all(|(changed, _)| changed != name));
+        headers.extend(changes.iter().filter(|(_, value)| !value.is_empty()));
+        let mut req = Request::post(format!("http://{}/hold", self.agent().traffic()));
+        for (name, value) in headers {
+            req = req.header(name, value);
+        }
+        let req = req.body(Full::new(Bytes::from(BOOKING))).unwrap();
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Offered::read(client.request(req).await.unwrap()).await
+    }
+
+    async fn settle(&self, attempt: &str) -> SettleReply {
+        let request = SettleRequest {
+            key: "k".to_owned(),
+            attempt: attempt.to_owned(),
+        };
+        self.clients
+            .call(self.agent().control(), |client| async move {
+                client.settle(request).await
+            })
+            .await
+            .unwrap()
+    }
+
+    fn runs(&self) -> u64 {
+        self.site.services[0].service.counters().runs
+    }
+}
+
+fn service_agent(site: &Site) -> &AgentHandle {
+    site.services[0].agent.as_ref().unwrap()
+}
+
+async fn sync(clients: &ControlClients, agent: &AgentHandle, generation: u64) -> SyncReply {
+    let request = SyncRequest {
+        config: None,
+        entry: "probe".to_owned(),
+        generation,
+        placement: None,
+        placement_version: None,
+        quarantine: Vec::new(),
+        store: StoreContact {
+            age_ms: 0,
+            echo_ms: None,
+            outages: Vec::new(),
+            reachable: false,
+            stamp_ms: None,
+        },
+        zone: None,
+    };
+    clients
+        .call(agent.control(), |client| async move {
+            client.sync(request).await
+        })
+        .await
+        .unwrap()
+}
+
+/// Answer of an agent.
+#[derive(Debug)]
+struct Offered {
+    status: u16,
+    code: Option<u16>,
+    attempt: Option<String>,
+    body: Bytes,
+}
+
+impl Offered {
+    async fn read(res: Response<hyper::body::Incoming>) -> Self {
+        let text = |name: &str| {
+            let value = res.headers().get(name)?;
+            Some(value.to_str().ok()?.to_owned())
+        };
+        Self {
+            status: res.status().as_u16(),
+            code: text("x-limpetloom-code").and_then(|code| code.parse().ok()),
+            attempt: text("x-limpetloom-attempt"),
+            body: res.into_body().collect().await.unwrap().to_bytes(),
+        }
+    }
+}
+
+#[rstest]
+#[case::another_instance(&[("x-limpetloom-agent-instance", "1")], 2012)]
+#[case::no_attempt(&[("x-limpetloom-attempt", "")], 1001)]
+#[case::no_generation(&[("x-limpetloom-generation", "")], 1001)]
+#[case::instance_not_a_number(&[("x-limpetloom-agent-instance", "x")], 1001)]
+#[case::unknown_endpoint(&[("x-limpetloom-endpoint", "other-0")], 2004)]
+#[case::unknown_class(&[("x-limpetloom-class", "other")], 1003)]
+#[case::a_version_at_a_plain_service(&[("x-limpetloom-version", "digest")], 2013)]
+#[case::no_key(&[("idempotency-key", "")], 1005)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_offer_that_does_not_fit_is_refused_and_not_run(
+    #[case] changes: &[(&str, &str)],
+    #[case] code: u16,
+) {
+    let bench = Bench::start().await;
+    let offered = bench.offer("a1", changes).await;
+    assert_eq!(offered.code, Some(code), "{offered:?}");
+    assert_eq!(bench.runs(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_is_behind_is_taught_and_its_offer_is_not_run() {
+    let bench = Bench::start().await;
+    let offered = bench.offer("a1", &[("x-limpetloom-generation", "0")]).await;
+    assert_eq!((offered.status, offered.code), (409, Some(2006)));
+    let doc = serde_json::from_slice::<ConfigDoc>(&offered.body).unwrap();
+    assert_eq!(doc.generation, bench.sync.generation);
+    assert_eq!(bench.runs(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_names_its_attempt_and_a_key_runs_once() {
+    let bench = Bench::start().await;
+    let first = bench.offer("a1", &[]).await;
+    assert_eq!((first.status, first.code), (200, None));
+    assert_eq!(first.attempt.as_deref(), Some("a1"));
+    let again = bench.offer("a1", &[]).await;
+    let other = bench.offer("a2", &[]).await;
+    assert_eq!(bench.runs(), 1);
+    for offered in [again, other] {
+        let is_replay = offered.status == 200 && offered.body == first.body;
+        assert!(is_replay || offered.code.is_some(), "{offered:?}");
+    }
+    assert_eq!(bench.settle("a1").await.state, SettleState::Done);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_settled_attempt_that_was_not_known_never_runs() {
+    let bench = Bench::start().await;
+    assert_eq!(bench.settle("late").await.state, SettleState::Fenced);
+    let offered = bench.offer("late", &[]).await;
+    assert_eq!(offered.code, Some(2016), "{offered:?}");
+    assert_eq!(bench.runs(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_answer_after_the_effect_is_never_called_not_run() {
+    let bench = Bench::start().await;
+    bench.site.services[0]
+        .service
+        .faults(|faults| faults.break_next = 1);
+    let offered = bench.offer("a1", &[]).await;
+    assert_eq!(offered.code, Some(3001), "{offered:?}");
+    assert_eq!(bench.settle("a1").await.state, SettleState::Unknown);
+    let again = bench.offer("a2", &[]).await;
+    assert!(again.code.is_some(), "{again:?}");
+    assert_eq!(bench.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_heartbeat_teaches_whoever_is_behind_and_reports_the_endpoints() {
+    let bench = Bench::start().await;
+    let SyncReply {
+        config, endpoints, ..
+    } = sync(&bench.clients, bench.agent(), 0).await;
+    assert_eq!(config.unwrap().generation, bench.sync.generation);
+    assert_eq!(endpoints.len(), 1);
+    assert_eq!(endpoints[0].endpoint, "booking-0");
+    let generation = bench.sync.generation;
+    let level = sync(&bench.clients, bench.agent(), generation).await;
+    assert_eq!(level.config, None);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_control_call_without_the_token_is_refused() {
+    let bench = Bench::start().await;
+    let clients = ControlClients::new(Secret::new("another-token-entirely"), CALL_LIMIT);
+    let request = SettleRequest {
+        key: "k".to_owned(),
+        attempt: "a1".to_owned(),
+    };
+    let called = clients
+        .call(bench.agent().control(), |client| async move {
+            client.settle(request).await
+        })
+        .await;
+    assert!(called.is_err());
+    assert_eq!(bench.offer("a1", &[]).await.status, 200);
+}
