Measures of routing, burst, fairness and zones; notes on membership and routing

Cause: the policies had tests but no figures. Change: the four measures on real sockets, with a relay that stalls links; the baseline of reported load goes by heartbeats only; design notes, interface of the decision logic, operator pages.

--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,11 +4,17 @@
 
 #![allow(clippy::print_stdout)]
 
+mod burst;
 #[path = "../common/mod.rs"]
 mod common;
 mod overhead;
+mod fairness;
+mod relay;
 mod report;
+mod routing;
+mod traffic;
 mod weights;
+mod zones;
 
 use std::process::ExitCode;
 
@@ -61,6 +67,10 @@
 async fn run(args: &Args) -> Option<Report> {
     match args.name.as_str() {
         "overhead" => Some(overhead::run(args).await),
+        "burst" => Some(burst::run(args).await),
+        "fairness" => Some(fairness::run(args).await),
+        "zones" => Some(zones::run(args).await),
+        "routing" => Some(routing::run(args).await),
         "weights" => Some(weights::run(args).await),
         "nothing" => Some(Report::new("nothing")),
         _ => None,
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -77,7 +77,8 @@
         self.refused = false;
         let first_token = Duration::from_millis(u64::from(report.first_token_ms));
         self.latency.report(now, first_token);
-        self.load_seen(now, report.in_flight + report.queued, report.limit);
+        self.reported = report.in_flight + report.queued;
+        self.load_seen(now, self.reported, report.limit);
     }
 
     /// Takes in a load that rode on an answer or a report.
@@ -85,7 +86,6 @@
     /// What may be this entry's own work is taken off, so that the rest is that of others.
     pub fn load_seen(&mut self, now: Instant, in_flight: u32, limit: u32) {
         self.limit = limit;
-        self.reported = in_flight;
         self.others = in_flight.saturating_sub(self.own.recent_peak(now));
     }
 
