--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -7,8 +7,8 @@
 mod burst;
 #[path = "../common/mod.rs"]
 mod common;
-mod overhead;
 mod fairness;
+mod overhead;
 mod relay;
 mod report;
 mod routing;
