Orders wait until earlier ones can not take effect where fencing is ignored

Cause: an endpoint that ignores fencing numbers could be given an order while one of the agent's predecessor, or a lost one, was still on its way. A separate order machine stood unused beside the gate. Ruled out: moving the gate to that machine, which holds the endpoint out of service for the life of an order after each restart of the agent, although each event of an answer is checked for its version. Conclusion: an old order lands before a newer one is sent, or not at all.

--- a/src/agent/core/gate/mod.rs
+++ b/src/agent/core/gate/mod.rs
@@ -1,11 +1,13 @@
 //! The only gate to one endpoint: what runs there, what waits, and how much it bears.
 
 mod capacity;
+mod clearance;
 mod flow;
 mod phase;
 mod work;
 
 pub use capacity::{Capacity, EVIDENCE_LIFE};
+pub use clearance::ORDER_LIFE;
 pub use phase::Phase;
 pub use work::{RunState, Running, Ticket};
 
@@ -18,6 +20,7 @@
 use crate::wire::EndpointReport;
 
 use super::{EndpointConfig, EndpointKind, EndpointProbe};
+use clearance::Clearance;
 use phase::Down;
 
 /// Failed probes in a row after which an endpoint is down.
@@ -44,6 +47,7 @@
 pub struct Gate {
     cfg: EndpointConfig,
     phase: Phase,
+    clearance: Clearance,
     instance: Option<InstanceId>,
     capacity: Capacity,
     power: PowerModel,
@@ -61,8 +65,9 @@
 
 impl Gate {
     /// A gate to an endpoint of which nothing is known yet.
-    pub fn new(cfg: EndpointConfig) -> Self {
+    pub fn new(cfg: EndpointConfig, now: Instant) -> Self {
         Self {
+            clearance: Clearance::new(cfg.checks_fencing, now),
             phase: Phase::Down(Down::unknown()),
             instance: None,
             capacity: Capacity::new(cfg.cold_limit, cfg.limit),
@@ -257,23 +262,25 @@
     }
 
     /// The load order that is due: the endpoint has drained and the order was not sent yet.
-    pub fn due_order(&mut self) -> Option<(Digest, Generation)> {
+    pub fn due_order(&mut self, now: Instant) -> Option<(Digest, Generation)> {
         match &mut self.phase {
             Phase::Loading(state) if !state.ordered && self.running.is_empty() => {
                 state.ordered = true;
+                self.clearance.sent(now);
                 Some((state.version.clone(), state.fence))
             }
             _ => None,
         }
     }
 
-    /// True when a load order may be started at `now`.
+    /// True when a load order may be started at `now`; probes ask again and again.
     pub fn can_load(&self, now: Instant) -> bool {
-        match &self.phase {
+        let may_start = match &self.phase {
             Phase::Down(state) => state.reachable && state.retry_at.is_none_or(|at| at <= now),
             Phase::Cold(_) | Phase::Ready(_) => true,
             Phase::Loading(_) | Phase::Leaving(_) => false,
-        }
+        };
+        may_start && self.clearance.is_given(now)
     }
 
     /// Takes in the answer to a load order.
@@ -287,7 +294,10 @@
         let state = state.clone();
         self.capacity.collapse();
         self.phase = match version {
-            Some(version) if version == state.version => Phase::Cold(state.loaded()),
+            Some(version) if version == state.version => {
+                self.clearance.took_effect();
+                Phase::Cold(state.loaded())
+            }
             _ => Phase::Down(state.failed(now + LOAD_RETRY)),
         };
     }
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -80,7 +80,7 @@
         let gates = cfg
             .endpoints
             .iter()
-            .map(|endpoint| (endpoint.id.clone(), Gate::new(endpoint.clone())))
+            .map(|endpoint| (endpoint.id.clone(), Gate::new(endpoint.clone(), now)))
             .collect();
         Self {
             config: ConfigState::new(cfg.config.clone(), cfg.instance, now),
--- a/src/agent/core/tests/mod.rs
+++ b/src/agent/core/tests/mod.rs
@@ -67,12 +67,17 @@
 
 impl Bench {
     fn new() -> Self {
+        Self::with_fencing(true)
+    }
+
+    fn with_fencing(checks_fencing: bool) -> Self {
         let now = Instant::now();
+        let engine = EndpointConfig {
+            checks_fencing,
+            ..endpoint("engine", "clay", EndpointKind::Model)
+        };
         let cfg = AgentCoreConfig {
-            endpoints: vec![
-                endpoint("engine", "clay", EndpointKind::Model),
-                endpoint("desk", "seats", EndpointKind::Service),
-            ],
+            endpoints: vec![engine, endpoint("desk", "seats", EndpointKind::Service)],
             ..AgentCoreConfig::new("h1".into(), "kochi-a".into(), "kerala".into(), AGENT)
         };
         let core = AgentCore::new(cfg, now);
--- a/src/agent/core/tests/placed.rs
+++ b/src/agent/core/tests/placed.rs
@@ -1,6 +1,9 @@
+use std::time::Duration;
+
 use rstest::rstest;
 
 use super::{AgentAction, AgentEvent, Bench, ConfigDoc, StoreContact, SyncRequest, targets};
+use crate::agent::core::gate::ORDER_LIFE;
 use crate::placement::{Assignment, Placement};
 
 fn placement(version: &str, next: Option<&str>) -> Placement {
@@ -115,3 +118,58 @@
     });
     assert!(!fetches(&held) && load(&held).is_none());
 }
+
+/// An agent that has just started beside an engine that ignores fencing numbers.
+fn unfenced() -> Bench {
+    let mut bench = Bench::with_fencing(false);
+    place(&mut bench, 10, &placement("v1", None));
+    bench.sync(6, Some(targets("v2")));
+    bench
+}
+
+fn probed(bench: &mut Bench, after: Duration) -> Vec<AgentAction> {
+    bench.now += after;
+    bench.probe("engine", 11, Some("v1"))
+}
+
+#[test]
+fn an_order_waits_out_those_of_the_predecessor_where_fencing_is_ignored() {
+    let mut bench = unfenced();
+    place(&mut bench, 11, &placement("v2", None));
+    let held = bench.handle(AgentEvent::VersionHeld {
+        version: "v2".into(),
+    });
+    assert_eq!(load(&held), None);
+    assert_eq!(load(&probed(&mut bench, ORDER_LIFE / 2)), None);
+    assert_eq!(load(&probed(&mut bench, ORDER_LIFE)), Some(("v2", 11)));
+}
+
+#[rstest]
+#[case::lost(None, false)]
+#[case::answered(Some("v2"), true)]
+fn an_order_waits_until_a_lost_one_can_not_take_effect(
+    #[case] answer: Option<&str>,
+    #[case] follows_at_once: bool,
+) {
+    let mut bench = unfenced();
+    place(&mut bench, 11, &placement("v2", None));
+    bench.handle(AgentEvent::VersionHeld {
+        version: "v2".into(),
+    });
+    probed(&mut bench, ORDER_LIFE);
+    let version = answer.map(Into::into);
+    bench.handle(AgentEvent::Loaded {
+        endpoint: "engine".into(),
+        version,
+        fence: 11,
+    });
+    bench.sync(7, Some(targets("v3")));
+    place(&mut bench, 12, &placement("v3", None));
+    bench.handle(AgentEvent::VersionHeld {
+        version: "v3".into(),
+    });
+    let soon = load(&probed(&mut bench, ORDER_LIFE / 2)).is_some();
+    assert_eq!(soon, follows_at_once);
+    let late = load(&probed(&mut bench, ORDER_LIFE)).is_some();
+    assert_eq!(late, !follows_at_once);
+}
--- a/src/agent/core/versions.rs
+++ b/src/agent/core/versions.rs
@@ -46,7 +46,7 @@
             self.switch_next(now, &model, actions);
         }
         for gate in self.gates.values_mut() {
-            if let Some((version, fence)) = gate.due_order() {
+            if let Some((version, fence)) = gate.due_order(now) {
                 let endpoint = gate.cfg().id.clone();
                 actions.push(AgentAction::Load {
                     endpoint,
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::runtime::Handle;
 
@@ -12,11 +11,9 @@
 use crate::weights::{Wanted, WeightsService};
 
 use super::control::Reports;
+use super::core::gate::ORDER_LIFE;
 use super::core::{AgentAction, AgentEvent};
 
-/// Time within which an engine must switch to a staged version.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Starts calls on the traffic threads and reports how they end.
 #[derive(Clone)]
 pub(super) struct Orders {
@@ -111,7 +108,7 @@
     ) -> Option<Digest> {
         self.weights.stage(addr, version).await.ok()?;
         let engine = HttpEndpoint::new(addr, self.http.clone());
-        engine.load(version, fence, LOAD_TIMEOUT).await.ok()
+        engine.load(version, fence, ORDER_LIFE).await.ok()
     }
 
     fn addr(&self, endpoint: &str) -> Option<SocketAddr> {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,11 +2,10 @@
 //!
 //! Any entry may propose the next [`Placement`]. It is written by conditional update, so that one
 //! proposal wins, and the version of the object is the fencing number of every order that follows
-//! from it. [`plan`] computes a placement, [`Proposer`] decides when one is written, and
-//! [`OrderMachine`] carries it out at one endpoint.
+//! from it. [`plan`] computes a placement and [`Proposer`] decides when one is written; the agent's
+//! gates carry it out.
 
 mod document;
-mod order;
 mod plan;
 mod proposer;
 
@@ -14,6 +13,5 @@
 mod tests;
 
 pub use document::{Assignment, Placement};
-pub use order::{EndpointView, Order, OrderAction, OrderConfig, OrderEvent, OrderMachine};
 pub use plan::{EndpointFact, PlanInputs, merge, plan};
 pub use proposer::{Proposal, Proposer, ProposerConfig};
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -1,5 +1,4 @@
 //! Tests of placement and orders.
 
-mod order;
 mod plan;
 mod proposer;
