Measure configuration in force and the cost of control

config: 100 processes, 200 changes, every second agent behind a link of 150 ms each way, an object API outage of 9 s in the middle.

--- a/examples/common/mod.rs
+++ b/examples/common/mod.rs
@@ -18,6 +18,7 @@
 mod balancer;
 mod builder;
 mod caller;
+mod link;
 mod load;
 mod outcome;
 mod site;
@@ -25,6 +26,7 @@
 pub use balancer::Balancer;
 pub use builder::SiteBuilder;
 pub use caller::{Caller, Chat, ServiceCall};
+pub use link::Link;
 pub use load::{Ask, Load, Tally, run_load};
 pub use outcome::{Answer, Outcome, Refused};
 pub use site::{EntrySeat, ModelSeat, ServiceSeat, Site};
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -7,6 +7,8 @@
 mod burst;
 #[path = "../common/mod.rs"]
 mod common;
+mod config;
+mod control;
 mod fairness;
 mod overhead;
 mod relay;
@@ -71,6 +73,8 @@
         "fairness" => Some(fairness::run(args).await),
         "zones" => Some(zones::run(args).await),
         "routing" => Some(routing::run(args).await),
+        "config" => Some(config::run(args).await),
+        "control" => Some(control::run(args).await),
         "weights" => Some(weights::run(args).await),
         "nothing" => Some(Report::new("nothing")),
         _ => None,
