--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -1,3 +1,6 @@
 //! Tests of weight distribution.
 
 mod bitmap;
+mod faults;
+mod manifest;
+mod world;
