Weights: late owners and slow peers no longer hold up the others

Cause: the chunks that a slow host owns came into the swarm at a tenth of the rate. Others took them over only after silence, which each trickled chunk broke, and asked the slow uplink many times over: after 70% of the limit the uplinks fell to 0.1 in use.

--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -10,7 +10,7 @@
 use crate::weights::error::FetchError;
 use crate::weights::manifest::Manifest;
 
-use super::choice::{Limits, hedge, next_chunk};
+use super::choice::{Limits, hedge, held_by_fast_peers, next_chunk};
 use super::transfer::InFlight;
 use super::{Have, Source, WeightsAction, WeightsCore};
 
@@ -119,7 +119,12 @@
         out: &mut Vec<WeightsAction>,
     ) {
         while self.origin_downloads < self.cfg.origin_downloads {
-            let Some(index) = self.owned_chunk(now, version) else {
+            let Some(transfer) = self.transfers.get_mut(version).filter(|t| t.open) else {
+                return;
+            };
+            let reachable = held_by_fast_peers(transfer, &self.links, now);
+            transfer.note_reachable(&reachable, now);
+            let Some(index) = self.owned_chunk(now, version, &reachable) else {
                 return;
             };
             let Some((source, addr)) = self.origin_or_remote(now, version, index) else {
@@ -137,14 +142,14 @@
     }
 
     /// A missing chunk that no peer holds and that this host has to draw now.
-    fn owned_chunk(&self, now: Instant, version: &Digest) -> Option<u32> {
-        let transfer = self.transfers.get(version).filter(|t| t.open)?;
+    fn owned_chunk(&self, now: Instant, version: &Digest, reachable: &ChunkSet) -> Option<u32> {
+        let transfer = self.transfers.get(version)?;
         if !transfer.is_introduced(now, self.cfg.takeover) {
             return None;
         }
-        let silence = now - transfer.news_at;
+        let silence = transfer.silence(now);
         (0..transfer.chunks())
-            .filter(|index| transfer.holders[*index as usize] == 0)
+            .filter(|index| !reachable.contains(*index))
             .filter(|index| !transfer.have.contains(*index))
             .filter(|index| !transfer.in_flight.contains_key(index))
             .find(|index| {
@@ -295,8 +300,10 @@
             return;
         };
         let before = transfer.permille();
+        if transfer.holders[index as usize] == 0 {
+            transfer.news_at = now;
+        }
         transfer.have.insert(index);
-        transfer.news_at = now;
         let after = transfer.permille();
         if after / PROGRESS_STEP > before / PROGRESS_STEP {
             out.push(WeightsAction::Progress {
--- a/src/weights/core/transfer.rs
+++ b/src/weights/core/transfer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::types::HostId;
 use crate::weights::bitmap::ChunkSet;
@@ -10,6 +10,10 @@
 
 use super::{Have, Source, Wanted};
 
+/// Share of the chunks, as a divisor, that may be out of reach when their owners count as late.
+/// It bounds what is drawn from the origin twice.
+const SCARCE_DIVISOR: u32 = 16;
+
 /// One fetch that runs.
 #[derive(Clone, Debug)]
 pub(super) struct InFlight {
@@ -43,8 +47,10 @@
     /// False once a newer version of the model has taken its place; kept until memory is needed.
     pub current: bool,
     pub since: Instant,
-    /// Latest time at which the set of reachable chunks grew.
+    /// Latest time at which a chunk that neither this host nor its peers held came to one of them.
     pub news_at: Instant,
+    /// Time since which only few chunks are out of reach.
+    pub scarce_since: Option<Instant>,
     pub manifest: Option<Arc<Manifest>>,
     /// True once memory for the version is granted.
     pub open: bool,
@@ -74,6 +80,7 @@
             current: true,
             since: now,
             news_at: now,
+            scarce_since: None,
             manifest: None,
             open: false,
             manifest_fetch: None,
@@ -116,10 +123,10 @@
         u32::from(self.open) + self.have.len()
     }
 
-    /// Takes in what a peer holds; true when a chunk became reachable.
-    pub fn learn(&mut self, host: &HostId, have: Have, now: Instant) -> bool {
+    /// Takes in what a peer holds.
+    pub fn learn(&mut self, host: &HostId, have: Have, now: Instant) {
         let Some(talk) = self.talks.get_mut(host) else {
-            return false;
+            return;
         };
         talk.heard = true;
         let mut have = match have {
@@ -130,11 +137,9 @@
             have.truncate(manifest.len());
         }
         let old = std::mem::replace(&mut talk.have, have.clone());
-        let grown = self.recount(old.as_ref(), have.as_ref());
-        if grown {
+        if self.recount(old.as_ref(), have.as_ref()) {
             self.news_at = now;
         }
-        grown
     }
 
     /// Notes that a peer holds a chunk no longer, or never did.
@@ -180,6 +185,7 @@
         }
     }
 
+    /// Moves the counts from the old to the new set; true when a chunk was held by nobody.
     fn recount(&mut self, old: Option<&ChunkSet>, new: Option<&ChunkSet>) -> bool {
         if self.holders.is_empty() {
             return new.is_some();
@@ -191,10 +197,13 @@
         let mut lost = old.clone();
         lost.subtract(new);
         lost.iter().for_each(|index| self.uncount(index));
-        gained
-            .iter()
-            .for_each(|index| self.holders[index as usize] += 1);
-        !gained.is_empty()
+        let mut fresh = false;
+        for index in gained.iter() {
+            let count = &mut self.holders[index as usize];
+            fresh |= *count == 0 && !self.have.contains(index);
+            *count += 1;
+        }
+        fresh
     }
 
     fn uncount(&mut self, index: u32) {
@@ -214,6 +223,21 @@
         Some(ended)
     }
 
+    /// Notes which chunks are out of reach: neither held nor held by a peer worth asking.
+    pub fn note_reachable(&mut self, reachable: &ChunkSet, now: Instant) {
+        let mut seen = reachable.clone();
+        seen.union_with(&self.have);
+        let chunks = self.chunks();
+        let few = chunks - seen.len().min(chunks) <= chunks.div_ceil(SCARCE_DIVISOR);
+        self.scarce_since = self.scarce_since.filter(|_| few).or(few.then_some(now));
+    }
+
+    /// Time for which no owner was heard to draw a chunk, or only few were missing.
+    pub fn silence(&self, now: Instant) -> Duration {
+        let scarce = self.scarce_since.unwrap_or(now);
+        now - self.news_at.min(scarce)
+    }
+
     /// Bytes of memory that the state takes, without the chunks themselves.
     pub fn memory(&self) -> usize {
         let talks = self
--- a/src/weights/tests/world.rs
+++ b/src/weights/tests/world.rs
@@ -250,7 +250,9 @@
 
     fn fetch_manifest(&mut self, host: usize, wanted: Wanted, source: Source) {
         let found = match &source {
-            Source::Origin(_) if !self.origin_up || self.cut && host % self.regions > 0 => {
+            Source::Origin(_)
+                if !self.origin_up || self.cut && !host.is_multiple_of(self.regions) =>
+            {
                 Err(FetchError::Unreachable)
             }
             Source::Origin(_) if self.origin_changed => Err(FetchError::Corrupt),
@@ -275,7 +277,9 @@
 
     fn fetch_chunk(&mut self, host: usize, version: Digest, index: u32, source: Source) {
         let (result, have) = match &source {
-            Source::Origin(_) if !self.origin_up || self.cut && host % self.regions > 0 => {
+            Source::Origin(_)
+                if !self.origin_up || self.cut && !host.is_multiple_of(self.regions) =>
+            {
                 (Err(FetchError::Unreachable), None)
             }
             Source::Origin(_) => {
