--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -5,12 +5,14 @@
 #![allow(clippy::print_stdout)]
 
 mod burst;
+mod chunks;
 #[path = "../common/mod.rs"]
 mod common;
 mod config;
 mod control;
 mod fairness;
 mod overhead;
+mod push;
 mod relay;
 mod report;
 mod routing;
@@ -76,6 +78,8 @@
         "config" => Some(config::run(args).await),
         "control" => Some(control::run(args).await),
         "weights" => Some(weights::run(args).await),
+        "push" => Some(push::run(args).await),
+        "chunks" => Some(chunks::run(args).await),
         "nothing" => Some(Report::new("nothing")),
         _ => None,
     }
--- a/examples/measure/weights/faults.rs
+++ b/examples/measure/weights/faults.rs
@@ -183,13 +183,9 @@
     fleet.start_all();
     let start = Instant::now();
     fleet.want(&copies[0]);
-    while fleet.net.origin.bytes() < copies[0].size as u64 * fleet.shape.regions as u64 {
-        if start.elapsed() > fleet.shape.t {
-            break;
-        }
+    while !fleet.covers(&copies[0]) && start.elapsed() < fleet.shape.t {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    tokio::time::sleep(fleet.shape.t / 100).await;
     fleet.stop_origin();
     let done = fleet.wait(&copies[0].digest, hosts, start + BOUND).await;
     ready_figures(report, &fleet, &done, start, hosts, OTHERS_BOUND);
--- a/examples/measure/weights/fleet.rs
+++ b/examples/measure/weights/fleet.rs
@@ -178,6 +178,14 @@
         done
     }
 
+    /// True when every chunk is held by some host.
+    pub fn covers(&self, copy: &Copy) -> bool {
+        (0..copy.chunks()).all(|index| {
+            let mut services = self.hosts.iter().flatten();
+            services.any(|(service, _)| service.chunk(&copy.digest, index).is_some())
+        })
+    }
+
     /// Bytes that all hosts have sent.
     fn sent(&self) -> u64 {
         self.net.hosts.iter().map(|link| link.up.bytes()).sum()
