--- a/src/weights/core/exchange.rs
+++ b/src/weights/core/exchange.rs
@@ -52,7 +52,7 @@
             talk.told = transfer_told(transfer.open, transfer.have.len());
             talk.sent_at = Some(now);
         }
-        transfer.learn(&host, have, now);
+        transfer.learn_more(&host, have, now);
     }
 
     pub(super) fn announce_done(
--- a/src/weights/core/transfer.rs
+++ b/src/weights/core/transfer.rs
@@ -185,6 +185,25 @@
         }
     }
 
+    /// Takes in what a peer said on its own, which may be older than what is known of it.
+    ///
+    /// So it only adds; what a peer holds no longer shows in its answers.
+    pub fn learn_more(&mut self, host: &HostId, have: Have, now: Instant) {
+        let Some(talk) = self.talks.get(host) else {
+            return;
+        };
+        let heard = talk.heard;
+        if let Have::Chunks(mut have) = have {
+            if let Some(known) = &talk.have {
+                have.union_with(known);
+            }
+            self.learn(host, Have::Chunks(have), now);
+        }
+        if let Some(talk) = self.talks.get_mut(host) {
+            talk.heard = heard;
+        }
+    }
+
     /// Moves the counts from the old to the new set; true when a chunk was held by nobody.
     fn recount(&mut self, old: Option<&ChunkSet>, new: Option<&ChunkSet>) -> bool {
         if self.holders.is_empty() {
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -171,6 +171,20 @@
     assert_eq!(world.drawn, drawn);
 }
 
+#[test]
+fn announcements_from_before_it_started_do_not_send_a_late_joiner_to_the_origin() {
+    let mut world = World::new(16, 1);
+    world.kill(7);
+    world.want(&wanted("m", "v1"));
+    assert!(world.run_until_held("v1").is_some());
+    let (drawn, manifests) = (world.drawn, world.manifests);
+    world.start(7);
+    world.want_at(7, &wanted("m", "v1"));
+    world.deliver_old_announcements(7, "v1");
+    assert!(world.run_until_held("v1").is_some());
+    assert_eq!((world.drawn, world.manifests), (drawn, manifests));
+}
+
 #[test]
 fn two_versions_that_two_models_want_both_arrive() {
     let mut world = World::new(8, 1);
--- a/src/weights/tests/world.rs
+++ b/src/weights/tests/world.rs
@@ -38,6 +38,8 @@
     pub origin_changed: bool,
     /// Chunks drawn from the origin.
     pub drawn: u32,
+    /// Manifests drawn from the origin.
+    pub manifests: u32,
     /// Chunks that crossed between regions, from peers.
     pub crossed: u32,
     pub corrupt: Option<usize>,
@@ -67,6 +69,7 @@
             origin_up: true,
             origin_changed: false,
             drawn: 0,
+            manifests: 0,
             crossed: 0,
             corrupt: None,
             stalled: None,
@@ -113,6 +116,20 @@
         self.tell(host, WeightsEvent::Wanted(wanted.clone()));
     }
 
+    /// Delivers announcements that the peers sent long ago, before any answer of theirs.
+    pub fn deliver_old_announcements(&mut self, host: usize, version: &str) {
+        for peer in (0..self.nodes.len()).filter(|peer| *peer != host) {
+            let sender = self.peer(peer);
+            let event = WeightsEvent::Announced {
+                host: sender.host,
+                addr: sender.addr,
+                version: version.into(),
+                have: Have::Nothing,
+            };
+            self.post(host, DELAY / 10, event);
+        }
+    }
+
     /// Runs until every live host holds the version; returns the time that it took.
     pub fn run_until_held(&mut self, version: &str) -> Option<Duration> {
         let start = self.now;
@@ -256,7 +273,10 @@
                 Err(FetchError::Unreachable)
             }
             Source::Origin(_) if self.origin_changed => Err(FetchError::Corrupt),
-            Source::Origin(_) => Ok(()),
+            Source::Origin(_) => {
+                self.manifests += 1;
+                Ok(())
+            }
             Source::Peer(peer) => match self.reaches(host, peer.parse().unwrap()) {
                 true => Ok(()),
                 false => Err(FetchError::Unreachable),
