One page with plots of the measurements

measure report reads the figures that measurements left as JSON and writes one HTML page with SVG bars; what was not run is said. It shows no course over time yet.

--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -12,6 +12,7 @@
 mod control;
 mod fairness;
 mod overhead;
+mod page;
 mod push;
 mod relay;
 mod report;
@@ -75,6 +76,7 @@
         "fairness" => Some(fairness::run(args).await),
         "zones" => Some(zones::run(args).await),
         "routing" => Some(routing::run(args).await),
+        "report" => Some(page::run()),
         "config" => Some(config::run(args).await),
         "control" => Some(control::run(args).await),
         "weights" => Some(weights::run(args).await),
