Heartbeats leave out endpoints that have not changed

Change: reports carry a revision; an entry says which it has, and the agent leaves out endpoints whose state, version, limit and quarter of load are the same (exact load rides on answers). At most 26 heartbeats a second from one entry.

--- a/src/agent/core/control.rs
+++ b/src/agent/core/control.rs
@@ -9,6 +9,7 @@
 use crate::telemetry::Event;
 use crate::wire::{ConfigDoc, SettleReply, SettleRequest, SyncReply, SyncRequest};
 
+use super::reports::seen_by;
 use super::{AgentAction, AgentCore, HeldPlacement};
 
 impl AgentCore {
@@ -19,6 +20,7 @@
         actions: &mut Vec<AgentAction>,
     ) {
         let theirs = request.generation;
+        let seen = seen_by(&request, self.cfg.instance);
         if let Some(doc) = request.config {
             self.adopt(now, &doc, actions);
         }
@@ -28,7 +30,7 @@
         self.config
             .peer_contact(now, &request.entry, theirs, &request.store);
         self.quarantine.merge(now, &request.quarantine);
-        let reply = self.sync_reply(now, &request.entry, theirs);
+        let reply = self.sync_reply(now, &request.entry, theirs, seen);
         actions.push(AgentAction::SyncReply(Box::new(reply)));
     }
 
@@ -103,7 +105,9 @@
         }
     }
 
-    fn sync_reply(&mut self, now: Instant, entry: &str, theirs: u64) -> SyncReply {
+    fn sync_reply(&mut self, now: Instant, entry: &str, theirs: u64, seen: u64) -> SyncReply {
+        let reports = self.gates.values().map(|gate| gate.report(now)).collect();
+        let endpoints = self.reports.since(seen, reports);
         SyncReply {
             host: self.cfg.host.to_string(),
             zone: self.cfg.zone.to_string(),
@@ -114,7 +118,8 @@
             placement_version: self.placement.as_ref().map(|held| held.version),
             store: self.config.sync_fields(now, entry),
             leaving: self.leaving,
-            endpoints: self.gates.values().map(|gate| gate.report(now)).collect(),
+            endpoints,
+            revision: Some(self.reports.revision()),
             quarantine: self.quarantine.entries(now),
         }
     }
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod event;
 pub mod gate;
+mod reports;
 mod settings;
 mod versions;
 mod work;
@@ -31,6 +32,7 @@
 
 use crash::CrashWatch;
 use gate::Gate;
+use reports::Reports;
 use versions::Versions;
 
 /// Requests in flight at an endpoint and its limit.
@@ -70,6 +72,7 @@
     quarantine: Quarantine,
     crashes: CrashWatch,
     versions: Versions,
+    reports: Reports,
     leaving: bool,
     drained: bool,
 }
@@ -92,6 +95,7 @@
             quarantine: Quarantine::default(),
             crashes: CrashWatch::default(),
             versions: Versions::default(),
+            reports: Reports::default(),
             leaving: false,
             drained: false,
         }
--- a/src/agent/core/tests/mod.rs
+++ b/src/agent/core/tests/mod.rs
@@ -1,4 +1,5 @@
 mod placed;
+mod reports;
 
 use std::time::{Duration, Instant};
 
@@ -104,6 +105,8 @@
             body: serde_json::to_string(&targets).expect("targets"),
         });
         let request = SyncRequest {
+            seen_instance: None,
+            seen_revision: None,
             entry: "e1".into(),
             zone: None,
             generation,
--- a/src/agent/core/tests/placed.rs
+++ b/src/agent/core/tests/placed.rs
@@ -23,6 +23,8 @@
 /// An entry passes version `fence` of the placement on.
 pub(super) fn place(bench: &mut Bench, fence: u64, placement: &Placement) -> Vec<AgentAction> {
     let request = SyncRequest {
+        seen_instance: None,
+        seen_revision: None,
         entry: "e1".into(),
         zone: None,
         generation: 6,
--- a/src/entry/core/config.rs
+++ b/src/entry/core/config.rs
@@ -58,7 +58,7 @@
             policy: Policy::Adaptive,
             queue_len: 1_000,
             heartbeat: Duration::from_secs(1),
-            heartbeats_per_second: 100,
+            heartbeats_per_second: 26,
             suspicion: Duration::from_millis(2_500),
             full_mesh: 40,
             entries_per_agent: 2,
--- a/src/entry/core/control.rs
+++ b/src/entry/core/control.rs
@@ -35,9 +35,11 @@
             // Another host has taken over the address.
             return self.sync_failed(now, host);
         }
+        let earlier = self.membership.agent(host).and_then(|agent| agent.instance);
+        let is_same_instance = earlier == Some(reply.agent_instance);
         self.membership.heard(now, host, &reply);
         self.plan_heartbeat(now, host);
-        self.take_reports(now, host, &reply);
+        self.take_reports(now, host, &reply, is_same_instance);
         if let Some(doc) = &reply.config {
             self.config_taught(now, doc);
         }
@@ -50,12 +52,16 @@
         self.look_for_targets(now, host);
     }
 
-    fn take_reports(&mut self, now: Instant, host: &str, reply: &SyncReply) {
+    /// An endpoint that is left out has not changed, or is gone when the agent's process is new.
+    fn take_reports(&mut self, now: Instant, host: &str, reply: &SyncReply, is_same: bool) {
         let host: HostId = host.into();
+        let is_partial = is_same && reply.revision.is_some();
         for endpoint in self.endpoints.values_mut().filter(|e| e.host == host) {
             let reported = |report: &EndpointReport| report.endpoint == *endpoint.id;
-            if !reply.endpoints.iter().any(reported) {
-                endpoint.is_gone();
+            match reply.endpoints.iter().any(reported) {
+                true => {}
+                false if is_partial => endpoint.confirmed(),
+                false => endpoint.is_gone(),
             }
         }
         for report in &reply.endpoints {
@@ -206,6 +212,8 @@
         SyncRequest {
             config: known.and_then(|generation| self.config.doc_for(generation)),
             entry: self.cfg.entry.to_string(),
+            seen_instance: agent.instance,
+            seen_revision: agent.instance.map(|_| agent.revision),
             generation: self.config.generation(),
             placement: self.placement_for(agent),
             placement_version: Some(self.placing.version()),
--- a/src/entry/core/tests/fixture.rs
+++ b/src/entry/core/tests/fixture.rs
@@ -93,6 +93,7 @@
 
 pub fn reply(host: &str, endpoints: Vec<EndpointReport>) -> SyncReply {
     SyncReply {
+        revision: None,
         agent_instance: 7,
         config: None,
         endpoints,
--- a/src/entry/core/tests/membership.rs
+++ b/src/entry/core/tests/membership.rs
@@ -236,3 +236,21 @@
     assert_eq!(f.dispatched.len(), 1, "after {answered} were asked");
     assert!(answered < 60, "the search ends when the target is found");
 }
+
+#[rstest]
+#[case::left_out(7, Some(3), true)]
+#[case::agent_without_revisions(7, None, false)]
+#[case::agent_restarted(8, Some(3), false)]
+fn an_endpoint_that_a_reply_leaves_out(
+    #[case] instance: u64,
+    #[case] revision: Option<u64>,
+    #[case] still_serves: bool,
+) {
+    let mut f = Fixture::new(&[("h1", "a")], 4);
+    let mut silent = reply("h1", Vec::new());
+    silent.agent_instance = instance;
+    silent.revision = revision;
+    f.synced(silent);
+    f.arrive("answers", "small");
+    assert_eq!(f.dispatched.len() == 1, still_serves, "{:?}", f.codes());
+}
--- a/src/membership/agent.rs
+++ b/src/membership/agent.rs
@@ -28,6 +28,8 @@
     pub instance: Option<InstanceId>,
     /// Generation in force at the agent, once it has answered.
     pub generation: Generation,
+    /// Newest revision of the reports from this instance.
+    pub revision: u64,
     /// Version of the placement at the agent, once it has answered.
     pub placement_version: Generation,
     /// Revision of the quarantine that the agent has got.
@@ -63,6 +65,7 @@
             said_leaving: false,
             instance: None,
             generation: 0,
+            revision: 0,
             placement_version: 0,
             quarantine_revision: 0,
             quarantine_sent: 0,
@@ -96,6 +99,7 @@
     pub fn heard(&mut self, now: Instant, reply: &SyncReply) {
         let is_restarted = self.instance != Some(reply.agent_instance);
         self.instance = Some(reply.agent_instance);
+        self.revision = reply.revision.unwrap_or(0);
         self.placement_version = reply.placement_version.unwrap_or(0);
         self.quarantine_revision = if is_restarted {
             0
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -81,6 +81,11 @@
         self.load_seen(now, self.reported, report.limit);
     }
 
+    /// The agent says that its last report still holds.
+    pub fn confirmed(&mut self) {
+        self.refused = false;
+    }
+
     /// Takes in a load that rode on an answer or a report.
     ///
     /// What may be this entry's own work is taken off, so that the rest is that of others.
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -399,6 +399,9 @@
     pub placement_version: ::std::option::Option<u64>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub quarantine: ::std::vec::Vec<QuarantineEntry>,
+    ///Revision of the reports. Endpoints that have not changed since the revision that the entry has are left out.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub revision: ::std::option::Option<u64>,
     pub store: StoreContact,
     pub zone: ::std::string::String,
 }
@@ -421,6 +424,12 @@
     pub placement_version: ::std::option::Option<u64>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub quarantine: ::std::vec::Vec<QuarantineEntry>,
+    ///Instance of the agent's process whose reports the entry has.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub seen_instance: ::std::option::Option<u64>,
+    ///Newest revision of the reports that the entry has from that instance.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub seen_revision: ::std::option::Option<u64>,
     pub store: StoreContact,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub zone: ::std::option::Option<::std::string::String>,
--- a/tests/contract_agent.rs
+++ b/tests/contract_agent.rs
@@ -114,6 +114,8 @@
 
 async fn sync(clients: &ControlClients, agent: &AgentHandle, generation: u64) -> SyncReply {
     let request = SyncRequest {
+        seen_instance: None,
+        seen_revision: None,
         config: None,
         entry: "probe".to_owned(),
         generation,
