An endpoint keeps its cold bound for a declared warm-up

Ruled out: guessing the state from the first token, which is in time while the engine still bears little. Change: endpoint setting warm_up, 32 answers by default, counted anew after a restart or a switch; the place count rises only after it. The builders declare what the stand-in's engines need. Conclusion: the bound is the operator's declaration, as the cold limit is.

--- a/examples/common/site.rs
+++ b/examples/common/site.rs
@@ -353,6 +353,7 @@
             engine.addr(),
         );
         endpoint.cold_limit = cfg.cold_bound;
+        endpoint.warm_up = cfg.warm_after;
         endpoint.limit = cfg.full_bound;
         endpoint.checks_fencing = cfg.checks_fence;
         endpoint.idle_power = cfg.idle_mw;
--- a/src/agent/core/gate/capacity.rs
+++ b/src/agent/core/gate/capacity.rs
@@ -16,6 +16,10 @@
 pub struct Capacity {
     cold: u32,
     max: u32,
+    /// Answers until which the cold bound holds.
+    warm_up: u32,
+    /// Answers since the endpoint became cold, counted up to `warm_up`.
+    answers: u32,
     /// Invariant: between `cold` and `max`.
     limit: u32,
     /// Moving average of the time to the first token.
@@ -25,13 +29,16 @@
 }
 
 impl Capacity {
-    /// Starts at the cold bound; `cold` is brought between 1 and `max`.
-    pub fn new(cold: u32, max: u32) -> Self {
+    /// Starts at the cold bound, which holds for `warm_up` answers; `cold` is brought between 1 and
+    /// `max`.
+    pub fn new(cold: u32, max: u32, warm_up: u32) -> Self {
         let max = max.max(1);
         let cold = cold.clamp(1, max);
         Self {
             cold,
             max,
+            warm_up,
+            answers: 0,
             limit: cold,
             first_token: None,
             evidence_at: None,
@@ -64,6 +71,7 @@
     /// Falls back to the cold bound and forgets the evidence.
     pub fn collapse(&mut self) {
         self.limit = self.cold;
+        self.answers = 0;
         self.first_token = None;
         self.evidence_at = None;
     }
@@ -86,9 +94,12 @@
         jumped
     }
 
-    /// Takes in a whole answer; the capacity rises by one when its first token was in time.
+    /// Takes in a whole answer; after the warm-up the capacity rises by one when its first token was
+    /// in time.
     pub fn completed(&mut self, now: Instant, first_token: Duration, target: Duration) {
-        if first_token <= target {
+        if self.answers < self.warm_up {
+            self.answers += 1;
+        } else if first_token <= target {
             self.limit = (self.limit + 1).min(self.max);
         }
         self.seen(now);
--- a/src/agent/core/gate/mod.rs
+++ b/src/agent/core/gate/mod.rs
@@ -70,7 +70,7 @@
             clearance: Clearance::new(cfg.checks_fencing, now),
             phase: Phase::Down(Down::unknown()),
             instance: None,
-            capacity: Capacity::new(cfg.cold_limit, cfg.limit),
+            capacity: Capacity::new(cfg.cold_limit, cfg.limit, cfg.warm_up),
             power: PowerModel::new(cfg.idle_power_mw, cfg.millijoules_per_token),
             grant: None,
             running: BTreeMap::new(),
--- a/src/agent/core/tests/mod.rs
+++ b/src/agent/core/tests/mod.rs
@@ -1,5 +1,6 @@
 mod placed;
 mod reports;
+mod warm_up;
 
 use std::time::{Duration, Instant};
 
@@ -50,6 +51,7 @@
         target: target.into(),
         kind,
         cold_limit: 2,
+        warm_up: 0,
         limit: 4,
         checks_fencing: true,
         idle_power_mw: 100,
--- a/src/settings/generated.rs
+++ b/src/settings/generated.rs
@@ -638,6 +638,8 @@
     pub cold_limit: u32,
     /// Requests that the endpoint bears at once when warm.
     pub limit: u32,
+    /// Answers after a start or a switch of version until which the endpoint bears no more than when cold.
+    pub warm_up: u32,
     /// Whether the endpoint refuses orders with an old fencing number.
     pub checks_fencing: bool,
     /// Draw without work.
@@ -683,6 +685,13 @@
             min: Some("1"),
             max: Some("10000"),
         },
+        Key {
+            name: "warm_up",
+            expected: <kind::Count as Kind>::EXPECTED,
+            default: Some("32"),
+            min: Some("0"),
+            max: Some("100000"),
+        },
         Key {
             name: "checks_fencing",
             expected: <kind::Boolean as Kind>::EXPECTED,
@@ -720,9 +729,10 @@
             address,
             cold_limit: Self::KEYS[3].default_value::<kind::Count>(),
             limit: Self::KEYS[4].default_value::<kind::Count>(),
-            checks_fencing: Self::KEYS[5].default_value::<kind::Boolean>(),
-            idle_power: Self::KEYS[6].default_value::<kind::Power>(),
-            energy_per_token: Self::KEYS[7].default_value::<kind::Energy>(),
+            warm_up: Self::KEYS[5].default_value::<kind::Count>(),
+            checks_fencing: Self::KEYS[6].default_value::<kind::Boolean>(),
+            idle_power: Self::KEYS[7].default_value::<kind::Power>(),
+            energy_per_token: Self::KEYS[8].default_value::<kind::Energy>(),
         }
     }
     fn read(section: &SectionView<'_>, faults: &mut Faults) -> Option<Self> {
@@ -733,9 +743,10 @@
         let address = section.read::<kind::Address>(&Self::KEYS[2], faults);
         let cold_limit = section.read::<kind::Count>(&Self::KEYS[3], faults);
         let limit = section.read::<kind::Count>(&Self::KEYS[4], faults);
-        let checks_fencing = section.read::<kind::Boolean>(&Self::KEYS[5], faults);
-        let idle_power = section.read::<kind::Power>(&Self::KEYS[6], faults);
-        let energy_per_token = section.read::<kind::Energy>(&Self::KEYS[7], faults);
+        let warm_up = section.read::<kind::Count>(&Self::KEYS[5], faults);
+        let checks_fencing = section.read::<kind::Boolean>(&Self::KEYS[6], faults);
+        let idle_power = section.read::<kind::Power>(&Self::KEYS[7], faults);
+        let energy_per_token = section.read::<kind::Energy>(&Self::KEYS[8], faults);
         Some(Self {
             name,
             target: target?,
@@ -743,6 +754,7 @@
             address: address?,
             cold_limit: cold_limit?,
             limit: limit?,
+            warm_up: warm_up?,
             checks_fencing: checks_fencing?,
             idle_power: idle_power?,
             energy_per_token: energy_per_token?,
--- a/tests/fuzz/world/fixture.rs
+++ b/tests/fuzz/world/fixture.rs
@@ -36,6 +36,7 @@
             EndpointKind::Service
         },
         cold_limit: 2,
+        warm_up: 0,
         limit: 5,
         checks_fencing: true,
         idle_power_mw: 100,
