Routing counts others exactly; large customers leave places free

Cause: entries overcommitted endpoints that others used too, and a customer at ten times its share held every place. Change: what the agent counts beyond own work is the work of others, queued work included; a customer far over its share leaves 15% of each endpoint's places; the head of each customer may go next.

--- a/src/admission/fair.rs
+++ b/src/admission/fair.rs
@@ -87,20 +87,38 @@
             .sum()
     }
 
-    /// Takes the request whose turn it is.
-    pub fn pop(&mut self) -> Option<(CustomerId, Ticket)> {
-        let customer = self
+    /// First request of each customer, in the order of their turns.
+    pub fn heads(&self) -> Vec<(CustomerId, Ticket)> {
+        let mut heads: Vec<(f64, &CustomerId, Ticket)> = self
             .lanes
             .iter()
-            .filter_map(|(customer, lane)| Some((lane.waiting.front()?.start, customer)))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, customer)| customer.clone())?;
-        let lane = self.lanes.get_mut(&customer)?;
+            .filter_map(|(customer, lane)| {
+                let head = lane.waiting.front()?;
+                Some((head.start, customer, head.ticket))
+            })
+            .collect();
+        heads.sort_by(|a, b| a.0.total_cmp(&b.0));
+        heads
+            .into_iter()
+            .map(|(_, customer, ticket)| (customer.clone(), ticket))
+            .collect()
+    }
+
+    /// Takes the first request of a customer.
+    pub fn pop_of(&mut self, customer: &str) -> Option<Ticket> {
+        let lane = self.lanes.get_mut(customer)?;
         let tagged = lane.waiting.pop_front()?;
-        self.virtual_time = tagged.start;
+        self.virtual_time = self.virtual_time.max(tagged.start);
         self.len -= 1;
         self.forget_idle();
-        Some((customer, tagged.ticket))
+        Some(tagged.ticket)
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self) -> Option<(CustomerId, Ticket)> {
+        let (customer, _) = self.heads().into_iter().next()?;
+        let ticket = self.pop_of(&customer)?;
+        Some((customer, ticket))
     }
 
     /// Removes a request.
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -6,9 +6,11 @@
 mod fair;
 mod queue;
 mod rate;
+mod shares;
 #[cfg(test)]
 mod tests;
 
 pub use fair::{FairQueue, Ticket};
 pub use queue::{Admission, Offer};
 pub use rate::Rate;
+pub use shares::Shares;
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -222,14 +222,6 @@
         }
     }
 
-    /// Puts a request that found no place back where it was taken from.
-    pub fn put_back(&mut self, class: &ClassId, customer: &CustomerId, ticket: Ticket) {
-        if let Some(queue) = self.classes.get_mut(class) {
-            queue.returned.push_front((customer.clone(), ticket));
-            self.note_waiting(class, customer, ticket);
-        }
-    }
-
     /// Targets for which requests wait.
     pub fn targets(&self) -> BTreeSet<TargetId> {
         self.classes
@@ -251,12 +243,28 @@
         classes.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
-    /// Takes the request of a class whose turn it is.
-    pub fn take(&mut self, class: &str) -> Option<(CustomerId, Ticket)> {
+    /// Requests of a class that may go next, in the order of their turns: one that came back, else
+    /// the first of each customer.
+    pub fn heads(&self, class: &str) -> Vec<(CustomerId, Ticket)> {
+        let Some(class) = self.classes.get(class) else {
+            return Vec::new();
+        };
+        match class.returned.front() {
+            Some(first) => vec![first.clone()],
+            None => class.queue.heads(),
+        }
+    }
+
+    /// Takes a request that [`Self::heads`] named.
+    pub fn take(&mut self, class: &str, customer: &str, req: RequestId) -> Option<Ticket> {
         let queue = self.classes.get_mut(class)?;
-        let taken = queue.returned.pop_front().or_else(|| queue.queue.pop())?;
-        self.forget_waiting(taken.1.req);
-        Some(taken)
+        let is_returned = queue.returned.front().is_some_and(|(_, t)| t.req == req);
+        let ticket = match is_returned {
+            true => queue.returned.pop_front().map(|(_, ticket)| ticket),
+            false => queue.queue.pop_of(customer),
+        }?;
+        self.forget_waiting(ticket.req);
+        Some(ticket)
     }
 
     /// Notes that a request of a class was started at an endpoint.
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use super::{Admission, FairQueue, Offer, Rate, Ticket};
+use super::{Admission, FairQueue, Offer, Rate, Shares, Ticket};
 use crate::codes::Code;
 use crate::types::CustomerId;
 
@@ -146,13 +146,15 @@
         admission.offer(now, &offer(req, "a", now)).unwrap();
     }
     admission.remove(3);
-    let (customer, taken) = admission.take("answers").unwrap();
-    admission.put_back(&"answers".into(), &customer, taken);
+    let (customer, head) = admission.heads("answers")[0].clone();
+    let taken = admission.take("answers", &customer, head.req).unwrap();
+    admission.give_back(&"answers".into(), &customer, taken);
+    assert_eq!(admission.heads("answers")[0].1, taken);
     admission.remove(taken.req);
     assert_eq!(admission.next_late(), Some(now + Duration::from_secs(1)));
     assert_eq!(admission.take_late(now + Duration::from_secs(1)).len(), 8);
     assert!(admission.is_empty());
-    assert!(admission.take("answers").is_none());
+    assert!(admission.heads("answers").is_empty());
     assert_eq!(admission.next_late(), None);
 }
 
@@ -172,3 +174,18 @@
     assert!((told / expected - 1.0).abs() < 0.1, "{told} for {expected}");
     assert!(rate.per_second(at + Duration::from_secs(20)) < expected / 1_000.0);
 }
+
+#[rstest]
+#[case::alone(&[("a", 40)], false)]
+#[case::equal(&[("a", 10), ("b", 10)], false)]
+#[case::chance(&[("a", 4), ("b", 1), ("c", 1)], false)]
+#[case::large(&[("a", 20), ("b", 2), ("c", 2)], true)]
+fn a_customer_far_above_its_share_is_known(#[case] places: &[(&str, usize)], #[case] over: bool) {
+    let mut shares = Shares::default();
+    for (customer, count) in places {
+        (0..*count).for_each(|_| shares.take(&"chat".into(), &(*customer).into(), 1));
+    }
+    assert_eq!(shares.is_over("chat", "a"), over);
+    (0..places[0].1).for_each(|_| shares.release("chat", "a"));
+    assert!(!shares.is_over("chat", "a"));
+}
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -147,9 +147,12 @@
     pub fn load(&self, now: Instant, endpoint: &str) -> EndpointLoad {
         self.gates
             .get(endpoint)
-            .map_or_else(EndpointLoad::default, |gate| EndpointLoad {
-                in_flight: u32::try_from(gate.running().len()).unwrap_or(u32::MAX),
-                limit: gate.limit(now),
+            .map_or_else(EndpointLoad::default, |gate| {
+                let report = gate.report(now);
+                EndpointLoad {
+                    in_flight: report.in_flight + report.queued,
+                    limit: report.limit,
+                }
             })
     }
 
--- a/src/entry/core/ends.rs
+++ b/src/entry/core/ends.rs
@@ -34,7 +34,7 @@
         request.avoid = Some(running.endpoint.clone());
         let target = request.meta.target.clone();
         let keyed = request.meta.key.is_some();
-        self.give_place_back(now, &running);
+        self.give_place_back(&running);
         match &end {
             AttemptEnd::Answered => self.admission.ended(now, &target),
             AttemptEnd::Refused(code) => self.note_refusal(now, req, &running, *code),
@@ -50,7 +50,7 @@
     fn repeatable_ended(&mut self, now: Instant, req: RequestId, run: Attempt, end: AttemptEnd) {
         match end {
             AttemptEnd::Answered => {
-                self.end_answered(now, req);
+                self.end_answered(req);
                 self.actions.push(EntryAction::Complete { req });
             }
             AttemptEnd::Refused(Code::Quarantined) => self.give_up(now, req, Code::Quarantined),
@@ -185,7 +185,7 @@
         let within_limits = self.requests[&req].tries < MAX_TRIES;
         match self.choose_same_version(now, req) {
             Some(endpoint) if within_limits && self.retries.draw() => {
-                let attempt = self.plan_attempt(now, &endpoint);
+                let attempt = self.plan_attempt(now, req, &endpoint);
                 self.send(now, req, attempt);
             }
             _ => self.give_up(now, req, Code::AnswerBroken),
@@ -207,20 +207,20 @@
             _ => Refusal::new(code).after(RETRY_AFTER),
         };
         if !self.give_claim_up(now, req, refusal.clone()) {
-            self.end_refused(now, req, refusal);
+            self.end_refused(req, refusal);
         }
     }
 
     /// Ends a request with a refusal.
-    pub(super) fn end_refused(&mut self, now: Instant, req: RequestId, refusal: Refusal) {
-        if let Some(request) = self.end(now, req) {
+    pub(super) fn end_refused(&mut self, req: RequestId, refusal: Refusal) {
+        if let Some(request) = self.end(req) {
             self.refuse(req, &request.meta.class, refusal);
         }
     }
 
     /// Ends a request whose caller got its answer.
-    pub(super) fn end_answered(&mut self, now: Instant, req: RequestId) {
-        if let Some(request) = self.end(now, req)
+    pub(super) fn end_answered(&mut self, req: RequestId) {
+        if let Some(request) = self.end(req)
             && let Some(stats) = self.stats.get_mut(&request.meta.class)
         {
             stats.answered += 1;
@@ -228,17 +228,18 @@
     }
 
     /// Forgets a request and gives the place back that it holds.
-    pub(super) fn end(&mut self, now: Instant, req: RequestId) -> Option<Request> {
+    pub(super) fn end(&mut self, req: RequestId) -> Option<Request> {
         let request = self.requests.remove(&req)?;
         if let Phase::Running(attempt) | Phase::Claiming(attempt) = &request.phase {
-            self.give_place_back(now, attempt);
+            self.give_place_back(attempt);
         }
         Some(request)
     }
 
-    pub(super) fn give_place_back(&mut self, now: Instant, attempt: &Attempt) {
+    pub(super) fn give_place_back(&mut self, attempt: &Attempt) {
+        self.shares.release(&attempt.target, &attempt.customer);
         if let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) {
-            endpoint.ended(now, attempt.started);
+            endpoint.ended(attempt.started);
         }
     }
 }
--- a/src/entry/core/keyed.rs
+++ b/src/entry/core/keyed.rs
@@ -43,7 +43,7 @@
                 self.claims.insert(req, claim);
                 self.follow(now, req, steps);
             }
-            Err(refusal) => self.end_refused(now, req, refusal),
+            Err(refusal) => self.end_refused(req, refusal),
         }
     }
 
@@ -113,12 +113,12 @@
                 ClaimStep::Dispatch => self.claim_held(now, req),
                 ClaimStep::NotRun(code) => self.claim_not_run(now, req, code),
                 ClaimStep::Replay(answer) => {
-                    self.end_answered(now, req);
+                    self.end_answered(req);
                     self.actions.push(EntryAction::Replay { req, answer });
                 }
-                ClaimStep::Refuse(refusal) => self.end_refused(now, req, refusal),
+                ClaimStep::Refuse(refusal) => self.end_refused(req, refusal),
                 ClaimStep::Complete => {
-                    self.end_answered(now, req);
+                    self.end_answered(req);
                     self.actions.push(EntryAction::Complete { req });
                 }
             }
@@ -160,13 +160,13 @@
             return;
         };
         if request.caller_gone {
-            self.give_place_back(now, &attempt);
+            self.give_place_back(&attempt);
             return self.give_up(now, req, Code::NoEndpoint);
         }
         if self.is_fit(now, &attempt) {
             return self.send(now, req, attempt);
         }
-        self.give_place_back(now, &attempt);
+        self.give_place_back(&attempt);
         self.wait_again(req);
     }
 
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -24,7 +24,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::admission::Admission;
+use crate::admission::{Admission, Shares};
 use crate::config::{ConfigParams, ConfigState, InForce};
 use crate::delivery::{Claim, Quarantine};
 use crate::membership::{Membership, Mesh};
@@ -52,6 +52,8 @@
     requests: BTreeMap<RequestId, Request>,
     /// Invariant: each request that waits in it is in `requests`.
     admission: Admission,
+    /// Invariant: counts the attempts of `requests`.
+    shares: Shares,
     chooser: Chooser,
     retries: RetryBudget,
     /// Invariant: only classes that a configuration has declared.
@@ -87,6 +89,7 @@
             config: ConfigState::new(params, cfg.instance, now),
             membership: Membership::new(cfg.entry.clone(), mesh, cfg.suspicion, now),
             admission: Admission::new(cfg.queue_len),
+            shares: Shares::default(),
             chooser: Chooser::new(cfg.policy),
             retries: RetryBudget::default(),
             cfg,
@@ -118,7 +121,7 @@
                 endpoint,
                 in_flight,
                 limit,
-            } => self.load_seen(now, &endpoint, in_flight, limit),
+            } => self.load_seen(&endpoint, in_flight, limit),
             EntryEvent::AttemptEnded {
                 req,
                 attempt,
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -3,12 +3,16 @@
 use std::time::{Duration, Instant};
 
 use crate::admission::Ticket;
-use crate::types::{AttemptId, Digest, EndpointId, HostId, InstanceId, RequestMeta};
+use crate::types::{
+    AttemptId, CustomerId, Digest, EndpointId, HostId, InstanceId, RequestMeta, TargetId,
+};
 
 /// A request that has not got its final answer.
 #[derive(Debug)]
 pub struct Request {
     pub meta: RequestMeta,
+    /// Weight of the customer's share.
+    pub weight: u32,
     pub arrived_at: Instant,
     /// Class's target for the time to the first token.
     pub first_token: Duration,
@@ -60,6 +64,9 @@
     pub endpoint: EndpointId,
     pub host: HostId,
     pub agent_instance: InstanceId,
+    /// Target and customer that the place is accounted to.
+    pub target: TargetId,
+    pub customer: CustomerId,
     /// Version that must answer.
     pub version: Option<Digest>,
     pub sent_at: Instant,
--- a/src/entry/core/traffic.rs
+++ b/src/entry/core/traffic.rs
@@ -19,6 +19,8 @@
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Share of a request's time that its wait for a place may take.
 const START_SHARE: f64 = 0.75;
+/// Share of an endpoint's places that is open to customers over their share.
+const OVER_SHARE: f64 = 0.85;
 
 impl EntryCore {
     pub(super) fn arrived(&mut self, now: Instant, req: RequestId, meta: RequestMeta) {
@@ -56,6 +58,7 @@
         }
         let request = Request {
             meta,
+            weight: offer.weight,
             arrived_at: now,
             first_token,
             patience: time,
@@ -119,12 +122,12 @@
             return self.keyed_caller_gone(now, req);
         }
         self.admission.remove(req);
-        self.end(now, req);
+        self.end(req);
     }
 
-    pub(super) fn load_seen(&mut self, now: Instant, endpoint: &str, in_flight: u32, limit: u32) {
+    pub(super) fn load_seen(&mut self, endpoint: &str, in_flight: u32, limit: u32) {
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
-            endpoint.load_seen(now, in_flight, limit);
+            endpoint.load_seen(in_flight, limit);
         }
     }
 
@@ -170,27 +173,42 @@
     }
 
     /// Starts the next request of a target; false when none waits or no place is free.
+    ///
+    /// Customers over their share leave a part of the places, so a request of another customer
+    /// does not wait until one of theirs has ended.
     fn start_next(&mut self, now: Instant, target: &str) -> bool {
         let Some(class) = self.admission.classes(target).into_iter().next() else {
             return false;
         };
-        let Some((customer, ticket)) = self.admission.take(&class) else {
-            return false;
-        };
-        let Some(endpoint) = self.choose_endpoint(now, ticket.req) else {
-            self.admission.put_back(&class, &customer, ticket);
-            return false;
-        };
-        self.admission.started(now, &class);
-        let attempt = self.plan_attempt(now, &endpoint);
-        match self.requests[&ticket.req].meta.key {
-            Some(_) => self.claim(now, ticket.req, attempt),
-            None => self.send(now, ticket.req, attempt),
+        for (customer, ticket) in self.admission.heads(&class) {
+            let is_over = self.shares.is_over(target, &customer);
+            if let Some(endpoint) = self.choose_endpoint(now, ticket.req, is_over) {
+                self.admission.take(&class, &customer, ticket.req);
+                self.admission.started(now, &class);
+                self.start(now, ticket.req, &endpoint);
+                return true;
+            }
+            if !is_over {
+                return false;
+            }
         }
-        true
+        false
     }
 
-    fn choose_endpoint(&mut self, now: Instant, req: RequestId) -> Option<EndpointId> {
+    fn start(&mut self, now: Instant, req: RequestId, endpoint: &str) {
+        let attempt = self.plan_attempt(now, req, endpoint);
+        match self.requests[&req].meta.key {
+            Some(_) => self.claim(now, req, attempt),
+            None => self.send(now, req, attempt),
+        }
+    }
+
+    fn choose_endpoint(
+        &mut self,
+        now: Instant,
+        req: RequestId,
+        is_over: bool,
+    ) -> Option<EndpointId> {
         let request = &self.requests[&req];
         let mut choices = choices(
             &self.endpoints,
@@ -202,6 +220,11 @@
         if choices.len() > 1 {
             choices.retain(|choice| Some(&choice.endpoint.id) != request.avoid.as_ref());
         }
+        if is_over {
+            choices
+                .iter_mut()
+                .for_each(|choice| choice.share *= OVER_SHARE);
+        }
         let want = Want {
             prefix: request.meta.prefix.as_deref(),
             wait: self.admission.backlog_wait(now, &request.meta.target),
@@ -228,10 +251,13 @@
     }
 
     /// Takes a place at an endpoint for an attempt.
-    pub(super) fn plan_attempt(&mut self, now: Instant, endpoint: &str) -> Attempt {
+    pub(super) fn plan_attempt(&mut self, now: Instant, req: RequestId, endpoint: &str) -> Attempt {
+        let Request { meta, weight, .. } = &self.requests[&req];
+        self.shares.take(&meta.target, &meta.customer, *weight);
+        let (target, customer) = (meta.target.clone(), meta.customer.clone());
         let id = self.next_attempt();
         let endpoint = self.endpoints.get_mut(endpoint).expect("it was chosen");
-        endpoint.sent(now);
+        endpoint.sent();
         let agent = self
             .membership
             .agent(&endpoint.host)
@@ -242,6 +268,8 @@
             host: endpoint.host.clone(),
             agent_instance: agent.instance.expect("an agent with a share has answered"),
             version: endpoint.version.clone(),
+            target,
+            customer,
             sent_at: now,
             started: false,
         }
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -6,7 +6,6 @@
 use crate::wire::{EndpointReport, EndpointState};
 
 use super::latency::Latency;
-use super::own_load::OwnLoad;
 
 /// State and load of an endpoint, as reported by its agent and as counted here.
 #[derive(Clone, Debug)]
@@ -30,7 +29,7 @@
     /// Last report of the agent.
     pub last_report: EndpointReport,
     /// Requests of this entry.
-    own: OwnLoad,
+    own: u32,
     /// Requests of this entry that wait for their first token.
     pending: u32,
     /// Estimate of the requests of other entries.
@@ -53,7 +52,7 @@
             limit: 0,
             reported: 0,
             last_report: report.clone(),
-            own: OwnLoad::new(now),
+            own: 0,
             pending: 0,
             others: 0,
             refused: false,
@@ -78,7 +77,7 @@
         let first_token = Duration::from_millis(u64::from(report.first_token_ms));
         self.latency.report(now, first_token);
         self.reported = report.in_flight + report.queued;
-        self.load_seen(now, self.reported, report.limit);
+        self.load_seen(self.reported, report.limit);
     }
 
     /// The agent says that its last report still holds.
@@ -88,21 +87,21 @@
 
     /// Takes in a load that rode on an answer or a report.
     ///
-    /// What may be this entry's own work is taken off, so that the rest is that of others.
-    pub fn load_seen(&mut self, now: Instant, in_flight: u32, limit: u32) {
+    /// The agent counts exactly, so what is not this entry's own work is that of others.
+    pub fn load_seen(&mut self, in_flight: u32, limit: u32) {
         self.limit = limit;
-        self.others = in_flight.saturating_sub(self.own.recent_peak(now));
+        self.others = in_flight.saturating_sub(self.own);
     }
 
     /// A request of this entry was sent there.
-    pub fn sent(&mut self, now: Instant) {
-        self.own.add(now);
+    pub fn sent(&mut self) {
+        self.own += 1;
         self.pending += 1;
     }
 
     /// A request of this entry has ended there; `started` when its answer had started.
-    pub fn ended(&mut self, now: Instant, started: bool) {
-        self.own.remove(now);
+    pub fn ended(&mut self, started: bool) {
+        self.own = self.own.saturating_sub(1);
         if !started {
             self.pending = self.pending.saturating_sub(1);
         }
@@ -121,7 +120,7 @@
 
     /// The agent said that the endpoint holds as much as it bears.
     pub fn was_full(&mut self) {
-        self.others = self.limit.saturating_sub(self.own.count());
+        self.others = self.limit.saturating_sub(self.own);
     }
 
     /// The agent refused for a reason that holds until its next report.
@@ -142,12 +141,12 @@
 
     /// Requests of this entry that are in flight there.
     pub fn own(&self) -> u32 {
-        self.own.count()
+        self.own
     }
 
     /// Requests that are in flight there as far as this entry knows.
     pub fn in_flight(&self) -> u32 {
-        self.own.count() + self.others
+        self.own + self.others
     }
 
     /// Share of its places that are taken.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,7 +3,6 @@
 mod affinity;
 mod endpoint;
 mod latency;
-mod own_load;
 mod policy;
 mod retry;
 #[cfg(test)]
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -119,15 +119,13 @@
     /// However late a report is, the estimate never hides an own request.
     #[test]
     fn own_requests_always_count(steps in prop::collection::vec((0_u8..3, 0_u32..9), 1..60)) {
-        let mut now = Instant::now();
-        let mut endpoint = Endpoint::new(now, "host".into(), &report(0, 8, 0));
+        let mut endpoint = Endpoint::new(Instant::now(), "host".into(), &report(0, 8, 0));
         let mut own = 0_u32;
         for (kind, reported) in steps {
-            now += Duration::from_millis(170);
             match kind {
-                0 => { endpoint.sent(now); own += 1; }
-                1 if own > 0 => { endpoint.ended(now, false); own -= 1; }
-                _ => endpoint.load_seen(now, reported, 8),
+                0 => { endpoint.sent(); own += 1; }
+                1 if own > 0 => { endpoint.ended(false); own -= 1; }
+                _ => endpoint.load_seen(reported, 8),
             }
             prop_assert_eq!(endpoint.own(), own);
             prop_assert!(endpoint.in_flight() >= own);
