Measures warm every engine up before the first figure

Change: engines of the measures warm up after 24 answers again, the load that warms them lasts 8 s (routing 5 s).

--- a/examples/measure/burst.rs
+++ b/examples/measure/burst.rs
@@ -18,7 +18,7 @@
 const NORMAL: f64 = 0.7;
 /// Load of the burst, as a multiple of the capacity.
 const BURST: f64 = 10.0;
-const WARM_UP: Duration = Duration::from_secs(3);
+const WARM_UP: Duration = Duration::from_secs(8);
 const BURST_SPAN: Duration = Duration::from_secs(5);
 /// Time after the burst within which service has to be normal again.
 const RECOVERY: Duration = Duration::from_secs(2);
--- a/examples/measure/fairness.rs
+++ b/examples/measure/fairness.rs
@@ -19,7 +19,7 @@
 const ORDINARY: f64 = 0.7;
 /// Load of the large customer, as a multiple of its share.
 const LARGE: f64 = 10.0;
-const WARM_UP: Duration = Duration::from_secs(2);
+const WARM_UP: Duration = Duration::from_secs(8);
 const SPAN: Duration = Duration::from_secs(6);
 
 /// Runs the measurement.
--- a/examples/measure/routing.rs
+++ b/examples/measure/routing.rs
@@ -16,7 +16,7 @@
 /// Groups of requests that share the beginning of their prompts.
 const GROUPS: u64 = 32;
 /// Time for which engines warm up and averages form.
-const WARM_UP: Duration = Duration::from_millis(1_500);
+const WARM_UP: Duration = Duration::from_secs(5);
 /// Time of one load.
 const SPAN: Duration = Duration::from_millis(2_500);
 /// Loads in percent of the capacity.
--- a/examples/measure/traffic.rs
+++ b/examples/measure/traffic.rs
@@ -25,7 +25,7 @@
 pub fn engine(cfg: &mut EngineConfig) {
     cfg.cold_bound = 2;
     cfg.full_bound = 8;
-    cfg.warm_after = 6;
+    cfg.warm_after = 24;
     cfg.token_interval = Duration::from_millis(10);
     cfg.token_interval_per_request = Duration::from_micros(200);
     cfg.prefill = Duration::from_millis(5);
--- a/examples/measure/zones.rs
+++ b/examples/measure/zones.rs
@@ -22,7 +22,7 @@
 const ZONE: &str = "kozhikode-a";
 /// Time by which a zone that left gets no new work.
 const PROMISE: Duration = Duration::from_secs(3);
-const WARM_UP: Duration = Duration::from_secs(2);
+const WARM_UP: Duration = Duration::from_secs(8);
 const SPAN: Duration = Duration::from_secs(6);
 /// Interval at which the engines of the zone are looked at.
 const SAMPLE: Duration = Duration::from_millis(20);
