An endpoint whose share covers one stream always takes one

A dump showed limit 0 at the agent: one fast answer made the modelled rate of a stream exceed the endpoint's share of power, so it got no work and nothing corrected the rate. Ruled out: the heartbeats that leave reports out (the fault was there before), the warm-up. Change: a share that covers one stream at the nominal rate admits one; a confirmed report also restores the load that refusals have shown since. Conclusion: a wrong model can slow an endpoint, not stop it.

--- a/src/agent/core/gate/mod.rs
+++ b/src/agent/core/gate/mod.rs
@@ -319,8 +319,11 @@
     }
 
     fn power_limit(&self) -> u32 {
-        self.grant
-            .map_or(u32::MAX, |grant| self.power.streams_within(grant))
+        let Some(grant) = self.grant else {
+            return u32::MAX;
+        };
+        let lone = u32::from(self.power.has_room_for_one(grant));
+        self.power.streams_within(grant).max(lone)
     }
 
     fn probe_lost(&mut self) {
--- a/src/entry/core/tests/membership.rs
+++ b/src/entry/core/tests/membership.rs
@@ -254,3 +254,16 @@
     f.arrive("answers", "small");
     assert_eq!(f.dispatched.len() == 1, still_serves, "{:?}", f.codes());
 }
+
+#[test]
+fn an_endpoint_that_was_full_is_open_again_when_its_report_is_confirmed() {
+    let mut f = Fixture::new(&[("h1", "a")], 4);
+    let req = f.arrive("answers", "small");
+    f.end(req, AttemptEnd::Refused(Code::EndpointFull));
+    let before = f.dispatched.len();
+    f.pass(Duration::from_millis(100));
+    let mut unchanged = reply("h1", Vec::new());
+    unchanged.revision = Some(3);
+    f.synced(unchanged);
+    assert_eq!(f.dispatched.len(), before + 1, "{:?}", f.codes());
+}
--- a/src/power/model.rs
+++ b/src/power/model.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// True when `grant` covers one stream at the nominal rate.
+    ///
+    /// The rate of a lone stream that was seen once can exceed any share; without this bound such
+    /// an endpoint would get no work, and so nothing that corrects the rate.
+    pub fn has_room_for_one(&self, grant: Milliwatts) -> bool {
+        let nominal = self.millijoules_per_token * NOMINAL_TOKENS_PER_SECOND;
+        grant > 0 && grant >= self.idle + nominal
+    }
+
     /// Takes in a whole answer of `tokens` that took `span` from its first token.
     pub fn answered(&mut self, tokens: u32, span: Duration) {
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
--- a/src/power/tests.rs
+++ b/src/power/tests.rs
@@ -123,3 +123,15 @@
     model.answered(1, Duration::from_secs(1));
     assert_eq!(model.stream(), 475, "one token has no rate");
 }
+
+#[test]
+fn a_fast_answer_leaves_room_for_one_stream() {
+    let mut power = PowerModel::new(60_000, 600);
+    let grant = 200_000;
+    power.answered(16, Duration::from_millis(1));
+    power.answered(16, Duration::from_millis(1));
+    assert_eq!(power.streams_within(grant), 0);
+    assert!(power.has_room_for_one(grant));
+    assert!(!power.has_room_for_one(60_000));
+    assert!(!power.has_room_for_one(0));
+}
--- a/src/routing/endpoint.rs
+++ b/src/routing/endpoint.rs
@@ -80,9 +80,17 @@
         self.load_seen(self.reported, report.limit);
     }
 
-    /// The agent says that its last report still holds.
+    /// The agent says that its last report still holds, also where answers or refusals have shown
+    /// another load since.
     pub fn confirmed(&mut self) {
+        let EndpointReport {
+            in_flight,
+            queued,
+            limit,
+            ..
+        } = self.last_report;
         self.refused = false;
+        self.load_seen(in_flight + queued, limit);
     }
 
     /// Takes in a load that rode on an answer or a report.
