Poison: the first break is told to every agent at once

A crash before the first token looked like a lost agent, since the head of the stream was passed on before. Change: the agent sends the head of a stream with its first event, so an earlier break is a numbered refusal; the entry shares every such break at once; a harmful request ends as 3005.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -226,7 +226,7 @@
         return refuse(code, None);
     }
     if is_event_stream(response.headers()) {
-        stream(request, response, guard)
+        stream(request, response, guard).await
     } else {
         collect(cx, request, response, guard).await
     }
@@ -250,14 +250,17 @@
     }
 }
 
-fn stream(
+async fn stream(
     request: &OfferedRequest,
     response: Response<Incoming>,
     guard: AttemptGuard,
 ) -> Response<AnswerBody> {
     let (head, body) = response.into_parts();
-    let relay = Relay::new(body, check_of(request), guard).boxed();
-    answer_head(request, head.status, head.headers.get(CONTENT_TYPE)).map(|()| relay)
+    let mut relay = Relay::new(body, check_of(request), guard);
+    if relay.wait_first().await.is_err() {
+        return refuse(Code::AnswerBroken, None);
+    }
+    answer_head(request, head.status, head.headers.get(CONTENT_TYPE)).map(|()| relay.boxed())
 }
 
 async fn collect(
--- a/src/agent/relay.rs
+++ b/src/agent/relay.rs
@@ -4,6 +4,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 
 use crate::answer::{EventCheck, EventScanner, EventSplitter};
@@ -20,6 +21,8 @@
     splitter: EventSplitter,
     scanner: EventScanner,
     is_started: bool,
+    /// Events that were read before the head of the answer was sent.
+    held: Option<Bytes>,
 }
 
 impl Relay {
@@ -32,9 +35,23 @@
             splitter: EventSplitter::default(),
             scanner: EventScanner::new(),
             is_started: false,
+            held: None,
         }
     }
 
+    /// Waits for the first events, so that an answer that breaks off before them can still be
+    /// refused with a code.
+    ///
+    /// # Errors
+    ///
+    /// The stream ended before its first event.
+    pub(super) async fn wait_first(&mut self) -> Result<(), BodyError> {
+        if let Some(frame) = self.frame().await {
+            self.held = frame?.into_data().ok();
+        }
+        Ok(())
+    }
+
     fn pass(&mut self, frame: Frame<Bytes>) -> Result<Bytes, BodyError> {
         let data = frame.into_data().unwrap_or_default();
         let Ok(events) = self.splitter.push(data) else {
@@ -84,6 +101,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
+        if let Some(events) = this.held.take() {
+            return Poll::Ready(Some(Ok(Frame::data(events))));
+        }
         loop {
             return match ready!(Pin::new(&mut this.body).poll_frame(cx)) {
                 Some(Ok(frame)) => match this.pass(frame) {
--- a/src/entry/core/control.rs
+++ b/src/entry/core/control.rs
@@ -126,8 +126,9 @@
     /// An agent that is behind gets the configuration without waiting for the next heartbeat.
     fn teach_at_once(&mut self, now: Instant, host: &str) {
         let generation = self.config.generation();
+        let revision = self.quarantine_revision;
         if let Some(agent) = self.membership.agent_mut(host)
-            && agent.generation < generation
+            && (agent.generation < generation || agent.quarantine_revision < revision)
         {
             agent.next_sync = now;
         }
--- a/src/entry/core/ends.rs
+++ b/src/entry/core/ends.rs
@@ -93,10 +93,6 @@
             return;
         };
         request.broke_at.push(endpoint.instance);
-        let suspected = self.quarantine.standing(&request.meta.fingerprint) != Standing::Clear;
-        if request.broke_at.len() < MAX_BREAKS && !suspected {
-            return;
-        }
         for instance in &request.broke_at {
             self.quarantine
                 .crashed(now, &request.meta.fingerprint, *instance);
@@ -166,7 +162,10 @@
         let request = self.requests.get_mut(&req).expect("its attempt ended");
         let standing = self.quarantine.standing(&request.meta.fingerprint);
         let is_harmful = request.broke_at.len() >= MAX_BREAKS || standing == Standing::Quarantined;
-        if is_harmful || request.tries >= MAX_TRIES || !self.retries.draw() {
+        if is_harmful {
+            return self.give_up(now, req, Code::RequestHarmful);
+        }
+        if request.tries >= MAX_TRIES || !self.retries.draw() {
             return self.give_up(now, req, code);
         }
         request.ticket.latest_start = now + request.first_token;
