--- a/src/entry/core/tests/harmful.rs
+++ b/src/entry/core/tests/harmful.rs
@@ -45,7 +45,11 @@
     f.end(req, AttemptEnd::Refused(Code::AnswerBroken));
     assert_eq!(f.dispatched.len(), 2);
     assert!(f.synced.len() >= 2, "agents are told at once");
-    assert_eq!(f.codes(), [Code::RequestHarmful], "the caller is answered at once");
+    assert_eq!(
+        f.codes(),
+        [Code::RequestHarmful],
+        "the caller is answered at once"
+    );
     f.arrive("answers", "small");
     assert_eq!(f.codes()[1], Code::Quarantined);
 }
