One body reader, one traffic client, one stopping error; crate page with an example

Cause: entry and agent held the same code twice for reading bodies, for the HTTP client and for the error of a stopping process; the crate's page told no way of a request. Change: the pieces stand once in http and control. Conclusion: behaviour is unchanged.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -8,12 +8,10 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 
 use crate::answer::{EventCheck, StoredAnswer, is_event_stream};
 use crate::codes::Code;
-use crate::http::{self, AnswerBody, header_text, names};
+use crate::http::{self, AnswerBody, TrafficClient, header_text, names};
 use crate::settings::{EndpointKind, EndpointSettings};
 use crate::telemetry::{AttemptResult, Metrics};
 use crate::types::{AttemptId, EndpointId, Refusal};
@@ -24,14 +22,11 @@
 use super::offer::OfferedRequest;
 use super::relay::Relay;
 
-/// HTTP client towards endpoints.
-pub(super) type EndpointClient = Client<HttpConnector, Full<Bytes>>;
-
 /// What every attempt of an agent shares.
 pub(super) struct AttemptContext {
     pub(super) control: Control,
     pub(super) metrics: Metrics,
-    pub(super) client: EndpointClient,
+    pub(super) client: TrafficClient,
     pub(super) endpoints: Vec<EndpointSettings>,
     pub(super) limits: AttemptLimits,
 }
--- a/src/agent/offer.rs
+++ b/src/agent/offer.rs
@@ -3,29 +3,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request};
 
 use crate::codes::Code;
-use crate::http::{header_number, header_text, names};
+use crate::http::{BodyLimits, header_number, header_text, names, read_body};
 
 use super::core::Offer;
 
 /// Patience of an attempt that names none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 
-/// Bounds of an offer.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct OfferLimits {
-    /// Bytes of the body.
-    pub(super) bytes: usize,
-    /// Time within which the body must arrive.
-    pub(super) timeout: Duration,
-}
-
 /// An offer with what is passed on to the endpoint.
 #[derive(Debug)]
 pub(super) struct OfferedRequest {
@@ -50,18 +40,11 @@
 /// Gives the code of the refusal: malformed, too large or too slow.
 pub(super) async fn read(
     req: Request<Incoming>,
-    limits: OfferLimits,
+    limits: BodyLimits,
 ) -> Result<OfferedRequest, Code> {
     let (head, body) = req.into_parts();
     let offer = offer(&head.headers).ok_or(Code::Malformed)?;
-    let body = tokio::time::timeout(limits.timeout, Limited::new(body, limits.bytes).collect())
-        .await
-        .map_err(|_| Code::CallerTooSlow)?
-        .map_err(|err| match err.is::<LengthLimitError>() {
-            true => Code::TooLarge,
-            false => Code::Malformed,
-        })?
-        .to_bytes();
+    let body = read_body(body, limits).await?;
     Ok(OfferedRequest {
         offer,
         method: head.method.clone(),
--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -5,9 +5,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -16,7 +13,7 @@
 
 use crate::config::ConfigParams;
 use crate::control::{ControlLimits, ControlServer};
-use crate::http::{Listener, ListenerLimits};
+use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
 use crate::log_event;
 use crate::platform::{HttpClient, HttpHostList, HttpTimeouts};
 use crate::settings::{AgentSettings, EndpointKind};
@@ -24,18 +21,13 @@
 use crate::timer::Timer;
 use crate::weights::{WeightsConfig, WeightsNotice, WeightsService};
 
-use super::attempt::{AttemptContext, AttemptLimits, EndpointClient};
+use super::attempt::{AttemptContext, AttemptLimits};
 use super::control::{self, Control, ControlInputs};
 use super::core::{AgentCore, AgentCoreConfig, AgentEvent, EndpointConfig};
-use super::offer::OfferLimits;
 use super::orders::Orders;
 use super::traffic::Traffic;
 use super::{followers, rpc};
 
-/// Time within which a connection to an endpoint must open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which an unused connection to an endpoint is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which an idle connection from an entry is closed; longer than the entry's own.
 const ENTRY_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Bytes of an answer that is not streamed.
@@ -282,7 +274,7 @@
     AttemptContext {
         control: control.clone(),
         metrics: Metrics::new(),
-        client: endpoint_client(),
+        client: traffic_client(),
         endpoints: settings.endpoints.clone(),
         limits: AttemptLimits {
             answer_bytes: ANSWER_BYTES,
@@ -295,19 +287,8 @@
     HttpClient::new(HttpTimeouts::default())
 }
 
-fn endpoint_client() -> EndpointClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .retry_canceled_requests(false)
-        .build(connector)
-}
-
-fn offer_limits(settings: &AgentSettings) -> OfferLimits {
-    OfferLimits {
+fn offer_limits(settings: &AgentSettings) -> BodyLimits {
+    BodyLimits {
         bytes: usize::try_from(settings.limits.request_bytes).unwrap_or(usize::MAX),
         timeout: settings.limits.body_timeout,
     }
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -3,9 +3,8 @@
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::RegisterMethodError;
-use jsonrpsee::types::{ErrorObject, ErrorObjectOwned};
 
-use crate::codes::Code;
+use crate::control::stopping;
 use crate::wire::{
     AgentControlServer, ProcessControlServer, SettleReply, SettleRequest, SyncReply, SyncRequest,
 };
@@ -43,8 +42,3 @@
     methods.merge(ProcessControlServer::into_rpc(rpc))?;
     Ok(methods)
 }
-
-fn stopping() -> ErrorObjectOwned {
-    let code = Code::Stopping;
-    ErrorObject::owned(i32::from(code.number()), code.to_string(), None::<()>)
-}
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -9,13 +9,13 @@
 use tokio_util::task::TaskTracker;
 
 use crate::codes::Code;
-use crate::http::{self, AnswerBody};
+use crate::http::{self, AnswerBody, BodyLimits};
 use crate::settings::Secret;
 use crate::types::Refusal;
 use crate::weights::WeightsService;
 
 use super::attempt::{self, AttemptContext};
-use super::offer::{self, OfferLimits, OfferedRequest};
+use super::offer::{self, OfferedRequest};
 
 /// Path below which chunks stand.
 const WEIGHTS_PATH: &str = "/weights/";
@@ -26,7 +26,7 @@
 #[derive(Clone)]
 pub(super) struct Traffic {
     pub(super) cx: Arc<AttemptContext>,
-    pub(super) limits: OfferLimits,
+    pub(super) limits: BodyLimits,
     pub(super) token: Secret,
     pub(super) weights: WeightsService,
     /// Attempts that run, some of them without an entry.
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -5,7 +5,9 @@
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::{ErrorObject, ErrorObjectOwned};
 
+use crate::codes::Code;
 use crate::settings::Secret;
 
 use super::access::AccessLayer;
@@ -71,3 +73,9 @@
         self.addr
     }
 }
+
+/// Error of a call to a process that is stopping.
+pub fn stopping() -> ErrorObjectOwned {
+    let code = Code::Stopping;
+    ErrorObject::owned(i32::from(code.number()), code.to_string(), None::<()>)
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,12 +7,10 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 
 use crate::answer::{EventScanner, EventSplitter, StoredAnswer, is_event_stream};
 use crate::codes::Code;
-use crate::http::{header_number, header_text, names};
+use crate::http::{TrafficClient, header_number, header_text, names};
 use crate::telemetry::Metrics;
 use crate::types::{AttemptEnd, EntryId};
 use crate::wire::ConfigDoc;
@@ -22,9 +20,6 @@
 use super::core::{Dispatch, EntryEvent};
 use super::request::ParsedRequest;
 
-/// HTTP client towards agents.
-pub(super) type AgentClient = Client<HttpConnector, Full<Bytes>>;
-
 /// Bounds of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AttemptLimits {
@@ -47,7 +42,7 @@
 
 /// An attempt that is about to run.
 pub(super) struct Attempt<'a> {
-    pub(super) client: &'a AgentClient,
+    pub(super) client: &'a TrafficClient,
     pub(super) control: &'a Control,
     pub(super) entry: &'a EntryId,
     pub(super) limits: AttemptLimits,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -9,11 +9,11 @@
 
 use crate::answer::StoredAnswer;
 use crate::codes::Code;
-use crate::http::AnswerBody;
+use crate::http::{AnswerBody, TrafficClient};
 use crate::telemetry::{InFlight, Metrics, RequestResult};
 use crate::types::{EntryId, Refusal, RequestId};
 
-use super::attempt::{AgentClient, Attempt, AttemptLimits, Attempted};
+use super::attempt::{Attempt, AttemptLimits, Attempted};
 use super::caller::Caller;
 use super::control::{Command, Commands, Control};
 use super::core::{Dispatch, EntryEvent};
@@ -21,7 +21,7 @@
 
 /// What every exchange of an entry shares.
 pub(super) struct ExchangeContext {
-    pub(super) client: AgentClient,
+    pub(super) client: TrafficClient,
     pub(super) control: Control,
     pub(super) entry: EntryId,
     pub(super) limits: AttemptLimits,
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -5,35 +5,27 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::control::{ControlClients, ControlLimits, ControlServer};
-use crate::http::{Listener, ListenerLimits};
+use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
 use crate::log_event;
 use crate::platform::{HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts};
 use crate::settings::EntrySettings;
 use crate::telemetry::{Event, Metrics};
 use crate::timer::Timer;
 
-use super::attempt::{AgentClient, AttemptLimits};
+use super::attempt::AttemptLimits;
 use super::control::{self, Control};
 use super::core::{EntryCore, EntryCoreConfig, EntryEvent};
 use super::exchange::ExchangeContext;
 use super::executor::Executor;
-use super::request::RequestLimits;
 use super::traffic::Traffic;
 use super::{rpc, store};
 
-/// Time within which a connection to an agent must open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which an unused connection to an agent is closed; shorter than the agent's own.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time within which an agent must answer a control call.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bytes of an answer that is not streamed.
@@ -240,7 +232,7 @@
 
 fn exchange_context(settings: &EntrySettings, control: &Control) -> ExchangeContext {
     ExchangeContext {
-        client: agent_client(),
+        client: traffic_client(),
         control: control.clone(),
         entry: settings.process.name.clone(),
         metrics: Metrics::new(),
@@ -252,19 +244,8 @@
     }
 }
 
-fn agent_client() -> AgentClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .retry_canceled_requests(false)
-        .build(connector)
-}
-
-fn request_limits(settings: &EntrySettings) -> RequestLimits {
-    RequestLimits {
+fn request_limits(settings: &EntrySettings) -> BodyLimits {
+    BodyLimits {
         bytes: usize::try_from(settings.limits.request_bytes).unwrap_or(usize::MAX),
         timeout: settings.limits.body_timeout,
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -3,14 +3,13 @@
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
 use serde::Deserialize;
 
 use crate::codes::Code;
-use crate::http::{header_number, header_text, names};
+use crate::http::{BodyLimits, header_number, header_text, names, read_body};
 use crate::types::{Digest, RequestMeta, TargetId};
 
 /// Path of chat completions.
@@ -22,15 +21,6 @@
 /// Bytes of the first message that decide the prefix.
 const PREFIX_BYTES: usize = 256;
 
-/// Bounds of a request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RequestLimits {
-    /// Bytes of the body.
-    pub(super) bytes: usize,
-    /// Time within which the body must arrive.
-    pub(super) timeout: Duration,
-}
-
 /// A request that was read whole and parsed.
 #[derive(Debug)]
 pub(super) struct ParsedRequest {
@@ -55,18 +45,11 @@
 /// Gives the code of the refusal: malformed, too large, too slow or unknown target.
 pub(super) async fn read(
     req: Request<Incoming>,
-    limits: RequestLimits,
+    limits: BodyLimits,
 ) -> Result<ParsedRequest, Code> {
     let (head, body) = req.into_parts();
     let route = Route::parse(&head)?;
-    let body = tokio::time::timeout(limits.timeout, Limited::new(body, limits.bytes).collect())
-        .await
-        .map_err(|_| Code::CallerTooSlow)?
-        .map_err(|err| match err.is::<LengthLimitError>() {
-            true => Code::TooLarge,
-            false => Code::Malformed,
-        })?
-        .to_bytes();
+    let body = read_body(body, limits).await?;
     parse(&head, route, body)
 }
 
--- a/src/entry/rpc.rs
+++ b/src/entry/rpc.rs
@@ -3,9 +3,8 @@
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::RegisterMethodError;
-use jsonrpsee::types::{ErrorObject, ErrorObjectOwned};
 
-use crate::codes::Code;
+use crate::control::stopping;
 use crate::wire::{EntryControlServer, EntryStatus, ProcessControlServer};
 
 use super::control::Control;
@@ -37,8 +36,3 @@
     methods.merge(ProcessControlServer::into_rpc(rpc))?;
     Ok(methods)
 }
-
-fn stopping() -> ErrorObjectOwned {
-    let code = Code::Stopping;
-    ErrorObject::owned(i32::from(code.number()), code.to_string(), None::<()>)
-}
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -8,12 +8,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::http::{self, AnswerBody};
+use crate::http::{self, AnswerBody, BodyLimits};
 use crate::settings::Secret;
 use crate::types::Refusal;
 
 use super::exchange::{Exchange, ExchangeContext};
-use super::request::{self, RequestLimits};
+use super::request;
 
 /// Address for the balancer: answers 200 while the process lives.
 const LIVE_PATH: &str = "/live";
@@ -26,7 +26,7 @@
 #[derive(Clone)]
 pub(super) struct Traffic {
     pub(super) cx: Arc<ExchangeContext>,
-    pub(super) limits: RequestLimits,
+    pub(super) limits: BodyLimits,
     pub(super) token: Secret,
     /// Exchanges that run, some of them without a caller.
     pub(super) exchanges: TaskTracker,
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,29 @@
+//! Client for traffic towards agents and endpoints.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Time within which a connection must open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an unused connection is closed; shorter than the listeners' own.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Client that never sends a request twice by itself.
+pub type TrafficClient = Client<HttpConnector, Full<Bytes>>;
+
+/// A client with connections of its own.
+pub fn traffic_client() -> TrafficClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,13 +1,17 @@
 //! HTTP parts that the traffic listeners of entry and agent share.
 
 mod body;
+mod client;
 mod headers;
 mod listener;
 mod metrics;
+mod read;
 mod refusal;
 
 pub use body::{AnswerBody, BodyError, BodySender, channel, empty, full};
+pub use client::{TrafficClient, traffic_client};
 pub use headers::{header_number, header_text, names};
 pub use listener::{Listener, ListenerLimits};
 pub use metrics::{BEARER, is_authorized, metrics};
+pub use read::{BodyLimits, read_body};
 pub use refusal::{RefusalBody, refuse};
--- /dev/null
+++ b/src/http/read.rs
@@ -0,0 +1,35 @@
+//! Reads request bodies within bounds.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::codes::Code;
+
+/// Bounds of a request's body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Bytes of the body.
+    pub bytes: usize,
+    /// Time within which the body must arrive.
+    pub timeout: Duration,
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Gives the code of the refusal: too large, too slow or malformed.
+pub async fn read_body(body: Incoming, limits: BodyLimits) -> Result<Bytes, Code> {
+    let body = Limited::new(body, limits.bytes).collect();
+    let body = tokio::time::timeout(limits.timeout, body)
+        .await
+        .map_err(|_| Code::CallerTooSlow)?;
+    match body {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => Err(Code::TooLarge),
+        Err(_) => Err(Code::Malformed),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,16 @@
 //! Weight distribution and request routing for language-model bursts under a power cap.
+//!
+//! The way of a request: [`entry`] admits it and picks an endpoint, the [`agent`] beside the endpoint
+//! passes it on and checks the answer. The way of a chunk: [`weights`]. What operators declare becomes
+//! [`config`], and [`placement`] says which endpoint holds which version.
+//!
+//! ```
+//! use limpetloom::Code;
+//!
+//! let code = Code::QueueFull;
+//! assert_eq!((code.number(), code.status()), (2002, 503));
+//! assert_eq!(Code::from_number(2002), Some(code));
+//! ```
 
 #![deny(missing_docs)]
 
