--- a/src/agent/core/gate/phase.rs
+++ b/src/agent/core/gate/phase.rs
@@ -110,15 +110,15 @@
 /// State of an endpoint.
 #[derive(Clone, Debug)]
 pub enum Phase {
-    /// See [`Down`].
+    /// The state `Down`.
     Down(Down),
-    /// See [`Loading`].
+    /// The state `Loading`.
     Loading(Loading),
-    /// See [`Cold`].
+    /// The state `Cold`.
     Cold(Cold),
-    /// See [`Ready`].
+    /// The state `Ready`.
     Ready(Ready),
-    /// See [`Leaving`].
+    /// The state `Leaving`.
     Leaving(Leaving),
 }
 
