Limits of the listeners are taken from the settings in one place

Cause: entry and agent each turned the same settings into the bounds of bodies, heads and control messages, and each had its own sleep until the next wakeup. Change: From and new beside the limits, timer::sleep_until for both control threads. After: 441 unit tests, the entry's and agent's contracts, whole_answer, operator and process tests pass. Conclusion: behaviour is unchanged.

--- a/src/agent/control.rs
+++ b/src/agent/control.rs
@@ -8,6 +8,7 @@
 
 use crate::codes::Code;
 use crate::log_event;
+use crate::timer::sleep_until;
 use crate::types::{AttemptId, EndpointId};
 use crate::wire::{ConfigDoc, SettleReply, SettleRequest, SyncReply, SyncRequest};
 
@@ -153,7 +154,7 @@
     loop {
         let input = tokio::select! {
             input = rx.recv() => input,
-            () = wait_until(state.core.next_wakeup()) => Some(Input::Event(AgentEvent::Tick)),
+            () = sleep_until(state.core.next_wakeup()) => Some(Input::Event(AgentEvent::Tick)),
         };
         match input {
             Some(input) => state.take(input),
@@ -162,13 +163,6 @@
     }
 }
 
-async fn wait_until(due: Option<Instant>) {
-    match due {
-        Some(due) => tokio::time::sleep_until(due.into()).await,
-        None => std::future::pending().await,
-    }
-}
-
 struct PendingOffer {
     endpoint: EndpointId,
     tx: oneshot::Sender<Decided>,
--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -88,7 +88,7 @@
 pub async fn spawn(settings: AgentSettings) -> io::Result<AgentHandle> {
     let kill = CancellationToken::new();
     let drain = CancellationToken::new();
-    let limits = listener_limits(&settings);
+    let limits = ListenerLimits::new(&settings.limits, ENTRY_IDLE_TIMEOUT);
     let listener =
         Listener::bind(settings.listen.traffic, limits, drain.clone(), kill.clone()).await?;
     let addr = listener.addr()?;
@@ -103,7 +103,7 @@
     let attempts = TaskTracker::new();
     let traffic = Traffic {
         cx: Arc::new(attempt_context(&settings, &control)),
-        limits: offer_limits(&settings),
+        limits: BodyLimits::from(&settings.limits),
         token: settings.security.token.clone(),
         weights: weights.clone(),
         attempts: attempts.clone(),
@@ -167,10 +167,7 @@
 
 async fn control_server(settings: &AgentSettings, control: &Control) -> io::Result<ControlServer> {
     let methods = rpc::methods(control.clone()).map_err(io::Error::other)?;
-    let limits = ControlLimits {
-        connections: settings.limits.control_connections,
-        message_bytes: u32::try_from(settings.limits.control_bytes).unwrap_or(u32::MAX),
-    };
+    let limits = ControlLimits::from(&settings.limits);
     let token = settings.security.token.clone();
     ControlServer::spawn(settings.listen.control, token, limits, methods).await
 }
@@ -286,18 +283,3 @@
 fn endpoint_admin_client() -> HttpClient {
     HttpClient::new(HttpTimeouts::default())
 }
-
-fn offer_limits(settings: &AgentSettings) -> BodyLimits {
-    BodyLimits {
-        bytes: usize::try_from(settings.limits.request_bytes).unwrap_or(usize::MAX),
-        timeout: settings.limits.body_timeout,
-    }
-}
-
-fn listener_limits(settings: &AgentSettings) -> ListenerLimits {
-    ListenerLimits {
-        connections: settings.limits.traffic_connections as usize,
-        header_bytes: usize::try_from(settings.limits.header_bytes).unwrap_or(usize::MAX),
-        header_timeout: ENTRY_IDLE_TIMEOUT,
-    }
-}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -8,7 +8,7 @@
 use jsonrpsee::types::{ErrorObject, ErrorObjectOwned};
 
 use crate::codes::Code;
-use crate::settings::Secret;
+use crate::settings::{LimitsSettings, Secret};
 
 use super::access::AccessLayer;
 
@@ -30,6 +30,15 @@
     }
 }
 
+impl From<&LimitsSettings> for ControlLimits {
+    fn from(settings: &LimitsSettings) -> Self {
+        Self {
+            connections: settings.control_connections,
+            message_bytes: u32::try_from(settings.control_bytes).unwrap_or(u32::MAX),
+        }
+    }
+}
+
 /// A running control listener; it ends when this value is dropped.
 #[derive(Debug)]
 pub struct ControlServer {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::log_event;
+use crate::timer::sleep_until;
 use crate::types::{Refusal, RequestId, RequestMeta};
 use crate::wire::EntryStatus;
 
@@ -142,7 +143,7 @@
     loop {
         let input = tokio::select! {
             input = rx.recv() => input,
-            () = wait_until(state.core.next_wakeup()) => Some(Input::Event(EntryEvent::Tick)),
+            () = sleep_until(state.core.next_wakeup()) => Some(Input::Event(EntryEvent::Tick)),
         };
         match input {
             Some(input) => state.take(input),
@@ -151,13 +152,6 @@
     }
 }
 
-async fn wait_until(due: Option<Instant>) {
-    match due {
-        Some(due) => tokio::time::sleep_until(due.into()).await,
-        None => std::future::pending().await,
-    }
-}
-
 struct State {
     core: EntryCore,
     executor: Executor,
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -83,7 +83,7 @@
     let kill = CancellationToken::new();
     let drain = CancellationToken::new();
     let (control, inputs) = Control::new();
-    let limits = listener_limits(&settings);
+    let limits = ListenerLimits::new(&settings.limits, settings.limits.body_timeout);
     let listener =
         Listener::bind(settings.listen.traffic, limits, drain.clone(), kill.clone()).await?;
     let rpc = control_server(&settings, &control).await?;
@@ -93,7 +93,7 @@
     let exchanges = TaskTracker::new();
     let traffic = Traffic {
         cx: Arc::new(exchange_context(&settings, &control)),
-        limits: request_limits(&settings),
+        limits: BodyLimits::from(&settings.limits),
         token: settings.security.token.clone(),
         exchanges: exchanges.clone(),
         kill: kill.clone(),
@@ -159,10 +159,7 @@
 
 async fn control_server(settings: &EntrySettings, control: &Control) -> io::Result<ControlServer> {
     let methods = rpc::methods(control.clone()).map_err(io::Error::other)?;
-    let limits = ControlLimits {
-        connections: settings.limits.control_connections,
-        message_bytes: u32::try_from(settings.limits.control_bytes).unwrap_or(u32::MAX),
-    };
+    let limits = ControlLimits::from(&settings.limits);
     let token = settings.security.token.clone();
     ControlServer::spawn(settings.listen.control, token, limits, methods).await
 }
@@ -243,18 +240,3 @@
         },
     }
 }
-
-fn request_limits(settings: &EntrySettings) -> BodyLimits {
-    BodyLimits {
-        bytes: usize::try_from(settings.limits.request_bytes).unwrap_or(usize::MAX),
-        timeout: settings.limits.body_timeout,
-    }
-}
-
-fn listener_limits(settings: &EntrySettings) -> ListenerLimits {
-    ListenerLimits {
-        connections: settings.limits.traffic_connections as usize,
-        header_bytes: usize::try_from(settings.limits.header_bytes).unwrap_or(usize::MAX),
-        header_timeout: settings.limits.body_timeout,
-    }
-}
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -16,6 +16,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::settings::LimitsSettings;
+
 use super::AnswerBody;
 
 /// Pause after a failed accept, such as for want of file descriptors.
@@ -32,6 +34,17 @@
     pub header_timeout: Duration,
 }
 
+impl ListenerLimits {
+    /// Bounds as the settings say, with a time for heads of its own for each kind of listener.
+    pub fn new(settings: &LimitsSettings, header_timeout: Duration) -> Self {
+        Self {
+            connections: settings.traffic_connections as usize,
+            header_bytes: usize::try_from(settings.header_bytes).unwrap_or(usize::MAX),
+            header_timeout,
+        }
+    }
+}
+
 /// A bound traffic listener.
 #[derive(Debug)]
 pub struct Listener {
--- a/src/http/read.rs
+++ b/src/http/read.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::codes::Code;
+use crate::settings::LimitsSettings;
 
 /// Bounds of a request's body.
 #[derive(Clone, Copy, Debug)]
@@ -17,6 +18,15 @@
     pub timeout: Duration,
 }
 
+impl From<&LimitsSettings> for BodyLimits {
+    fn from(settings: &LimitsSettings) -> Self {
+        Self {
+            bytes: usize::try_from(settings.request_bytes).unwrap_or(usize::MAX),
+            timeout: settings.body_timeout,
+        }
+    }
+}
+
 /// Reads a whole body.
 ///
 /// # Errors
--- a/src/timer/mod.rs
+++ b/src/timer/mod.rs
@@ -76,7 +76,7 @@
                 Some(subscription) => subscriptions.push(subscription),
                 None => return,
             },
-            () = sleep_until(next) => {
+            () = sleep_until(next.map(Instant::into_std)) => {
                 let now = Instant::now();
                 subscriptions.retain_mut(|s| s.fire(now, &mut rng));
             }
@@ -84,9 +84,10 @@
     }
 }
 
-async fn sleep_until(due: Option<Instant>) {
+/// Sleeps until `due`; for ever when nothing is due.
+pub async fn sleep_until(due: Option<std::time::Instant>) {
     match due {
-        Some(due) => tokio::time::sleep_until(due).await,
+        Some(due) => tokio::time::sleep_until(due.into()).await,
         None => std::future::pending().await,
     }
 }
