Entry and agent share the life of a process

Cause: handle, stop, kill, drain and the waiting for the end stood twice, alike but for names. Change: process::Lifecycle and ProcessHandle; each side gives what it does while it drains. Conclusion: behaviour is unchanged.

--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -7,17 +7,15 @@
 
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::config::ConfigParams;
 use crate::control::{ControlLimits, ControlServer};
 use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
-use crate::log_event;
 use crate::platform::{HttpClient, HttpHostList, HttpTimeouts};
+use crate::process::{Lifecycle, ProcessHandle};
 use crate::settings::{AgentSettings, EndpointKind};
-use crate::telemetry::{Event, Metrics};
+use crate::telemetry::Metrics;
 use crate::timer::Timer;
 use crate::weights::{WeightsConfig, WeightsNotice, WeightsService};
 
@@ -33,26 +31,22 @@
 /// Bytes of an answer that is not streamed.
 const ANSWER_BYTES: usize = 900 * 1024;
 
-/// A running agent. Dropping it cuts everything at once.
+/// A running agent; when it stops, new attempts are refused. Dropping it cuts everything at once.
 #[derive(Debug)]
 pub struct AgentHandle {
-    traffic: SocketAddr,
-    control: SocketAddr,
+    process: ProcessHandle,
     weights: WeightsService,
-    stop: CancellationToken,
-    kill: CancellationToken,
-    ended: JoinHandle<()>,
 }
 
 impl AgentHandle {
     /// Address that entries and other agents reach.
     pub fn traffic(&self) -> SocketAddr {
-        self.traffic
+        self.process.traffic()
     }
 
     /// Address of the control listener.
     pub fn control(&self) -> SocketAddr {
-        self.control
+        self.process.control()
     }
 
     /// Weight transfer of the host.
@@ -60,23 +54,14 @@
         &self.weights
     }
 
-    /// Stops gracefully: new attempts are refused, and the process ends with its last attempt or
-    /// at the stop deadline.
-    pub async fn stop(mut self) {
-        self.stop.cancel();
-        // The task ends by itself; a panic in it has been reported already.
-        let _ = (&mut self.ended).await;
+    /// Stops gracefully: the process ends with its last attempt or at the stop deadline.
+    pub async fn stop(self) {
+        self.process.stop().await;
     }
 
     /// Ends at once and cuts every attempt, as a crash does.
     pub fn kill(self) {
-        self.kill.cancel();
-    }
-}
-
-impl Drop for AgentHandle {
-    fn drop(&mut self) {
-        self.kill.cancel();
+        self.process.kill();
     }
 }
 
@@ -86,8 +71,11 @@
 ///
 /// Fails when an address can not be bound or the control thread can not be started.
 pub async fn spawn(settings: AgentSettings) -> io::Result<AgentHandle> {
-    let kill = CancellationToken::new();
-    let drain = CancellationToken::new();
+    let life = Lifecycle::new(
+        format!("agent {}", settings.process.name),
+        settings.limits.stop_deadline,
+    );
+    let (drain, kill) = (life.drain.clone(), life.kill.clone());
     let limits = ListenerLimits::new(&settings.limits, ENTRY_IDLE_TIMEOUT);
     let listener =
         Listener::bind(settings.listen.traffic, limits, drain.clone(), kill.clone()).await?;
@@ -100,69 +88,24 @@
     start_control_thread(&settings, &control, inputs, &weights)?;
     start_followers(&settings, seed, &control, &weights, notices);
 
-    let attempts = TaskTracker::new();
     let traffic = Traffic {
         cx: Arc::new(attempt_context(&settings, &control)),
         limits: BodyLimits::from(&settings.limits),
         token: settings.security.token.clone(),
         weights: weights.clone(),
-        attempts: attempts.clone(),
-        kill: kill.clone(),
-    };
-    let running = Running {
-        name: settings.process.name.clone(),
-        stop: CancellationToken::new(),
-        drain,
-        kill: kill.clone(),
-        deadline: settings.limits.stop_deadline,
-        control,
+        attempts: TaskTracker::new(),
+        kill,
     };
-    let control_addr = rpc.addr();
     let serving = tokio::spawn(listener.serve(move |req| traffic.clone().serve(req)));
-    let stop = running.stop.clone();
-    let ended = tokio::spawn(running.run(serving, rpc));
-    Ok(AgentHandle {
-        traffic: addr,
-        control: control_addr,
-        weights,
-        stop,
-        kill,
-        ended,
-    })
-}
-
-struct Running {
-    name: Arc<str>,
-    stop: CancellationToken,
-    drain: CancellationToken,
-    kill: CancellationToken,
-    deadline: Duration,
-    control: Control,
-}
-
-impl Running {
-    async fn run(self, serving: JoinHandle<()>, _rpc: ControlServer) {
-        log_event!(Event::Started, "agent {}", self.name);
-        tokio::select! {
-            () = self.kill.cancelled() => return,
-            () = self.stop.cancelled() => {}
-        }
-        log_event!(Event::Stopping, "agent {}", self.name);
-        self.control.event(AgentEvent::Stop);
-        let drained = async {
-            self.control.drained().await;
-            self.drain.cancel();
-            // The listener's task ends by itself; a panic in it has been reported already.
-            let _ = serving.await;
-        };
-        tokio::select! {
-            () = drained => {}
-            () = tokio::time::sleep(self.deadline) => {}
-            () = self.kill.cancelled() => {}
-        }
-        self.kill.cancel();
-        log_event!(Event::Stopped, "agent {}", self.name);
-    }
+    let drained = async move {
+        control.event(AgentEvent::Stop);
+        control.drained().await;
+        drain.cancel();
+        // The listener's task ends by itself; a panic in it has been reported already.
+        let _ = serving.await;
+    };
+    let process = life.spawn(addr, rpc, drained);
+    Ok(AgentHandle { process, weights })
 }
 
 async fn control_server(settings: &AgentSettings, control: &Control) -> io::Result<ControlServer> {
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -1,21 +1,18 @@
 //! Start and stop of an entry.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::runtime::Handle;
-use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::control::{ControlClients, ControlLimits, ControlServer};
 use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
-use crate::log_event;
 use crate::platform::{HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts};
+use crate::process::{Lifecycle, ProcessHandle};
 use crate::settings::EntrySettings;
-use crate::telemetry::{Event, Metrics};
+use crate::telemetry::Metrics;
 use crate::timer::Timer;
 
 use super::attempt::AttemptLimits;
@@ -33,46 +30,8 @@
 /// Time for which an entry that stops still takes requests, so that the balancer can follow.
 const STOP_GRACE: Duration = Duration::from_secs(3);
 
-/// A running entry. Dropping it cuts everything at once.
-#[derive(Debug)]
-pub struct EntryHandle {
-    traffic: SocketAddr,
-    control: SocketAddr,
-    stop: CancellationToken,
-    kill: CancellationToken,
-    ended: JoinHandle<()>,
-}
-
-impl EntryHandle {
-    /// Address that callers reach.
-    pub fn traffic(&self) -> SocketAddr {
-        self.traffic
-    }
-
-    /// Address of the control listener.
-    pub fn control(&self) -> SocketAddr {
-        self.control
-    }
-
-    /// Stops gracefully: readiness goes first, then no new connection is taken, then the process
-    /// ends with its last request or at the stop deadline.
-    pub async fn stop(mut self) {
-        self.stop.cancel();
-        // The task ends by itself; a panic in it has been reported already.
-        let _ = (&mut self.ended).await;
-    }
-
-    /// Ends at once and cuts every request, as a crash does.
-    pub fn kill(self) {
-        self.kill.cancel();
-    }
-}
-
-impl Drop for EntryHandle {
-    fn drop(&mut self) {
-        self.kill.cancel();
-    }
-}
+/// A running entry; when it stops, readiness goes first, then no new connection is taken.
+pub type EntryHandle = ProcessHandle;
 
 /// Starts an entry on the current runtime.
 ///
@@ -80,12 +39,16 @@
 ///
 /// Fails when an address can not be bound or the control thread can not be started.
 pub async fn spawn(settings: EntrySettings) -> io::Result<EntryHandle> {
-    let kill = CancellationToken::new();
-    let drain = CancellationToken::new();
+    let life = Lifecycle::new(
+        format!("entry {}", settings.process.name),
+        settings.limits.stop_deadline,
+    );
+    let (drain, kill) = (life.drain.clone(), life.kill.clone());
     let (control, inputs) = Control::new();
     let limits = ListenerLimits::new(&settings.limits, settings.limits.body_timeout);
     let listener =
         Listener::bind(settings.listen.traffic, limits, drain.clone(), kill.clone()).await?;
+    let addr = listener.addr()?;
     let rpc = control_server(&settings, &control).await?;
     start_control_thread(&settings, &control, inputs)?;
     start_followers(&settings, &control);
@@ -96,65 +59,19 @@
         limits: BodyLimits::from(&settings.limits),
         token: settings.security.token.clone(),
         exchanges: exchanges.clone(),
-        kill: kill.clone(),
-    };
-    let handle = Running {
-        name: settings.process.name.clone(),
-        stop: CancellationToken::new(),
-        drain,
         kill,
-        deadline: settings.limits.stop_deadline,
-        control,
-        exchanges,
     };
-    let (traffic_addr, control_addr) = (listener.addr()?, rpc.addr());
     let serving = tokio::spawn(listener.serve(move |req| traffic.clone().serve(req)));
-    let (stop, kill) = (handle.stop.clone(), handle.kill.clone());
-    let ended = tokio::spawn(handle.run(serving, rpc));
-    Ok(EntryHandle {
-        traffic: traffic_addr,
-        control: control_addr,
-        stop,
-        kill,
-        ended,
-    })
-}
-
-struct Running {
-    name: Arc<str>,
-    stop: CancellationToken,
-    drain: CancellationToken,
-    kill: CancellationToken,
-    deadline: Duration,
-    control: Control,
-    exchanges: TaskTracker,
-}
-
-impl Running {
-    async fn run(self, serving: JoinHandle<()>, _rpc: ControlServer) {
-        log_event!(Event::Started, "entry {}", self.name);
-        tokio::select! {
-            () = self.kill.cancelled() => return,
-            () = self.stop.cancelled() => {}
-        }
-        log_event!(Event::Stopping, "entry {}", self.name);
-        self.control.event(EntryEvent::Stop);
-        let drained = async {
-            tokio::time::sleep(STOP_GRACE).await;
-            self.drain.cancel();
-            // The listener's task ends by itself; a panic in it has been reported already.
-            let _ = serving.await;
-            self.exchanges.close();
-            self.exchanges.wait().await;
-        };
-        tokio::select! {
-            () = drained => {}
-            () = tokio::time::sleep(self.deadline) => {}
-            () = self.kill.cancelled() => {}
-        }
-        self.kill.cancel();
-        log_event!(Event::Stopped, "entry {}", self.name);
-    }
+    let drained = async move {
+        control.event(EntryEvent::Stop);
+        tokio::time::sleep(STOP_GRACE).await;
+        drain.cancel();
+        // The listener's task ends by itself; a panic in it has been reported already.
+        let _ = serving.await;
+        exchanges.close();
+        exchanges.wait().await;
+    };
+    Ok(life.spawn(addr, rpc, drained))
 }
 
 async fn control_server(settings: &EntrySettings, control: &Control) -> io::Result<ControlServer> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod placement;
 pub mod platform;
 pub mod power;
+pub mod process;
 pub mod routing;
 pub mod settings;
 pub mod telemetry;
