--- /dev/null
+++ b/src/agent/core/tests/delivery.rs
@@ -0,0 +1,76 @@
+use rstest::rstest;
+
+use super::*;
+
+#[rstest]
+#[case::keyed_runs_on("booking", "", SettleState::Running)]
+#[case::other_is_cancelled("chat", "cancel a1", SettleState::Fenced)]
+fn entry_gone(#[case] class: &str, #[case] expected: &str, #[case] state: SettleState) {
+    let mut bench = Bench::new();
+    bench.send(class);
+    let actions = bench.handle(AgentEvent::EntryGone {
+        attempt: "a1".into(),
+    });
+    assert_eq!(brief(&actions), expected);
+    assert_eq!(bench.settle("a1"), state);
+}
+
+#[rstest]
+#[case::not_sent(false, "-2004 a1", SettleState::Fenced)]
+#[case::sent(true, "-3001 a1", SettleState::Unknown)]
+fn broken_keyed_work(#[case] sent: bool, #[case] told: &str, #[case] state: SettleState) {
+    let mut bench = Bench::new();
+    bench.send("booking");
+    let attempt = "a1".into();
+    let actions = bench.handle(AgentEvent::Broken { attempt, sent });
+    assert_eq!(brief(&actions), told);
+    assert_eq!(bench.settle("a1"), state);
+}
+
+#[test]
+fn refused_keyed_attempt_never_runs_later() {
+    let mut bench = Bench::new();
+    let mut offer = bench.offer("booking");
+    offer.generation = 4;
+    assert_eq!(bench.send_offer(offer.clone()), "-2006 a1");
+    offer.generation = 5;
+    assert_eq!(bench.send_offer(offer), "-2016 a1");
+}
+
+#[rstest]
+#[case::crash(true, "")]
+#[case::connection_only(false, "+a3")]
+fn only_a_restart_makes_suspects(#[case] restarted: bool, #[case] second: &str) {
+    let mut bench = Bench::new();
+    bench.send("chat");
+    bench.handle(AgentEvent::Broken {
+        attempt: "a1".into(),
+        sent: true,
+    });
+    if restarted {
+        bench.probe("engine", 99, Some("v1"));
+    }
+    bench.send("chat");
+    let mut again = bench.offer("chat");
+    again.fingerprint = "f1".into();
+    assert_eq!(bench.send_offer(again), second);
+}
+
+#[test]
+fn second_crash_quarantines() {
+    let mut bench = Bench::new();
+    for instance in [21, 22] {
+        let mut offer = bench.offer("chat");
+        offer.fingerprint = "poison".into();
+        bench.send_offer(offer.clone());
+        bench.probe("engine", instance, Some("v1"));
+        let attempt = offer.attempt;
+        bench.handle(AgentEvent::Broken {
+            attempt,
+            sent: true,
+        });
+    }
+    let mut offer = bench.offer("chat");
+    offer.fingerprint = "poison".into();
+    assert_eq!(bench.send_offer(offer), "-2010 a3");
+}
--- a/src/agent/core/tests/mod.rs
+++ b/src/agent/core/tests/mod.rs
@@ -1,4 +1,6 @@
+mod delivery;
 mod placed;
+mod power;
 mod reports;
 mod warm_up;
 
@@ -436,91 +438,6 @@
     assert_eq!(bench.state("engine"), (EndpointState::Cold, 2));
 }
 
-#[rstest]
-#[case::keyed_runs_on("booking", "", SettleState::Running)]
-#[case::other_is_cancelled("chat", "cancel a1", SettleState::Fenced)]
-fn entry_gone(#[case] class: &str, #[case] expected: &str, #[case] state: SettleState) {
-    let mut bench = Bench::new();
-    bench.send(class);
-    let actions = bench.handle(AgentEvent::EntryGone {
-        attempt: "a1".into(),
-    });
-    assert_eq!(brief(&actions), expected);
-    assert_eq!(bench.settle("a1"), state);
-}
-
-#[rstest]
-#[case::not_sent(false, "-2004 a1", SettleState::Fenced)]
-#[case::sent(true, "-3001 a1", SettleState::Unknown)]
-fn broken_keyed_work(#[case] sent: bool, #[case] told: &str, #[case] state: SettleState) {
-    let mut bench = Bench::new();
-    bench.send("booking");
-    let attempt = "a1".into();
-    let actions = bench.handle(AgentEvent::Broken { attempt, sent });
-    assert_eq!(brief(&actions), told);
-    assert_eq!(bench.settle("a1"), state);
-}
-
-#[test]
-fn refused_keyed_attempt_never_runs_later() {
-    let mut bench = Bench::new();
-    let mut offer = bench.offer("booking");
-    offer.generation = 4;
-    assert_eq!(bench.send_offer(offer.clone()), "-2006 a1");
-    offer.generation = 5;
-    assert_eq!(bench.send_offer(offer), "-2016 a1");
-}
-
-#[rstest]
-#[case::crash(true, "")]
-#[case::connection_only(false, "+a3")]
-fn only_a_restart_makes_suspects(#[case] restarted: bool, #[case] second: &str) {
-    let mut bench = Bench::new();
-    bench.send("chat");
-    bench.handle(AgentEvent::Broken {
-        attempt: "a1".into(),
-        sent: true,
-    });
-    if restarted {
-        bench.probe("engine", 99, Some("v1"));
-    }
-    bench.send("chat");
-    let mut again = bench.offer("chat");
-    again.fingerprint = "f1".into();
-    assert_eq!(bench.send_offer(again), second);
-}
-
-#[test]
-fn second_crash_quarantines() {
-    let mut bench = Bench::new();
-    for instance in [21, 22] {
-        let mut offer = bench.offer("chat");
-        offer.fingerprint = "poison".into();
-        bench.send_offer(offer.clone());
-        bench.probe("engine", instance, Some("v1"));
-        let attempt = offer.attempt;
-        bench.handle(AgentEvent::Broken {
-            attempt,
-            sent: true,
-        });
-    }
-    let mut offer = bench.offer("chat");
-    offer.fingerprint = "poison".into();
-    assert_eq!(bench.send_offer(offer), "-2010 a3");
-}
-
-#[test]
-fn interactive_work_pauses_deferrable_work_and_gives_back() {
-    let mut bench = Bench::new();
-    bench.warm();
-    (0..4).for_each(|_| drop(bench.send("batch")));
-    assert_eq!(bench.send("chat"), "pause a6");
-    let attempt = "a6".into();
-    let actions = bench.handle(AgentEvent::Paused { attempt });
-    assert_eq!(brief(&actions), "+a7");
-    assert_eq!(bench.answer("a7"), "resume a6");
-}
-
 #[test]
 fn agent_out_of_touch_refuses_new_work_and_ends_what_runs() {
     let mut bench = Bench::new();
@@ -532,48 +449,3 @@
     bench.sync(5, None);
     assert_eq!(bench.send("chat"), "+a3");
 }
-
-/// One stream draws 400 mW, the idle endpoint 100 mW.
-#[rstest]
-#[case::four_streams(1_700, 4)]
-#[case::two_streams(900, 2)]
-#[case::none(300, 0)]
-fn share_of_power_bounds_the_work(#[case] power: u64, #[case] limit: u32) {
-    let mut bench = Bench::new();
-    bench.warm();
-    bench.grant(power);
-    assert_eq!(bench.state("engine").1, limit);
-}
-
-#[test]
-fn work_that_the_share_does_not_bear_is_refused() {
-    let mut bench = Bench::new();
-    bench.grant(300);
-    assert_eq!(bench.send("chat"), "-2014 a1");
-}
-
-#[test]
-fn endpoint_without_a_share_gets_no_work_under_a_cap() {
-    let mut bench = Bench::new();
-    let capped = Targets {
-        site_power: 1_000,
-        ..targets("v1")
-    };
-    bench.sync(6, Some(capped));
-    assert_eq!(bench.state("engine").1, 0);
-    bench.grant(1_000);
-    assert_eq!(bench.state("engine").1, 2);
-}
-
-#[test]
-fn lowered_share_pauses_deferrable_work_at_once() {
-    let mut bench = Bench::new();
-    bench.warm();
-    bench.send("chat");
-    bench.send("batch");
-    assert_eq!(bench.grant(500), "pause a4");
-    let attempt = "a4".into();
-    let actions = bench.handle(AgentEvent::Paused { attempt });
-    assert_eq!(brief(&actions), "");
-    assert_eq!(bench.answer("a3"), "resume a4");
-}
