Platform adapter, thin: entries serve callers from the store's desired state

Cause: the system has to run on the operators' platform. The request core (src/dispatch) decides without sockets, src/relay carries requests, src/heartbeat tells load, platform/ translates. src/platform, the clients of the product's own interface, is now src/clients.

--- a/src/agent/followers.rs
+++ b/src/agent/followers.rs
@@ -6,8 +6,8 @@
 
 use tokio::sync::mpsc;
 
+use crate::clients::{EndpointAdmin, HostList, HttpClient, HttpEndpoint, HttpHostList};
 use crate::entry::core::{HostEntry, HostRole};
-use crate::platform::{EndpointAdmin, HostList, HttpClient, HttpEndpoint, HttpHostList};
 use crate::settings::EndpointSettings;
 use crate::timer::{Tick, Timer};
 use crate::weights::{Peer, WeightsNotice, WeightsService};
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -5,7 +5,7 @@
 
 use tokio::runtime::Handle;
 
-use crate::platform::{EndpointAdmin, HttpClient, HttpEndpoint, JobState};
+use crate::clients::{EndpointAdmin, HttpClient, HttpEndpoint, JobState};
 use crate::settings::EndpointSettings;
 use crate::types::{AttemptId, Digest, EndpointId, Generation};
 use crate::weights::{Wanted, WeightsService};
--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -9,10 +9,10 @@
 use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
 
+use crate::clients::{HttpClient, HttpHostList, HttpTimeouts};
 use crate::config::ConfigParams;
 use crate::control::{ControlLimits, ControlServer};
 use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
-use crate::platform::{HttpClient, HttpHostList, HttpTimeouts};
 use crate::process::{Lifecycle, ProcessHandle};
 use crate::settings::{AgentSettings, EndpointKind};
 use crate::telemetry::Metrics;
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -29,6 +29,8 @@
     Entry(EntryArgs),
     /// Run an agent.
     Agent(AgentArgs),
+    /// Run on the operators' platform.
+    Platform(PlatformArgs),
     /// Check a file.
     Check(CheckArgs),
     /// Apply targets.
@@ -61,6 +63,24 @@
     pub settings: PathBuf,
 }
 
+/// Run a process on the operators' platform, with the settings that the platform hands out.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformArgs {
+    /// role of the process: entry or agent
+    #[argh(positional, from_str_fn(role))]
+    pub role: Role,
+}
+
+/// Role of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands beside an engine.
+    Agent,
+}
+
 /// Check a settings or targets file and report every fault.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -170,7 +190,7 @@
     /// True when the command prints JSON.
     pub fn is_json(&self) -> bool {
         match self {
-            Self::Entry(_) | Self::Agent(_) => false,
+            Self::Entry(_) | Self::Agent(_) | Self::Platform(_) => false,
             Self::Check(args) => args.json,
             Self::Apply(args) => args.json,
             Self::Diff(args) => args.json,
@@ -192,3 +212,11 @@
         _ => Err("expected out or in".to_owned()),
     }
 }
+
+fn role(text: &str) -> Result<Role, String> {
+    match text {
+        "entry" => Ok(Role::Entry),
+        "agent" => Ok(Role::Agent),
+        _ => Err("expected entry or agent".to_owned()),
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -60,6 +60,7 @@
     let end = match command {
         Command::Entry(args) => serve::run_entry(&args).await,
         Command::Agent(args) => serve::run_agent(&args).await,
+        Command::Platform(args) => serve::run_platform(&args).await,
         Command::Check(args) => check::run(&args, out),
         Command::Apply(args) => apply::apply(&args, out).await,
         Command::Diff(args) => apply::diff(&args, out).await,
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -6,14 +6,14 @@
 
 use futures_util::future::join_all;
 
+use crate::clients::{
+    HostList, HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts, HttpWeightSource, Object,
+    ObjectApi, PlatformError, WeightSource,
+};
 use crate::codes::Code;
 use crate::config::{Body, Write, WriteCall, WriteEnd};
 use crate::control::ControlClients;
 use crate::entry::core::{HostEntry, HostRole};
-use crate::platform::{
-    HostList, HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts, HttpWeightSource, Object,
-    ObjectApi, PlatformError, WeightSource,
-};
 use crate::settings::OperatorSettings;
 use crate::types::{Digest, Generation, HostId};
 use crate::weights::Manifest;
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -7,11 +7,12 @@
 
 use crate::codes::Code;
 use crate::log_event;
+use crate::platform;
 use crate::settings::{AgentSettings, EntrySettings, FromIni};
-use crate::telemetry::{Event, start_logs};
+use crate::telemetry::{Event, start_bounded_logs, start_logs};
 use crate::{agent, entry};
 
-use super::args::{AgentArgs, EntryArgs};
+use super::args::{AgentArgs, EntryArgs, PlatformArgs, Role};
 use super::{Exit, Failure};
 
 pub(super) async fn run_entry(args: &EntryArgs) -> Result<Exit, Failure> {
@@ -32,6 +33,18 @@
     Ok(signals.unless_second(handle.stop()).await)
 }
 
+pub(super) async fn run_platform(args: &PlatformArgs) -> Result<Exit, Failure> {
+    let _log = start_bounded_logs(log::LevelFilter::Info).map_err(|e| not_started(&e))?;
+    let end = match args.role {
+        Role::Entry => platform::run_entry().await,
+        Role::Agent => platform::run_agent().await,
+    };
+    end.map(|()| Exit::Done).map_err(|e| {
+        log_event!(Event::SettingsRefused, "{e}");
+        not_started(&e)
+    })
+}
+
 fn not_started(e: &dyn std::error::Error) -> Failure {
     Failure::NotStarted {
         code: Code::NotStarted,
--- a/src/platform/http.rs
+++ b/src/clients/http.rs
@@ -17,6 +17,14 @@
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Silence after which the other side of a connection is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Unanswered probes that break a connection.
+const PROBES: u32 = 2;
+/// Time after which sent bytes that nobody acknowledges break a connection.
+const UNACKED: Duration = Duration::from_millis(1_500);
 /// Characters that stay as they are in a path.
 const PATH: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'/')
@@ -56,6 +64,11 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(timeouts.connect));
         connector.set_nodelay(true);
+        // A path that swallows packets shows by these, not by the time-out of a long poll.
+        connector.set_keepalive(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBES));
+        connector.set_tcp_user_timeout(Some(UNACKED));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
@@ -127,7 +140,7 @@
 }
 
 /// Passes on an answer with status 200 and turns any other into an error.
-pub(super) fn expect_ok(res: Response<Bytes>) -> Result<Response<Bytes>, PlatformError> {
+pub(crate) fn expect_ok(res: Response<Bytes>) -> Result<Response<Bytes>, PlatformError> {
     match res.status() {
         StatusCode::OK => Ok(res),
         StatusCode::NOT_FOUND => Err(PlatformError::Missing),
--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -22,6 +22,10 @@
     UnknownTarget = 1008,
     /// the idempotency key is older than the horizon within which keys are kept
     KeyExpired = 1009,
+    /// no route matches the host name and path
+    UnknownRoute = 1010,
+    /// the key is missing, or no customer holds it
+    KeyNotHeld = 1011,
     /// the target for the first token can no longer be met
     DeadlineUnreachable = 2001,
     /// the queue of the class is full
@@ -123,6 +127,8 @@
         Self::CallerTooSlow,
         Self::UnknownTarget,
         Self::KeyExpired,
+        Self::UnknownRoute,
+        Self::KeyNotHeld,
         Self::DeadlineUnreachable,
         Self::QueueFull,
         Self::OverShare,
@@ -180,6 +186,8 @@
             Self::CallerTooSlow => 408,
             Self::UnknownTarget => 404,
             Self::KeyExpired => 422,
+            Self::UnknownRoute => 404,
+            Self::KeyNotHeld => 401,
             Self::DeadlineUnreachable => 503,
             Self::QueueFull => 503,
             Self::OverShare => 429,
@@ -238,6 +246,8 @@
             Self::CallerTooSlow => RunState::NotRun,
             Self::UnknownTarget => RunState::NotRun,
             Self::KeyExpired => RunState::NotRun,
+            Self::UnknownRoute => RunState::NotRun,
+            Self::KeyNotHeld => RunState::NotRun,
             Self::DeadlineUnreachable => RunState::NotRun,
             Self::QueueFull => RunState::NotRun,
             Self::OverShare => RunState::NotRun,
--- a/src/config/tests/write.rs
+++ b/src/config/tests/write.rs
@@ -4,8 +4,8 @@
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
+use crate::clients::{Object, PlatformError};
 use crate::config::*;
-use crate::platform::{Object, PlatformError};
 
 const MARK: &str = "own";
 
--- a/src/config/write.rs
+++ b/src/config/write.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use crate::platform::{Object, PlatformError};
+use crate::clients::{Object, PlatformError};
 use crate::types::Generation;
 
 use super::Body;
--- /dev/null
+++ b/src/dispatch/endpoint.rs
@@ -0,0 +1,286 @@
+//! What an entry knows of one endpoint.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
+
+use super::cold::ColdBound;
+use super::estimate::EngineModel;
+
+/// Age beyond which a load report says nothing any more.
+const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// First pause after an endpoint failed; doubles with each further failure in a row.
+const PAUSE_BASE: Duration = Duration::from_millis(150);
+/// Longest pause after failures; about the time that a crashed endpoint takes to come back.
+const PAUSE_MAX: Duration = Duration::from_millis(2_400);
+/// Pause after an endpoint said that it is full: two load reports.
+const FULL_PAUSE: Duration = Duration::from_millis(80);
+/// Weight of the newest sample in moving averages.
+const NEWEST: f64 = 0.15;
+/// Bounds of the learned factor between predicted and observed time to the first event.
+const BIAS: (f64, f64) = (0.6, 8.0);
+/// Work time of a plain service before the first answer was seen.
+const UNMEASURED_WORK: Duration = Duration::from_millis(30);
+
+/// An endpoint as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Name.
+    pub id: EndpointId,
+    /// Model or service that it serves.
+    pub target: TargetId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Requests that it runs at once.
+    pub places: u32,
+    /// True once it is about to leave.
+    pub is_leaving: bool,
+    /// How much longer it stays cold.
+    pub cold_left: Duration,
+    /// Start of its process in milliseconds since 1970; tells two lives under one name apart.
+    pub incarnation: u64,
+    /// Models that it serves with all layers, with their versions.
+    pub models: Vec<(Arc<str>, u64)>,
+}
+
+/// Load of an endpoint as its agent reported it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointLoad {
+    /// Start of the endpoint's process in milliseconds since 1970.
+    pub incarnation: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait at the endpoint.
+    pub waiting: u32,
+    /// Factor by which the endpoint is slower than its model says.
+    pub pace: f64,
+    /// Models that it serves with all layers, with their versions.
+    pub models: Vec<(Arc<str>, u64)>,
+    /// True while it takes no new work because it changes its version.
+    pub is_switching: bool,
+}
+
+/// What an entry knows of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// As the platform lists it.
+    pub listed: Listed,
+    /// True once the list has lost it; it is then not used.
+    pub(super) gone: bool,
+    /// Latest time at which it gets work although its lease on the list has run out.
+    pub(super) lapsed_until: Option<Instant>,
+    pub(super) cold_until: Option<Instant>,
+    pub(super) cold: ColdBound,
+    report: Option<(Instant, EndpointLoad)>,
+    /// Requests sent and ended since the last report.
+    since_report: i64,
+    /// Requests of this entry that are there.
+    pub(super) own: u32,
+    /// Prompt tokens of own requests that have not started.
+    unread: f64,
+    failures: u32,
+    pub(super) paused_until: Option<Instant>,
+    /// Observed over predicted time to the first event.
+    bias: f64,
+    /// Share of attempts that failed lately.
+    failing: f64,
+    /// Mean work time of a plain service in seconds.
+    work: f64,
+}
+
+impl Endpoint {
+    /// An endpoint that was listed for the first time.
+    pub fn new(now: Instant, listed: Listed) -> Self {
+        let mut endpoint = Self {
+            listed,
+            gone: false,
+            lapsed_until: None,
+            cold_until: None,
+            cold: ColdBound::default(),
+            report: None,
+            since_report: 0,
+            own: 0,
+            unread: 0.0,
+            failures: 0,
+            paused_until: None,
+            bias: 1.0,
+            failing: 0.0,
+            work: UNMEASURED_WORK.as_secs_f64(),
+        };
+        endpoint.note_cold(now);
+        endpoint
+    }
+
+    /// Takes in a newer entry of the list. Returns true when the process is another.
+    pub fn list(&mut self, now: Instant, listed: Listed) -> bool {
+        let restarted = listed.incarnation != self.listed.incarnation;
+        self.listed = listed;
+        self.gone = false;
+        self.lapsed_until = None;
+        if restarted {
+            self.restarted();
+        }
+        self.note_cold(now);
+        restarted
+    }
+
+    fn note_cold(&mut self, now: Instant) {
+        if !self.listed.cold_left.is_zero() {
+            self.cold_until = Some(now + self.listed.cold_left);
+        }
+    }
+
+    fn restarted(&mut self) {
+        self.report = None;
+        self.since_report = 0;
+        self.failures = 0;
+        self.paused_until = None;
+        self.bias = 1.0;
+        self.failing = 0.0;
+    }
+
+    /// Takes in a load report of the agent beside it.
+    pub fn report(&mut self, now: Instant, load: EndpointLoad) {
+        if load.incarnation < self.listed.incarnation {
+            return;
+        }
+        if load.incarnation > self.listed.incarnation {
+            self.restarted();
+            self.listed.incarnation = load.incarnation;
+        }
+        self.listed.models.clone_from(&load.models);
+        self.report = Some((now, load));
+        self.since_report = 0;
+    }
+
+    /// Age of the last load report, unless it is too old to be used.
+    pub fn load_age(&self, now: Instant) -> Option<Duration> {
+        let (at, _) = self.report.as_ref()?;
+        let age = now.saturating_duration_since(*at);
+        (age < REPORT_LIFE).then_some(age)
+    }
+
+    fn fresh(&self, now: Instant) -> Option<&EndpointLoad> {
+        self.load_age(now)?;
+        self.report.as_ref().map(|(_, load)| load)
+    }
+
+    /// Requests that are at the endpoint as far as this entry, one of `entries`, knows.
+    pub fn in_system(&self, now: Instant, entries: u32) -> u32 {
+        match self.fresh(now) {
+            Some(load) => {
+                let seen = i64::from(load.running + load.waiting) + self.since_report;
+                u32::try_from(seen.max(i64::from(self.own))).unwrap_or(u32::MAX)
+            }
+            None => self.own.saturating_mul(entries.max(1)),
+        }
+    }
+
+    /// True while it takes no work because it changes its version.
+    pub fn is_switching(&self, now: Instant) -> bool {
+        self.fresh(now).is_some_and(|load| load.is_switching)
+    }
+
+    /// Version of a model that it serves; the only one when the request names none.
+    pub fn version(&self, model: Option<&str>) -> Option<u64> {
+        let mut models = self.listed.models.iter();
+        models
+            .find(|(name, _)| model.is_none_or(|model| model == &**name))
+            .map(|(_, version)| *version)
+    }
+
+    /// Predicted time to the start of the answer.
+    pub fn predict(
+        &self,
+        now: Instant,
+        engine: Option<&EngineModel>,
+        prompt: u32,
+        entries: u32,
+    ) -> Duration {
+        let in_system = self.in_system(now, entries);
+        let clean = match engine {
+            Some(engine) => {
+                let pace = self.fresh(now).map_or(1.0, |load| load.pace.max(0.1));
+                engine
+                    .first_event(in_system, self.unread, f64::from(prompt))
+                    .mul_f64(pace)
+            }
+            None => {
+                let places = self.listed.places.max(1);
+                let ahead = (in_system + 1).saturating_sub(places);
+                let turns = 1.0 + f64::from(ahead) / f64::from(places);
+                Duration::from_secs_f64(self.work * turns)
+            }
+        };
+        clean.mul_f64(self.bias)
+    }
+
+    /// Share of its places that are taken.
+    pub fn load(&self, now: Instant, entries: u32) -> f64 {
+        f64::from(self.in_system(now, entries)) / f64::from(self.listed.places.max(1))
+    }
+
+    /// Share of attempts that failed lately.
+    pub fn failing(&self) -> f64 {
+        self.failing
+    }
+
+    pub(super) fn sent(&mut self, now: Instant, prompt: u32) {
+        self.own += 1;
+        self.since_report += 1;
+        self.unread += f64::from(prompt);
+        if self.cold_until.is_some_and(|until| now < until) {
+            self.cold.sent(now);
+        }
+    }
+
+    /// The first event of an own request came `took` after it was sent.
+    pub(super) fn started(&mut self, prompt: u32, took: Duration, predicted: Duration) {
+        self.unread = (self.unread - f64::from(prompt)).max(0.0);
+        self.failures = 0;
+        let clean = predicted.as_secs_f64() / self.bias;
+        let ratio = took.as_secs_f64() / clean.max(0.001);
+        self.bias = (self.bias + (ratio - self.bias) * NEWEST).clamp(BIAS.0, BIAS.1);
+    }
+
+    /// An own request has left the endpoint.
+    pub(super) fn left(&mut self, prompt: u32, started: bool) {
+        self.own = self.own.saturating_sub(1);
+        self.since_report -= 1;
+        if !started {
+            self.unread = (self.unread - f64::from(prompt)).max(0.0);
+        }
+        if self.own == 0 {
+            self.unread = 0.0;
+        }
+    }
+
+    pub(super) fn worked(&mut self, took: Duration) {
+        self.work += (took.as_secs_f64() - self.work) * NEWEST;
+    }
+
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+        self.failing -= self.failing * NEWEST;
+    }
+
+    /// An attempt failed in a way that speaks against the endpoint.
+    pub(super) fn failed(&mut self, now: Instant) {
+        self.failing += (1.0 - self.failing) * NEWEST;
+        self.failures += 1;
+        let pause = PAUSE_BASE * (1 << self.failures.min(5).saturating_sub(1));
+        self.paused_until = Some(now + pause.min(PAUSE_MAX));
+    }
+
+    /// The endpoint said that it has no room.
+    pub(super) fn was_full(&mut self, now: Instant) {
+        self.failing += (1.0 - self.failing) * NEWEST;
+        self.paused_until = self.paused_until.max(Some(now + FULL_PAUSE));
+    }
+}
--- /dev/null
+++ b/src/dispatch/fleet.rs
@@ -0,0 +1,198 @@
+//! The endpoints that an entry knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
+
+use super::endpoint::{Endpoint, EndpointLoad, Listed};
+
+/// Time for which an endpoint whose lease ran out still gets work: entries of endpoints that live
+/// are back within two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_700);
+
+/// Named version of a model that endpoints are to serve.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Named {
+    version: u64,
+    since: Instant,
+}
+
+/// The endpoints that an entry knows, and what operators said about zones and versions.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    evacuated: BTreeSet<ZoneId>,
+    /// Versions that were named for each model, oldest first.
+    ///
+    /// Invariant: versions and times grow.
+    named: BTreeMap<std::sync::Arc<str>, Vec<Named>>,
+}
+
+/// What a request asks of its endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Model or service.
+    pub target: &'a TargetId,
+    /// True when the target's endpoints are engines that need weights.
+    pub is_model: bool,
+    /// Model that the request names.
+    pub model: Option<&'a str>,
+    /// Version that a continued answer must keep.
+    pub version: Option<u64>,
+    /// Regions that the route allows; empty for all.
+    pub route_regions: &'a [RegionId],
+    /// Regions that the customer allows; empty for all.
+    pub customer_regions: &'a [RegionId],
+    /// Endpoints that were tried already.
+    pub tried: &'a [EndpointId],
+}
+
+impl Fleet {
+    /// Takes in one entry of the list; true when it is new or its process is another.
+    pub fn list(&mut self, now: Instant, listed: Listed) -> bool {
+        match self.endpoints.get_mut(&listed.id) {
+            Some(endpoint) => endpoint.list(now, listed),
+            None => {
+                let id = listed.id.clone();
+                self.endpoints.insert(id, Endpoint::new(now, listed));
+                true
+            }
+        }
+    }
+
+    /// An entry has left the list; its endpoint gets nothing more.
+    pub fn unlist(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.gone = true;
+        }
+        self.sweep();
+    }
+
+    /// An entry left the list because its lease ran out while the store was away.
+    pub fn lapse(&mut self, now: Instant, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.lapsed_until.get_or_insert(now + LAPSE_GRACE);
+        }
+    }
+
+    /// Drops what left the list and has no request of this entry.
+    pub fn sweep(&mut self) {
+        self.endpoints.retain(|_, e| !e.gone || e.own > 0);
+    }
+
+    /// Names of the endpoints on the list.
+    pub fn ids(&self) -> Vec<EndpointId> {
+        let listed = self.endpoints.iter().filter(|(_, e)| !e.gone);
+        listed.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// All endpoints on the list.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().filter(|e| !e.gone)
+    }
+
+    /// An endpoint by name.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(id)
+    }
+
+    /// An endpoint by name.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// Takes in a load report from the agent of a host; false when no endpoint is listed there.
+    pub fn report(&mut self, now: Instant, host: IpAddr, load: EndpointLoad) -> bool {
+        let mut found = self
+            .endpoints
+            .values_mut()
+            .filter(|e| !e.gone && e.listed.addr.ip() == host);
+        match found.next() {
+            Some(endpoint) => {
+                endpoint.report(now, load);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Sets the zones whose endpoints get nothing.
+    pub fn evacuate(&mut self, zones: BTreeSet<ZoneId>) {
+        self.evacuated = zones;
+    }
+
+    /// Zones whose endpoints get nothing.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneId> {
+        &self.evacuated
+    }
+
+    /// A version was named for a model; true when it is newer than those before.
+    pub fn name_version(&mut self, now: Instant, model: &str, version: u64) -> bool {
+        let named = self.named.entry(model.into()).or_default();
+        if named.last().is_some_and(|last| last.version >= version) {
+            return false;
+        }
+        named.push(Named {
+            version,
+            since: now,
+        });
+        true
+    }
+
+    /// Newest named version of each model, with the time at which it was learned.
+    pub fn versions(&self) -> impl Iterator<Item = (&str, u64, Instant)> {
+        self.named.iter().filter_map(|(model, named)| {
+            let last = named.last()?;
+            Some((&**model, last.version, last.since))
+        })
+    }
+
+    /// Oldest version of a model that may still begin a request, `grace` after a newer was named.
+    pub fn oldest_version(&self, now: Instant, model: &str, grace: Duration) -> u64 {
+        let due = self.named.get(model).into_iter().flatten();
+        due.filter(|named| now.saturating_duration_since(named.since) >= grace)
+            .map(|named| named.version)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Endpoints that may run a request now, whatever their load.
+    pub fn fitting<'a>(
+        &'a self,
+        now: Instant,
+        ask: Ask<'a>,
+        grace: Duration,
+    ) -> impl Iterator<Item = &'a Endpoint> + 'a {
+        let allows = |regions: &[RegionId], region: &RegionId| {
+            regions.is_empty() || regions.contains(region)
+        };
+        self.endpoints.values().filter(move |e| {
+            !e.gone
+                && e.lapsed_until.is_none_or(|until| now < until)
+                && e.listed.target == *ask.target
+                && !e.listed.is_leaving
+                && !self.evacuated.contains(&e.listed.zone)
+                && allows(ask.route_regions, &e.listed.region)
+                && allows(ask.customer_regions, &e.listed.region)
+                && !ask.tried.contains(&e.listed.id)
+                && e.paused_until.is_none_or(|until| now >= until)
+                && (!ask.is_model || self.has_version(now, e, ask, grace))
+        })
+    }
+
+    fn has_version(&self, now: Instant, endpoint: &Endpoint, ask: Ask, grace: Duration) -> bool {
+        if endpoint.is_switching(now) {
+            return false;
+        }
+        let model = ask
+            .model
+            .or_else(|| endpoint.listed.models.first().map(|(name, _)| &**name));
+        let Some((model, version)) = model.zip(endpoint.version(ask.model)) else {
+            return false;
+        };
+        ask.version.is_none_or(|wanted| wanted == version)
+            && version >= self.oldest_version(now, model, grace)
+    }
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,24 @@
+//! Decision logic of a request: may it run, where, when, and what follows when an attempt ends.
+//!
+//! [`Dispatcher`] is sans-IO: time, requests, reports and ends of attempts go in, placements come
+//! out. The shell that owns the sockets is [`crate::relay`].
+
+mod budget;
+mod cold;
+mod core;
+mod desired;
+mod endpoint;
+mod estimate;
+mod fleet;
+#[cfg(test)]
+mod tests;
+mod work;
+
+pub use budget::{RetryLimit, RetryWindow};
+pub use cold::ColdBound;
+pub use core::{DispatchConfig, Dispatcher, EndpointView, Placing, Snapshot, Step};
+pub use desired::{CallerLimits, Customer, Desired, Repeat, Route, Target};
+pub use endpoint::{Endpoint, EndpointLoad, Listed};
+pub use estimate::EngineModel;
+pub use fleet::Fleet;
+pub use work::{CallerRequest, End, Lease, TicketId};
--- a/src/entry/executor.rs
+++ b/src/entry/executor.rs
@@ -4,8 +4,8 @@
 
 use tokio::runtime::Handle;
 
+use crate::clients::{HttpObjectApi, ObjectApi, PlatformError};
 use crate::control::ControlClients;
-use crate::platform::{HttpObjectApi, ObjectApi, PlatformError};
 use crate::types::{AttemptId, HostId, Key, RequestId};
 use crate::wire::{AgentControlClient, SettleRequest, SyncRequest};
 
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -7,9 +7,9 @@
 use tokio::runtime::Handle;
 use tokio_util::task::TaskTracker;
 
+use crate::clients::{HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts};
 use crate::control::{ControlClients, ControlLimits, ControlServer};
 use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
-use crate::platform::{HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts};
 use crate::process::{Lifecycle, ProcessHandle};
 use crate::settings::EntrySettings;
 use crate::telemetry::Metrics;
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::platform::{Change, HostList, HttpHostList, HttpObjectApi, ObjectApi, PlatformError};
+use crate::clients::{Change, HostList, HttpHostList, HttpObjectApi, ObjectApi, PlatformError};
 use crate::timer::{Tick, Timer};
 use crate::types::Generation;
 use crate::wire::ConfigDoc;
--- /dev/null
+++ b/src/heartbeat/tests.rs
@@ -0,0 +1,90 @@
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::*;
+
+fn hello(entry: u64, crashes: Vec<Crash>) -> Hello {
+    Hello {
+        entry,
+        is_open: true,
+        plan: None,
+        crashes,
+    }
+}
+
+fn plan(revision: u64, version: u64, age_ms: u64) -> Plan {
+    Plan {
+        revision,
+        wanted: vec![WantedModel {
+            model: "m".into(),
+            version,
+            age_ms,
+            within_ms: 8_000,
+            layers: 16,
+        }],
+        origin: None,
+        zones: Vec::new(),
+    }
+}
+
+fn due(orders: &Orders) -> (u64, Instant) {
+    let (_, version, due) = orders.wanted().next().unwrap();
+    (version, due)
+}
+
+#[test]
+fn silent_entries_are_forgotten_and_not_counted() {
+    let now = Instant::now();
+    let mut entries = Entries::default();
+    let addrs = ["127.0.0.1:1", "127.0.0.1:2"].map(|addr| addr.parse().unwrap());
+    assert!(entries.hello(now, addrs[0], &hello(1, vec![(7, 9)])));
+    assert!(!entries.hello(now, addrs[0], &hello(1, vec![(7, 9)])));
+    let later = now + Duration::from_secs(1);
+    assert!(entries.hello(later, addrs[1], &hello(2, Vec::new())));
+    assert_eq!(entries.open(), 2);
+    assert_eq!(entries.crashes(), [(7, 9)]);
+    assert_eq!(entries.expire(now + Duration::from_secs(2)), [addrs[0]]);
+    assert_eq!(entries.addrs(), [addrs[1]]);
+}
+
+#[test]
+fn an_older_revision_takes_nothing_back() {
+    let now = Instant::now();
+    let mut orders = Orders::default();
+    assert!(orders.plan(now, plan(5, 2, 0)));
+    assert!(!orders.plan(now, plan(4, 3, 0)));
+    assert!(!orders.plan(now, plan(6, 1, 0)));
+    assert_eq!(due(&orders).0, 2);
+}
+
+#[rstest]
+#[case::still_owed(2_000, 8_000)]
+#[case::served_before(9_000, 17_000)]
+fn a_newer_version_keeps_the_time_of_one_that_is_still_owed(
+    #[case] after_ms: u64,
+    #[case] due_ms: u64,
+) {
+    let now = Instant::now();
+    let mut orders = Orders::default();
+    orders.plan(now, plan(5, 2, 0));
+    orders.plan(now + Duration::from_millis(after_ms), plan(6, 3, 0));
+    assert_eq!(due(&orders), (3, now + Duration::from_millis(due_ms)));
+}
+
+#[test]
+fn a_served_version_owes_nothing() {
+    let now = Instant::now();
+    let mut orders = Orders::default();
+    orders.plan(now, plan(5, 2, 500));
+    orders.served(now + Duration::from_secs(3), "m");
+    orders.plan(now + Duration::from_secs(4), plan(6, 3, 0));
+    assert_eq!(due(&orders), (3, now + Duration::from_secs(12)));
+}
+
+#[test]
+fn foreign_bytes_are_no_datagram() {
+    assert_eq!(decode::<Load>(&[0xff; 40]), None);
+    let hello = hello(3, vec![(1, 2)]);
+    assert_eq!(decode(&encode(&hello)), Some(hello));
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod connect;
 mod headers;
 mod listener;
 mod metrics;
@@ -10,6 +11,7 @@
 
 pub use body::{AnswerBody, BodyError, BodySender, channel, empty, full};
 pub use client::{TrafficClient, traffic_client};
+pub use connect::{connect, guard};
 pub use headers::{header_number, header_text, names};
 pub use listener::{Listener, ListenerLimits};
 pub use metrics::{BEARER, is_authorized, metrics};
--- a/src/telemetry/events/mod.rs
+++ b/src/telemetry/events/mod.rs
@@ -20,3 +20,17 @@
         log::log!(event.level(), event = event.number(); "{event}: {}", format_args!($($detail)+));
     }};
 }
+
+/// Logs a numbered event with named fields, for lines that are searched by a field.
+#[macro_export]
+macro_rules! log_fields {
+    ($event:expr, { $($key:ident : $value:expr),* $(,)? }) => {{
+        let event: $crate::telemetry::Event = $event;
+        log::log!(
+            event.level(),
+            event = event.number(),
+            $($key:serde = $value),*;
+            "{event}"
+        );
+    }};
+}
--- a/src/telemetry/log_format.rs
+++ b/src/telemetry/log_format.rs
@@ -4,7 +4,7 @@
 
 use flexi_logger::DeferredNow;
 use log::Record;
-use log::kv::Key;
+use log::kv::{Error, Key, Value, VisitSource};
 use serde::Serialize;
 
 /// Key under which a line carries the number of its event.
@@ -18,6 +18,22 @@
     event: Option<u64>,
     module: Option<&'a str>,
     text: String,
+    #[serde(flatten)]
+    fields: serde_json::Map<String, serde_json::Value>,
+}
+
+/// Collects the named fields of a line.
+#[derive(Default)]
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        if key.as_str() != EVENT_KEY {
+            let value = serde_json::to_value(&value).map_err(Error::boxed)?;
+            self.0.insert(key.as_str().to_owned(), value);
+        }
+        Ok(())
+    }
 }
 
 /// Writes a line for people.
@@ -36,12 +52,16 @@
 
 /// Writes a line as one JSON object.
 pub(super) fn json(out: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    let mut fields = Fields::default();
+    // A field that JSON can not hold is left out; the line still tells the event.
+    let _ = record.key_values().visit(&mut fields);
     let line = JsonLine {
         time: time(now),
         level: record.level().as_str(),
         event: event_number(record),
         module: record.module_path(),
         text: record.args().to_string(),
+        fields: fields.0,
     };
     serde_json::to_writer(out, &line).map_err(io::Error::from)
 }
--- a/tests/contract_engine.rs
+++ b/tests/contract_engine.rs
@@ -7,7 +7,7 @@
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use limpetloom::platform::{
+use limpetloom::clients::{
     EndpointAdmin, HttpClient, HttpEndpoint, HttpTimeouts, HttpWeightSource, JobState,
     PlatformError, WeightSource,
 };
--- a/tests/contract_objects.rs
+++ b/tests/contract_objects.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use limpetloom::platform::{
+use limpetloom::clients::{
     Change, HttpClient, HttpObjectApi, HttpTimeouts, ObjectApi, PlatformError,
 };
 use limpetloom_fakes::objects::{ObjectFaults, Objects, ObjectsConfig, Outage};
--- a/tests/contract_sources.rs
+++ b/tests/contract_sources.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use limpetloom::entry::core::HostRole;
-use limpetloom::platform::{
+use limpetloom::clients::{
     HostList, HttpClient, HttpHostList, HttpTimeouts, HttpWeightSource, PlatformError, WeightSource,
 };
+use limpetloom::entry::core::HostRole;
 use limpetloom_fakes::hosts::{Host, Hosts, HostsConfig, Role};
 use limpetloom_fakes::origin::{Origin, OriginConfig, OriginFaults};
 use rstest::rstest;
