Weights on the platform: agents share one draw from the origin and change engines in turns

Cause: added and restarted engines hold nothing and swallow what is sent to them. The transfer core now brings chunks across regions instead of one draw for each, reads what lies in the engine's staging first, and takes the origin's form from outside; src/rollout decides when an engine is ordered.

--- a/src/dispatch/desired.rs
+++ b/src/dispatch/desired.rs
@@ -70,6 +70,8 @@
     pub id: TargetId,
     /// Time model of its engines; absent for a plain service.
     pub engine: Option<EngineModel>,
+    /// Models that its engines may serve; empty for a plain service.
+    pub models: Vec<Arc<str>>,
     /// Requests a second that a cold endpoint bears from all entries; 0 when it has no bound.
     pub cold_rate: f64,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod power;
 pub mod process;
 pub mod relay;
+pub mod rollout;
 pub mod routing;
 pub mod settings;
 pub mod telemetry;
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -31,7 +31,15 @@
 };
 
 /// Ways in which the core's decisions reach the requests that wait.
-type Waiting = HashMap<TicketId, oneshot::Sender<Placing>>;
+type Waiting = HashMap<TicketId, Slot>;
+
+/// Meeting point of a request and its placing, whichever comes first.
+enum Slot {
+    /// The request waits.
+    Waits(oneshot::Sender<Placing>),
+    /// The core has decided; the request has not asked yet.
+    Placed(Placing),
+}
 
 /// Shell that carries requests; clones share it.
 pub struct Relay<D> {
@@ -78,8 +86,8 @@
 impl<D: Dialect> Drop for Ticket<D> {
     fn drop(&mut self) {
         let now = Instant::now();
-        self.relay.lock_waiting().remove(&self.id);
         self.relay.core().finish(now, self.id);
+        self.relay.lock_waiting().remove(&self.id);
         self.relay.pump();
     }
 }
@@ -125,9 +133,12 @@
         if !placed.is_empty() {
             let mut waiting = self.lock_waiting();
             for (ticket, placing) in placed {
-                if let Some(tx) = waiting.remove(&ticket) {
+                match waiting.remove(&ticket) {
                     // A handler that is gone ends its ticket itself.
-                    let _ = tx.send(placing);
+                    Some(Slot::Waits(tx)) => drop(tx.send(placing)),
+                    Some(Slot::Placed(_)) | None => {
+                        waiting.insert(ticket, Slot::Placed(placing));
+                    }
                 }
             }
         }
@@ -227,8 +238,15 @@
 
     /// Waits for a place in the core's order.
     pub(super) async fn place(&self, id: TicketId) -> Placing {
-        let (tx, rx) = oneshot::channel();
-        self.lock_waiting().insert(id, tx);
+        let rx = {
+            let mut waiting = self.lock_waiting();
+            if let Some(Slot::Placed(placing)) = waiting.remove(&id) {
+                return placing;
+            }
+            let (tx, rx) = oneshot::channel();
+            waiting.insert(id, Slot::Waits(tx));
+            rx
+        };
         self.pump();
         // The sender is dropped only with the ticket.
         rx.await
--- /dev/null
+++ b/src/rollout/tests.rs
@@ -0,0 +1,125 @@
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::*;
+
+fn engine(version: Option<u64>) -> EngineState {
+    EngineState {
+        incarnation: 7,
+        version,
+        is_busy: false,
+    }
+}
+
+/// A rollout of version 2 that is held and staged at `now`, due in eight seconds.
+fn staged(now: Instant, turn: f64) -> Rollout {
+    let mut rollout = Rollout::default();
+    rollout.want(2, now + Duration::from_secs(8), turn);
+    rollout.hold(2);
+    let task = rollout.next(now, engine(Some(1)));
+    assert_eq!(task, Some(Task::Stage { version: 2 }));
+    rollout.ended(now, engine(Some(1)), Outcome::Done);
+    rollout
+}
+
+#[test]
+fn nothing_is_ordered_before_the_version_is_whole() {
+    let now = Instant::now();
+    let mut rollout = Rollout::default();
+    rollout.want(2, now, 0.0);
+    rollout.hold(1);
+    assert_eq!(rollout.next(now, engine(None)), None);
+}
+
+#[test]
+fn an_engine_that_serves_nothing_is_ordered_at_once() {
+    let now = Instant::now();
+    let mut rollout = staged(now, 1.0);
+    let order = Some(Task::Order { version: 2 });
+    assert_eq!(rollout.next(now, engine(None)), order);
+}
+
+#[rstest]
+#[case::first(0.0, 3_200)]
+#[case::middle(0.5, 5_000)]
+#[case::last(1.0, 6_800)]
+fn engines_that_serve_change_in_turns_within_the_time(#[case] turn: f64, #[case] at_ms: u64) {
+    let now = Instant::now();
+    let mut rollout = staged(now, turn);
+    let at = now + Duration::from_millis(at_ms);
+    assert_eq!(
+        rollout.next(at - Duration::from_millis(1), engine(Some(1))),
+        None
+    );
+    let order = Some(Task::Order { version: 2 });
+    assert_eq!(rollout.next(at, engine(Some(1))), order);
+}
+
+#[test]
+fn a_newer_version_drops_what_is_left_of_the_older() {
+    let now = Instant::now();
+    let mut rollout = staged(now, 0.0);
+    rollout.want(3, now + Duration::from_secs(9), 0.0);
+    let late = now + Duration::from_secs(9);
+    assert_eq!(rollout.next(late, engine(Some(1))), None);
+    rollout.hold(3);
+    assert_eq!(
+        rollout.next(late, engine(Some(1))),
+        Some(Task::Stage { version: 3 })
+    );
+}
+
+#[test]
+fn a_taken_order_is_not_repeated_until_the_engine_is_another() {
+    let now = Instant::now();
+    let mut rollout = staged(now, 0.0);
+    let at = now + Duration::from_secs(7);
+    assert!(rollout.next(at, engine(Some(1))).is_some());
+    rollout.ended(at, engine(Some(1)), Outcome::Done);
+    assert!(rollout.is_switching(at, engine(Some(1))));
+    assert_eq!(rollout.next(at, engine(None)), None);
+    let reborn = EngineState {
+        incarnation: 8,
+        ..engine(None)
+    };
+    assert_eq!(rollout.next(at, reborn), Some(Task::Order { version: 2 }));
+    rollout.ended(at, reborn, Outcome::Done);
+    let served = EngineState {
+        version: Some(2),
+        ..reborn
+    };
+    assert!(!rollout.is_switching(at, served));
+}
+
+#[test]
+fn an_order_that_failed_or_had_no_effect_is_given_again() {
+    let now = Instant::now();
+    let mut rollout = staged(now, 0.0);
+    let at = now + Duration::from_secs(7);
+    assert!(rollout.next(at, engine(None)).is_some());
+    rollout.ended(at, engine(None), Outcome::Failed);
+    assert_eq!(rollout.next(at, engine(None)), None);
+    let at = at + Duration::from_millis(150);
+    assert!(rollout.next(at, engine(None)).is_some());
+    rollout.ended(at, engine(None), Outcome::Done);
+    assert_eq!(
+        rollout.next(at + Duration::from_secs(4), engine(None)),
+        None
+    );
+    assert!(
+        rollout
+            .next(at + Duration::from_secs(5), engine(None))
+            .is_some()
+    );
+}
+
+#[test]
+fn the_turns_of_a_fleet_cover_the_whole_spread() {
+    let hosts: Vec<String> = (0..9).map(|at| format!("host-{at}")).collect();
+    let mut turns: Vec<f64> = hosts.iter().map(|host| turn(3, host, &hosts)).collect();
+    turns.sort_unstable_by(f64::total_cmp);
+    assert_eq!(turns.first(), Some(&0.0));
+    assert_eq!(turns.last(), Some(&1.0));
+    assert_ne!(turn(3, &hosts[0], &hosts), turn(4, &hosts[0], &hosts));
+}
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -43,6 +43,8 @@
     StreamCut = 403,
     /// log lines were left out to bound the volume
     LinesLeftOut = 404,
+    /// the first event of an answer was passed on
+    StreamStarted = 405,
     /// endpoint changed state
     EndpointState = 500,
     /// endpoint restarted
@@ -98,6 +100,7 @@
             Self::AttemptAnswered => log::Level::Info,
             Self::StreamCut => log::Level::Warn,
             Self::LinesLeftOut => log::Level::Warn,
+            Self::StreamStarted => log::Level::Info,
             Self::EndpointState => log::Level::Info,
             Self::EndpointRestarted => log::Level::Warn,
             Self::RequestSuspected => log::Level::Warn,
--- a/src/weights/client.rs
+++ b/src/weights/client.rs
@@ -1,6 +1,7 @@
 //! Requests of an agent to peers, origins and engines.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use super::bitmap::ChunkSet;
 use super::core::{Have, Source, Wanted};
 use super::error::FetchError;
+use super::origin::OriginApi;
 use super::wire::{self, PeerRequest, Sender};
 
 /// Largest manifest in bytes that is read.
@@ -35,17 +37,19 @@
     http: Client<HttpConnector, Full<Bytes>>,
     own: Sender,
     timeout: Duration,
+    origin: Arc<dyn OriginApi>,
 }
 
 impl WeightsClient {
-    pub fn new(own: Sender, timeout: Duration) -> Self {
+    pub fn new(own: Sender, timeout: Duration, origin: Arc<dyn OriginApi>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT.min(timeout)));
         Self {
             http: Client::builder(TokioExecutor::new()).build(connector),
             own,
             timeout,
+            origin,
         }
     }
 
@@ -57,7 +61,7 @@
     ) -> Result<Bytes, FetchError> {
         let path = match source {
             Source::Peer(_) => PeerRequest::Manifest(wanted.version.clone()).path(),
-            Source::Origin(_) => format!("/manifests/{}/{}", wanted.model, wanted.name),
+            Source::Origin(_) => self.origin.manifest_path(wanted),
         };
         let answer = self.call(Method::GET, addr, &path, Bytes::new());
         let answer = self.in_time(answer).await?;
@@ -74,7 +78,7 @@
     ) -> Result<Arrived, FetchError> {
         let path = match source {
             Source::Peer(_) => PeerRequest::Chunk(wanted.version.clone(), index).path(),
-            Source::Origin(_) => format!("/chunks/{}/{}/{index}", wanted.model, wanted.name),
+            Source::Origin(_) => self.origin.chunk_path(wanted, index),
         };
         let start = Instant::now();
         let fetch = async {
--- a/src/weights/core/config.rs
+++ b/src/weights/core/config.rs
@@ -1,9 +1,12 @@
 //! Settings of the decision logic and of the service.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::weights::origin::{OriginApi, ProductOrigin};
 use crate::weights::peers::Peer;
+use crate::weights::stage::Staging;
 
 /// Settings of weight transfer on one host.
 #[derive(Clone, Debug)]
@@ -12,6 +15,16 @@
     pub own: Peer,
     /// Origin and weight store, in the order in which they are asked.
     pub origins: Vec<SocketAddr>,
+    /// What the origins' paths and manifests look like.
+    pub origin_api: Arc<dyn OriginApi>,
+    /// True when all regions share one draw from the origin; otherwise each region draws its own.
+    pub one_draw: bool,
+    /// Hosts of a region that draw the manifest from the origin at once; it is small against a
+    /// copy, and the transfer starts only when it has spread.
+    pub manifest_draws: u8,
+    /// Staging of the engine beside the host, which may hold chunks already; absent where chunks
+    /// are only put there.
+    pub staging: Option<Arc<dyn Staging>>,
     /// Rings from which peers are taken; a host has up to twice as many peers.
     pub rings: usize,
     /// Chunks that are fetched from peers at once.
@@ -42,6 +55,10 @@
         Self {
             own,
             origins,
+            origin_api: Arc::new(ProductOrigin),
+            one_draw: false,
+            manifest_draws: 8,
+            staging: None,
             rings: 4,
             downloads: 12,
             per_peer: 3,
--- a/src/weights/core/event.rs
+++ b/src/weights/core/event.rs
@@ -66,6 +66,13 @@
         /// How long the bytes took on the way, without waiting for this host's own caps.
         result: Result<Duration, FetchError>,
     },
+    /// The engine's staging was looked through; what was found is verified and in memory.
+    Scanned {
+        /// Digest of the manifest.
+        version: Digest,
+        /// Chunks that were found.
+        found: ChunkSet,
+    },
     /// A peer said which chunks it holds.
     Announced {
         /// The peer.
--- a/src/weights/core/exchange.rs
+++ b/src/weights/core/exchange.rs
@@ -153,8 +153,12 @@
             return;
         };
         let message = transfer.have_message();
+        let interval = match self.cfg.one_draw {
+            true => self.cfg.announce_interval,
+            false => self.cfg.takeover,
+        };
         for (host, talk) in &mut transfer.remotes {
-            let due = talk.sent_at.is_none_or(|at| now >= at + self.cfg.takeover);
+            let due = talk.sent_at.is_none_or(|at| now >= at + interval);
             let link = self.links.get(host).filter(|link| link.usable(now));
             let (Some(link), true, false) = (link, due, talk.busy) else {
                 continue;
--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -16,9 +16,6 @@
 
 /// Wait after an origin failed, before it is asked again.
 const ORIGIN_RETRY: Duration = Duration::from_secs(1);
-/// Hosts of a region that draw the manifest from the origin at once; it is small against a copy,
-/// and the transfer starts only when it has spread.
-const MANIFEST_DRAWS: u8 = 8;
 /// Step in thousandths in which progress is reported.
 const PROGRESS_STEP: u32 = 10;
 
@@ -50,7 +47,8 @@
             .filter(|(_, talk)| talk.have.is_some())
             .filter_map(|(host, _)| Some((host, self.links.get(host)?)))
             .find(|(_, link)| link.usable(now));
-        let turn = transfer.since + takeover * u32::from(transfer.manifest_rank / MANIFEST_DRAWS);
+        let turn = transfer.since
+            + takeover * u32::from(transfer.manifest_rank / self.cfg.manifest_draws.max(1));
         let own_turn = transfer.is_introduced(now, takeover) && now >= turn;
         let origin = self
             .usable_origin(now, version)
@@ -119,7 +117,7 @@
         out: &mut Vec<WeightsAction>,
     ) {
         while self.origin_downloads < self.cfg.origin_downloads {
-            let Some(transfer) = self.transfers.get_mut(version).filter(|t| t.open) else {
+            let Some(transfer) = self.transfers.get_mut(version).filter(|t| t.is_ready()) else {
                 return;
             };
             let reachable = held_by_fast_peers(transfer, &self.links, now);
@@ -203,7 +201,7 @@
             per_peer: self.cfg.per_peer,
         };
         while self.downloads < self.cfg.downloads {
-            let Some(transfer) = self.transfers.get(version).filter(|t| t.open) else {
+            let Some(transfer) = self.transfers.get(version).filter(|t| t.is_ready()) else {
                 return;
             };
             let next = next_chunk(transfer, &self.links, limits, &mut self.rng)
@@ -224,6 +222,71 @@
         }
     }
 
+    /// Brings chunks into the region that this host draws for it, from hosts of other regions.
+    pub(super) fn fetch_from_regions(
+        &mut self,
+        now: Instant,
+        version: &Digest,
+        out: &mut Vec<WeightsAction>,
+    ) {
+        if !self.cfg.one_draw {
+            return;
+        }
+        let Some(transfer) = self.transfers.get(version).filter(|t| t.is_ready()) else {
+            return;
+        };
+        if transfer.is_held() {
+            return;
+        }
+        self.ask_remotes(now, version, out);
+        while self.downloads < self.cfg.downloads {
+            let Some((index, host, addr)) = self.regional_chunk(now, version) else {
+                return;
+            };
+            let Some(link) = self.links.get_mut(&host) else {
+                return;
+            };
+            link.outstanding += 1;
+            self.downloads += 1;
+            let fetch = InFlight {
+                source: Source::Peer(host),
+                since: now,
+                owned: false,
+            };
+            self.start_fetch(version, index, fetch, addr, out);
+        }
+    }
+
+    /// A chunk that nobody near holds, that this host draws for its region, and a far holder.
+    fn regional_chunk(
+        &self,
+        now: Instant,
+        version: &Digest,
+    ) -> Option<(u32, crate::types::HostId, SocketAddr)> {
+        let transfer = self.transfers.get(version)?;
+        let waited = now.saturating_duration_since(transfer.news_at);
+        let missing = (0..transfer.chunks()).filter(|index| {
+            let rank = u32::from(transfer.region_ranks[*index as usize]);
+            !transfer.have.contains(*index)
+                && transfer.holders[*index as usize] == 0
+                && !transfer.in_flight.contains_key(index)
+                && waited >= self.cfg.takeover * rank
+        });
+        for index in missing {
+            let holder = transfer
+                .remotes
+                .iter()
+                .filter(|(_, talk)| talk.have.as_ref().is_some_and(|have| have.contains(index)))
+                .filter_map(|(host, _)| Some((host, self.links.get(host)?)))
+                .filter(|(_, link)| link.usable(now) && link.outstanding < self.cfg.per_peer)
+                .min_by_key(|(_, link)| link.outstanding);
+            if let Some((host, link)) = holder {
+                return Some((index, host.clone(), link.addr));
+            }
+        }
+        None
+    }
+
     fn start_fetch(
         &mut self,
         version: &Digest,
@@ -289,6 +352,24 @@
         }
     }
 
+    /// Takes in what the engine's staging held already.
+    pub(super) fn scanned(
+        &mut self,
+        now: Instant,
+        version: &Digest,
+        found: &ChunkSet,
+        out: &mut Vec<WeightsAction>,
+    ) {
+        let Some(transfer) = self.transfers.get_mut(version) else {
+            return;
+        };
+        transfer.scanned = true;
+        let chunks = transfer.chunks();
+        for index in found.iter().filter(|index| *index < chunks) {
+            self.chunk_verified(now, version, index, out);
+        }
+    }
+
     fn chunk_verified(
         &mut self,
         now: Instant,
@@ -372,6 +453,9 @@
                 let Some(transfer) = self.transfers.get_mut(version) else {
                     return;
                 };
+                if let Some(talk) = transfer.remotes.get_mut(host) {
+                    talk.have = None;
+                }
                 match error {
                     FetchError::Corrupt => transfer.blame(host),
                     FetchError::Unreachable | FetchError::TimedOut => transfer.forget(host),
--- a/src/weights/core/mod.rs
+++ b/src/weights/core/mod.rs
@@ -92,6 +92,9 @@
                 };
                 self.chunk_ended(now, &version, end, &mut out);
             }
+            WeightsEvent::Scanned { version, found } => {
+                self.scanned(now, &version, &found, &mut out);
+            }
             WeightsEvent::Announced {
                 host,
                 addr,
@@ -133,6 +136,7 @@
             self.announce(now, &version, out);
             self.draw_from_origin(now, &version, out);
             self.fetch_from_peers(now, &version, out);
+            self.fetch_from_regions(now, &version, out);
         }
     }
 }
--- a/src/weights/core/targets.rs
+++ b/src/weights/core/targets.rs
@@ -19,10 +19,14 @@
     pub(super) fn want(&mut self, now: Instant, wanted: Wanted, out: &mut Vec<WeightsAction>) {
         self.supersede(&wanted.model, Some(&wanted.version), out);
         let version = wanted.version.clone();
+        let unscanned = self.cfg.staging.is_some();
         let transfer = self
             .transfers
             .entry(version.clone())
-            .or_insert_with(|| Transfer::new(wanted.clone(), now));
+            .or_insert_with(|| Transfer {
+                scanned: !unscanned,
+                ..Transfer::new(wanted.clone(), now)
+            });
         transfer.wanted = wanted;
         transfer.current = true;
         if transfer.is_held() {
@@ -121,8 +125,16 @@
             .iter()
             .map(|host| (host.clone(), Talk::default()))
             .collect();
-        transfer.manifest_rank = chunk_ranks(&own.host, &region, version, 1)[0];
-        transfer.ranks = chunk_ranks(&own.host, &region, version, transfer.chunks());
+        let chunks = transfer.chunks();
+        transfer.region_ranks = chunk_ranks(&own.host, &region, version, chunks);
+        if self.cfg.one_draw {
+            let all: Vec<&Peer> = region.iter().chain(&elsewhere).copied().collect();
+            transfer.manifest_rank = chunk_ranks(&own.host, &all, version, 1)[0];
+            transfer.ranks = chunk_ranks(&own.host, &all, version, chunks);
+        } else {
+            transfer.manifest_rank = chunk_ranks(&own.host, &region, version, 1)[0];
+            transfer.ranks.clone_from(&transfer.region_ranks);
+        }
 
         for peer in &self.listed {
             if near.contains(&peer.host) || far.contains(&peer.host) {
--- a/src/weights/core/transfer.rs
+++ b/src/weights/core/transfer.rs
@@ -61,6 +61,10 @@
     pub manifest_rank: u8,
     /// Rank of this host for each chunk; rank 0 draws it from the origin.
     pub ranks: Vec<u8>,
+    /// Rank of this host within its region for each chunk; rank 0 brings it into the region.
+    pub region_ranks: Vec<u8>,
+    /// True once it is known what the engine's staging holds.
+    pub scanned: bool,
     pub have: ChunkSet,
     pub in_flight: BTreeMap<u32, Vec<InFlight>>,
     /// Invariant: no more entries than neighbours and admitted strangers.
@@ -87,6 +91,8 @@
             origin_after: BTreeMap::new(),
             manifest_rank: 0,
             ranks: Vec::new(),
+            region_ranks: Vec::new(),
+            scanned: true,
             have: ChunkSet::default(),
             in_flight: BTreeMap::new(),
             talks: BTreeMap::new(),
@@ -99,6 +105,11 @@
         self.manifest.as_ref().map_or(0, |manifest| manifest.len())
     }
 
+    /// True when chunks may be fetched.
+    pub fn is_ready(&self) -> bool {
+        self.open && self.scanned
+    }
+
     pub fn is_held(&self) -> bool {
         self.open && self.have.len() == self.chunks()
     }
@@ -267,6 +278,7 @@
         size_of::<Self>()
             + manifest
             + self.ranks.len()
+            + self.region_ranks.len()
             + self.holders.len() * size_of::<u16>()
             + self.have.memory()
             + self.in_flight.len() * (size_of::<InFlight>() + size_of::<Vec<InFlight>>())
--- a/src/weights/driver.rs
+++ b/src/weights/driver.rs
@@ -12,12 +12,15 @@
 use crate::log_event;
 use crate::types::{Digest, HostId};
 
+use super::bitmap::ChunkSet;
 use super::client::WeightsClient;
 use super::core::{Have, Source, Wanted, WeightsAction, WeightsConfig, WeightsCore, WeightsEvent};
 use super::error::FetchError;
 use super::limit::RateLimit;
 use super::manifest::Manifest;
+use super::origin::OriginApi;
 use super::service::{Input, WeightsNotice, WeightsState};
+use super::stage::{Staged, Staging};
 use super::store::ChunkStore;
 use super::wire::PeerRequest;
 
@@ -30,6 +33,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Work {
     Manifest,
+    Scan,
     Chunk(u32, Option<HostId>),
     Announce(HostId),
 }
@@ -49,6 +53,8 @@
 /// Owner of the decision logic.
 pub(super) struct Driver {
     core: WeightsCore,
+    origin: Arc<dyn OriginApi>,
+    staging: Option<Arc<dyn Staging>>,
     store: Arc<ChunkStore>,
     client: WeightsClient,
     notices: mpsc::UnboundedSender<WeightsNotice>,
@@ -72,6 +78,8 @@
         Self {
             tick: (cfg.announce_interval / TICKS_PER_INTERVAL).max(MIN_TICK),
             download_rate: cfg.download_rate.map(RateLimit::new),
+            origin: cfg.origin_api.clone(),
+            staging: cfg.staging.clone(),
             core: WeightsCore::new(cfg, seed),
             store,
             client,
@@ -144,7 +152,8 @@
             } => self.fetch_manifest(wanted, source, addr),
             WeightsAction::Open { version, manifest } => {
                 if let Some(bytes) = self.manifests.remove(&version) {
-                    self.store.open(&version, manifest, bytes);
+                    self.store.open(&version, manifest.clone(), bytes);
+                    self.scan(version, manifest);
                 }
             }
             WeightsAction::FetchChunk {
@@ -210,11 +219,12 @@
 
     fn fetch_manifest(&mut self, wanted: Wanted, source: Source, addr: SocketAddr) {
         let client = self.client.clone();
+        let origin = self.origin.clone();
         let version = wanted.version.clone();
         let task = async move {
             let fetched = client.manifest(&wanted, &source, addr).await;
             let verified = fetched.and_then(|bytes| {
-                let manifest = Manifest::verify(&bytes, &wanted.version)?;
+                let manifest = origin.read_manifest(&bytes, &wanted)?;
                 Ok((Arc::new(manifest), bytes))
             });
             let (result, manifest) = match verified {
@@ -237,6 +247,39 @@
         self.start(version, Work::Manifest, task);
     }
 
+    /// Looks through the engine's staging for chunks of the version.
+    fn scan(&mut self, version: Digest, manifest: Arc<Manifest>) {
+        let Some(staging) = self.staging.clone() else {
+            return;
+        };
+        let store = self.store.clone();
+        let name = version.clone();
+        let task = async move {
+            let mut found = ChunkSet::default();
+            for index in 0..manifest.len() {
+                match staging.read(&name, index).await {
+                    Staged::Chunk(bytes) if manifest.is_chunk(index, &bytes) => {
+                        store.insert(&name, index, bytes);
+                        found.insert(index);
+                    }
+                    Staged::Chunk(_) | Staged::Nothing => {}
+                    Staged::Unreachable => break,
+                }
+            }
+            Done {
+                version: name.clone(),
+                work: Work::Scan,
+                event: WeightsEvent::Scanned {
+                    version: name,
+                    found,
+                },
+                manifest: None,
+                announced_bytes: 0,
+            }
+        };
+        self.start(version, Work::Scan, task);
+    }
+
     fn fetch_chunk(&mut self, wanted: Wanted, index: u32, source: Source, addr: SocketAddr) {
         let Some(manifest) = self.store.manifest(&wanted.version) else {
             return;
--- a/src/weights/manifest.rs
+++ b/src/weights/manifest.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use serde::Deserialize;
+use sha2::{Digest as _, Sha256};
 
 use crate::types::Digest;
 
@@ -11,14 +12,25 @@
 /// Chunks that one version may have, so that a manifest stays bounded.
 pub const MAX_CHUNKS: usize = 65_536;
 
-/// A version's chunks and their digests, proved by the manifest's own digest.
+/// Hash function that a manifest's chunk digests are made with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ChunkHash {
+    /// BLAKE3, as the product publishes weights.
+    Blake3,
+    /// SHA-256.
+    Sha256,
+}
+
+/// A version's chunks and their digests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Manifest {
     /// Bytes of all chunks.
     pub size: u64,
     /// Bytes of each chunk but the last.
     pub chunk_size: u64,
-    /// BLAKE3 digest of each chunk.
+    /// Function that the digests are made with.
+    pub hash: ChunkHash,
+    /// Digest of each chunk.
     ///
     /// Invariant: as many as `size` takes in chunks of `chunk_size`.
     pub chunks: Vec<[u8; 32]>,
@@ -66,7 +78,10 @@
     pub fn is_chunk(&self, index: u32, buf: &[u8]) -> bool {
         self.chunks
             .get(index as usize)
-            .is_some_and(|digest| blake3::hash(buf).as_bytes() == digest)
+            .is_some_and(|digest| match self.hash {
+                ChunkHash::Blake3 => blake3::hash(buf).as_bytes() == digest,
+                ChunkHash::Sha256 => Sha256::digest(buf).as_slice() == digest,
+            })
     }
 }
 
@@ -87,6 +102,7 @@
             .then_some(Self {
                 size: doc.size,
                 chunk_size: doc.chunk_size,
+                hash: ChunkHash::Blake3,
                 chunks,
             })
             .ok_or(FetchError::Corrupt)
--- a/src/weights/service.rs
+++ b/src/weights/service.rs
@@ -91,7 +91,7 @@
             host: cfg.own.host.clone(),
             addr: cfg.own.addr,
         };
-        let client = WeightsClient::new(own, cfg.fetch_timeout);
+        let client = WeightsClient::new(own, cfg.fetch_timeout, cfg.origin_api.clone());
         let inner = Inner {
             store: store.clone(),
             events: tx,
@@ -140,6 +140,11 @@
         rx.await.unwrap_or_default()
     }
 
+    /// The manifest of a version that the host fetches or holds.
+    pub fn manifest(&self, version: &str) -> Option<Arc<super::Manifest>> {
+        self.inner.store.manifest(version)
+    }
+
     /// Verified bytes of a chunk that the host holds.
     pub fn chunk(&self, version: &str, index: u32) -> Option<Bytes> {
         self.inner.store.chunk(version, index)
--- a/src/weights/stage.rs
+++ b/src/weights/stage.rs
@@ -1,7 +1,9 @@
-//! Transfer of a held version into an engine's staging.
+//! Staging of engines: chunks that lie there, and transfer of a held version into it.
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use futures_util::{StreamExt, TryStreamExt, stream};
 
 use crate::types::Digest;
@@ -13,6 +15,23 @@
 /// Chunks that are put into one engine's staging at once.
 const PARALLEL_PUTS: usize = 4;
 
+/// What lies at one place of a staging.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Staged {
+    /// Bytes, not verified.
+    Chunk(Bytes),
+    /// Nothing.
+    Nothing,
+    /// The engine does not answer.
+    Unreachable,
+}
+
+/// Staging of the engine beside a host.
+pub trait Staging: std::fmt::Debug + Send + Sync {
+    /// Reads the chunk that lies there for a version.
+    fn read<'a>(&'a self, version: &'a Digest, index: u32) -> BoxFuture<'a, Staged>;
+}
+
 pub(super) async fn stage(
     store: &ChunkStore,
     client: &WeightsClient,
@@ -37,7 +56,7 @@
     client: &WeightsClient,
     engine: SocketAddr,
     path: &str,
-    body: bytes::Bytes,
+    body: Bytes,
 ) -> Result<(), StageError> {
     client
         .stage(engine, path, body)
