--- a/examples/measure/chunks.rs
+++ b/examples/measure/chunks.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use limpetloom::weights::{
-    ChunkSet, Have, Manifest, Peer, Source, Wanted, WeightsAction, WeightsConfig, WeightsCore,
-    WeightsEvent,
+    ChunkHash, ChunkSet, Have, Manifest, Peer, Source, Wanted, WeightsAction, WeightsConfig,
+    WeightsCore, WeightsEvent,
 };
 
 use crate::Args;
@@ -38,6 +38,7 @@
     let manifest = Manifest {
         size: CHUNK_BYTES as u64,
         chunk_size: CHUNK_BYTES as u64,
+        hash: ChunkHash::Blake3,
         chunks: vec![*blake3::hash(&chunk).as_bytes()],
     };
     let start = Instant::now();
@@ -101,6 +102,7 @@
             result: Ok(Arc::new(Manifest {
                 size: u64::from(CHUNKS) * CHUNK_BYTES as u64,
                 chunk_size: CHUNK_BYTES as u64,
+                hash: ChunkHash::Blake3,
                 chunks: vec![[0; 32]; CHUNKS as usize],
             })),
         },
--- a/src/weights/tests/world.rs
+++ b/src/weights/tests/world.rs
@@ -7,8 +7,8 @@
 use crate::telemetry::Event;
 use crate::types::Digest;
 use crate::weights::{
-    ChunkSet, FetchError, Have, Manifest, Peer, Source, Wanted, WeightsAction, WeightsConfig,
-    WeightsCore, WeightsEvent,
+    ChunkHash, ChunkSet, FetchError, Have, Manifest, Peer, Source, Wanted, WeightsAction,
+    WeightsConfig, WeightsCore, WeightsEvent,
 };
 
 pub const CHUNKS: u32 = 40;
@@ -285,6 +285,7 @@
         let manifest = Manifest {
             size: u64::from(CHUNKS) * CHUNK_BYTES,
             chunk_size: CHUNK_BYTES,
+            hash: ChunkHash::Blake3,
             chunks: vec![[0; 32]; CHUNKS as usize],
         };
         let event = WeightsEvent::Manifest {
