--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -227,9 +227,10 @@
         self.fleet.evacuate(zones);
     }
 
-    /// A version of a model was named; true when it is newer than those before.
-    pub fn name_version(&mut self, now: Instant, model: &str, version: u64) -> bool {
-        self.fleet.name_version(now, model, version)
+    /// A version of a model was named, at `since` if that is known; true when it is newer than
+    /// those before.
+    pub fn name_version(&mut self, model: &str, version: u64, since: Option<Instant>) -> bool {
+        self.fleet.name_version(model, version, since)
     }
 
     /// Takes in a load report from the agent of a host.
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
@@ -12,22 +13,14 @@
 /// are back within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_700);
 
-/// Named version of a model that endpoints are to serve.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Named {
-    version: u64,
-    since: Instant,
-}
-
 /// The endpoints that an entry knows, and what operators said about zones and versions.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     evacuated: BTreeSet<ZoneId>,
-    /// Versions that were named for each model, oldest first.
-    ///
-    /// Invariant: versions and times grow.
-    named: BTreeMap<std::sync::Arc<str>, Vec<Named>>,
+    /// Versions that were named for each model, with the time; `None` when that was before this
+    /// process listened, and so may be long ago.
+    named: BTreeMap<Arc<str>, BTreeMap<u64, Option<Instant>>>,
 }
 
 /// What a request asks of its endpoint.
@@ -128,32 +121,33 @@
         &self.evacuated
     }
 
-    /// A version was named for a model; true when it is newer than those before.
-    pub fn name_version(&mut self, now: Instant, model: &str, version: u64) -> bool {
+    /// A version was named for a model, at `since` if that is known; true when it is newer than
+    /// those before.
+    pub fn name_version(&mut self, model: &str, version: u64, since: Option<Instant>) -> bool {
         let named = self.named.entry(model.into()).or_default();
-        if named.last().is_some_and(|last| last.version >= version) {
-            return false;
-        }
-        named.push(Named {
-            version,
-            since: now,
-        });
-        true
+        let is_newest = named.keys().next_back().is_none_or(|last| *last < version);
+        let known = named.entry(version).or_default();
+        *known = (*known).max(since);
+        is_newest
     }
 
-    /// Newest named version of each model, with the time at which it was learned.
-    pub fn versions(&self) -> impl Iterator<Item = (&str, u64, Instant)> {
+    /// Newest named version of each model, with the time at which it was named.
+    pub fn versions(&self) -> impl Iterator<Item = (&str, u64, Option<Instant>)> {
         self.named.iter().filter_map(|(model, named)| {
-            let last = named.last()?;
-            Some((&**model, last.version, last.since))
+            let (version, since) = named.last_key_value()?;
+            Some((&**model, *version, *since))
         })
     }
 
     /// Oldest version of a model that may still begin a request, `grace` after a newer was named.
     pub fn oldest_version(&self, now: Instant, model: &str, grace: Duration) -> u64 {
         let due = self.named.get(model).into_iter().flatten();
-        due.filter(|named| now.saturating_duration_since(named.since) >= grace)
-            .map(|named| named.version)
+        let is_due = |since: Option<Instant>| {
+            let age = since.map(|since| now.saturating_duration_since(since));
+            age.is_none_or(|age| age >= grace)
+        };
+        due.filter(|(_, since)| is_due(**since))
+            .map(|(version, _)| *version)
             .max()
             .unwrap_or(0)
     }
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -86,6 +86,19 @@
     pub entries: u32,
     /// Crashes that entries saw, newest last.
     pub crashes: Vec<Crash>,
+    /// Wanted models as the agent knows them, for entries that started since they were named.
+    pub wanted: Vec<Owed>,
+}
+
+/// A version that a fleet owes, as an agent knows it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Owed {
+    /// Name of the model.
+    pub model: Arc<str>,
+    /// Newest named version.
+    pub version: u64,
+    /// Time since it was named, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// State of an engine.
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::{Crash, Hello, Plan, WantedModel};
+use super::{Crash, Hello, Owed, Plan, WantedModel};
 
 /// Time after which an entry that says nothing counts as gone: four heartbeats.
 const ENTRY_LIFE: Duration = Duration::from_millis(1_600);
@@ -74,14 +75,28 @@
     }
 }
 
+/// Versions of a model whose naming is remembered: more than are named within the time for one.
+const NAMED_MAX: usize = 4;
+
+/// What is owed of one model.
+#[derive(Clone, Debug)]
+struct Debt {
+    /// Newest named version; only grows.
+    version: u64,
+    /// Versions with the times at which they were named, oldest first.
+    ///
+    /// Invariant: at most [`NAMED_MAX`], the newest of them last.
+    named: Vec<(u64, Instant)>,
+    /// Latest time to leave the versions before the oldest one that was not served.
+    due: Instant,
+}
+
 /// The plan in force at an agent.
 #[derive(Clone, Debug, Default)]
 pub struct Orders {
     plan: Option<Plan>,
-    /// Wanted version of each model, with the latest time to serve it.
-    ///
-    /// Invariant: versions only grow; the time is that of the oldest version not yet served.
-    wanted: BTreeMap<std::sync::Arc<str>, (u64, Instant)>,
+    /// What is owed of each model.
+    wanted: BTreeMap<Arc<str>, Debt>,
 }
 
 impl Orders {
@@ -106,21 +121,32 @@
     }
 
     fn want(&mut self, now: Instant, wanted: &WantedModel) -> bool {
-        let within = Duration::from_millis(wanted.within_ms.saturating_sub(wanted.age_ms));
+        let age = Duration::from_millis(wanted.age_ms);
+        let within = Duration::from_millis(wanted.within_ms);
+        let named = now.checked_sub(age).unwrap_or(now);
+        let due = now + within.saturating_sub(age);
         match self.wanted.get_mut(&wanted.model) {
-            Some((version, _)) if *version >= wanted.version => false,
-            Some((version, due)) => {
-                *version = wanted.version;
+            Some(debt) if debt.version >= wanted.version => false,
+            Some(debt) => {
                 // A version that is still owed keeps its time when a newer one takes its place.
-                *due = match *due > now {
-                    true => (*due).min(now + within),
-                    false => now + within,
+                let due = match debt.due > now {
+                    true => debt.due.min(due),
+                    false => due,
                 };
+                debt.due = due;
+                debt.version = wanted.version;
+                debt.named.push((wanted.version, named));
+                let over = debt.named.len().saturating_sub(NAMED_MAX);
+                debt.named.drain(..over);
                 true
             }
             None => {
-                let due = (wanted.version, now + within);
-                self.wanted.insert(wanted.model.clone(), due);
+                let debt = Debt {
+                    version: wanted.version,
+                    named: vec![(wanted.version, named)],
+                    due,
+                };
+                self.wanted.insert(wanted.model.clone(), debt);
                 true
             }
         }
@@ -128,15 +154,27 @@
 
     /// The wanted version of a model is served: the next one gets a time of its own.
     pub fn served(&mut self, now: Instant, model: &str) {
-        if let Some((_, due)) = self.wanted.get_mut(model) {
-            *due = (*due).min(now);
+        if let Some(debt) = self.wanted.get_mut(model) {
+            debt.due = debt.due.min(now);
         }
     }
 
     /// Wanted version of each model, with the latest time to serve it.
-    pub fn wanted(&self) -> impl Iterator<Item = (&std::sync::Arc<str>, u64, Instant)> {
+    pub fn wanted(&self) -> impl Iterator<Item = (&Arc<str>, u64, Instant)> {
         let wanted = self.wanted.iter();
-        wanted.map(|(model, (version, due))| (model, *version, *due))
+        wanted.map(|(model, debt)| (model, debt.version, debt.due))
+    }
+
+    /// What is owed, for entries that started since.
+    pub fn owed(&self, now: Instant) -> Vec<Owed> {
+        let owed = self.wanted.iter().flat_map(|(model, debt)| {
+            debt.named.iter().map(|(version, named)| Owed {
+                model: model.clone(),
+                version: *version,
+                age_ms: now.saturating_duration_since(*named).as_millis() as u64,
+            })
+        });
+        owed.collect()
     }
 
     /// The plan.
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -11,10 +11,10 @@
 
 /// Time before the latest time for a version in which the last engine is ordered. An order stops
 /// new work at once, so only the way of the order has to fit.
-const TAIL: Duration = Duration::from_millis(1_200);
+const TAIL: Duration = Duration::from_millis(900);
 /// Time over which the orders of a fleet are spread: what is left of the usual eight seconds after
 /// a copy has come over the narrow link, which takes three.
-const SPREAD: Duration = Duration::from_millis(3_600);
+const SPREAD: Duration = Duration::from_millis(3_400);
 /// Pause after an order that was not taken.
 const RETRY: Duration = Duration::from_millis(150);
 /// Time after which an order without effect is given again: a stream lasts three seconds at most,
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -41,9 +41,9 @@
 }
 
 #[rstest]
-#[case::first(0.0, 3_200)]
-#[case::middle(0.5, 5_000)]
-#[case::last(1.0, 6_800)]
+#[case::first(0.0, 3_700)]
+#[case::middle(0.5, 5_400)]
+#[case::last(1.0, 7_100)]
 fn engines_that_serve_change_in_turns_within_the_time(#[case] turn: f64, #[case] at_ms: u64) {
     let now = Instant::now();
     let mut rollout = staged(now, turn);
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -75,6 +75,8 @@
     OrderFailed = 606,
     /// staged chunks were missing or spoilt and are put again
     StagedSpoilt = 607,
+    /// a version is on its way
+    VersionProgress = 608,
 }
 impl Event {
     /// Level at which the event is logged.
@@ -116,6 +118,7 @@
             Self::VersionOrdered => log::Level::Info,
             Self::OrderFailed => log::Level::Warn,
             Self::StagedSpoilt => log::Level::Warn,
+            Self::VersionProgress => log::Level::Info,
         }
     }
 }
--- a/src/weights/core/mod.rs
+++ b/src/weights/core/mod.rs
@@ -135,8 +135,9 @@
             self.fetch_manifest(now, &version, out);
             self.announce(now, &version, out);
             self.draw_from_origin(now, &version, out);
-            self.fetch_from_peers(now, &version, out);
+            // What nobody near holds comes first: the region waits for it.
             self.fetch_from_regions(now, &version, out);
+            self.fetch_from_peers(now, &version, out);
         }
     }
 }
--- a/src/weights/core/targets.rs
+++ b/src/weights/core/targets.rs
@@ -12,8 +12,9 @@
 use super::transfer::{Talk, Transfer};
 use super::{Wanted, WeightsAction, WeightsCore};
 
-/// Peers of other regions that a host may ask when no origin answers.
-const REMOTE_PEERS: usize = 3;
+/// Peers of other regions that a host may ask when no origin answers, and where all regions share
+/// one draw.
+const REMOTE_PEERS: usize = 4;
 
 impl WeightsCore {
     pub(super) fn want(&mut self, now: Instant, wanted: Wanted, out: &mut Vec<WeightsAction>) {
@@ -127,12 +128,12 @@
             .collect();
         let chunks = transfer.chunks();
         transfer.region_ranks = chunk_ranks(&own.host, &region, version, chunks);
+        // A manifest is small against a copy: each region draws its own.
+        transfer.manifest_rank = chunk_ranks(&own.host, &region, version, 1)[0];
         if self.cfg.one_draw {
             let all: Vec<&Peer> = region.iter().chain(&elsewhere).copied().collect();
-            transfer.manifest_rank = chunk_ranks(&own.host, &all, version, 1)[0];
             transfer.ranks = chunk_ranks(&own.host, &all, version, chunks);
         } else {
-            transfer.manifest_rank = chunk_ranks(&own.host, &region, version, 1)[0];
             transfer.ranks.clone_from(&transfer.region_ranks);
         }
 
