--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod reply;
 pub mod server;
 pub mod service;
+pub mod site;
--- /dev/null
+++ b/fakes/src/site/origin.rs
@@ -0,0 +1,81 @@
+//! The platform's weight origin.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+
+use crate::reply::{Reply, answer, json as json_answer, query_number};
+use crate::server::{ANY_PORT, Server};
+
+/// Bytes of a piece.
+const PIECE_BYTES: usize = 2_048;
+
+/// The bytes of one piece of a version.
+pub fn piece(version: u64, index: u64) -> Vec<u8> {
+    let mut bytes = vec![(version * 31 + index) as u8; PIECE_BYTES];
+    bytes[..8].copy_from_slice(&(version << 32 | index).to_le_bytes());
+    bytes
+}
+
+/// The origin; dropping it stops it.
+#[derive(Debug)]
+pub struct SiteOrigin {
+    server: Server,
+    sent: Arc<AtomicU64>,
+}
+
+impl SiteOrigin {
+    /// Starts an origin of versions with so many pieces each.
+    ///
+    /// # Errors
+    /// The system's error when no address can be bound.
+    pub fn spawn(pieces: u64) -> io::Result<Self> {
+        let sent = Arc::new(AtomicU64::new(0));
+        let count = sent.clone();
+        let server = Server::spawn(ANY_PORT, move |req| {
+            let count = count.clone();
+            async move { serve(&req, pieces, &count) }
+        })?;
+        Ok(Self { server, sent })
+    }
+
+    /// Address of the origin.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Pieces sent so far.
+    pub fn pieces_sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
+
+fn serve(req: &Request<Incoming>, pieces: u64, sent: &AtomicU64) -> Reply {
+    let version = query_number(req, "version").max(1);
+    let path = req.uri().path();
+    if let Some(model) = path.strip_prefix("/limpetloom/manifest/") {
+        let digests: Vec<String> = (0..pieces)
+            .map(|index| hex(&Sha256::digest(piece(version, index))))
+            .collect();
+        return Some(json_answer(&json!({
+            "model": model, "version": version, "chunkBytes": PIECE_BYTES,
+            "layers": 16, "digests": digests,
+        })));
+    }
+    if path.starts_with("/limpetloom/piece/") {
+        sent.fetch_add(1, Ordering::Relaxed);
+        let bytes = piece(version, query_number(req, "numItems"));
+        return Some(answer(StatusCode::OK, bytes));
+    }
+    Some(answer(StatusCode::NOT_FOUND, ""))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/src/dispatch/core.rs
+++ b/src/dispatch/dispatcher.rs
@@ -631,7 +631,8 @@
             }
             if &*broken.endpoint == id && broken.incarnation == incarnation {
                 let fingerprint = digest(broken.fingerprint);
-                self.quarantine.crashed(now, &fingerprint, incarnation);
+                let instance = instance(id, incarnation);
+                self.quarantine.crashed(now, &fingerprint, instance);
             } else {
                 kept.push_back(broken);
             }
@@ -703,6 +704,16 @@
     }
 }
 
+/// One life of one endpoint; endpoints that start together have the same incarnation.
+fn instance(id: &str, incarnation: InstanceId) -> InstanceId {
+    let mut hash = blake3::Hasher::new();
+    hash.update(&incarnation.to_le_bytes())
+        .update(id.as_bytes());
+    let mut short = [0; 8];
+    short.copy_from_slice(&hash.finalize().as_bytes()[..8]);
+    InstanceId::from_le_bytes(short)
+}
+
 fn digest(fingerprint: u64) -> Arc<str> {
     format!("{fingerprint:016x}").into()
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,8 +5,8 @@
 
 mod budget;
 mod cold;
-mod core;
 mod desired;
+mod dispatcher;
 mod endpoint;
 mod estimate;
 mod fleet;
@@ -16,8 +16,8 @@
 
 pub use budget::{RetryLimit, RetryWindow};
 pub use cold::ColdBound;
-pub use core::{DispatchConfig, Dispatcher, EndpointView, Placing, Snapshot, Step};
 pub use desired::{CallerLimits, Customer, Desired, Repeat, Route, Target};
+pub use dispatcher::{DispatchConfig, Dispatcher, EndpointView, Placing, Snapshot, Step};
 pub use endpoint::{Endpoint, EndpointLoad, Listed};
 pub use estimate::EngineModel;
 pub use fleet::Fleet;
--- /dev/null
+++ b/src/dispatch/tests/admission.rs
@@ -0,0 +1,98 @@
+use std::sync::Arc;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use super::fixture::*;
+use crate::codes::Code;
+use crate::dispatch::*;
+
+#[test]
+fn nothing_is_admitted_before_a_desired_state_is_known() {
+    let refusal = empty().admit(Instant::now(), &request("chat")).unwrap_err();
+    assert_eq!(refusal.code, Code::NoConfiguration);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn an_older_desired_state_takes_nothing_back() {
+    let mut core = core(Instant::now());
+    assert!(core.set_desired(Arc::new(desired(5, routes()))));
+    assert!(!core.set_desired(Arc::new(desired(4, Vec::new()))));
+    assert_eq!(core.desired().unwrap().version, 5);
+}
+
+#[rstest]
+#[case::unknown_path("nowhere", Some("key-1"), Code::UnknownRoute)]
+#[case::no_key("chat", None, Code::KeyNotHeld)]
+#[case::unknown_key("chat", Some("key-9"), Code::KeyNotHeld)]
+fn what_no_desired_state_allows_is_refused(
+    #[case] route: &str,
+    #[case] key: Option<&str>,
+    #[case] code: Code,
+) {
+    let now = Instant::now();
+    let req = CallerRequest {
+        key: key.map(Into::into),
+        ..request(route)
+    };
+    assert_eq!(core(now).admit(now, &req).unwrap_err().code, code);
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_refused_at_once() {
+    let now = Instant::now();
+    let mut core = core(now);
+    assert!(core.admit(now, &request("chat")).is_ok());
+    let mut without = desired(2, routes());
+    without = Desired::new(
+        2,
+        routes(),
+        Some(Vec::new()),
+        without.targets.values().map(|t| Target::clone(t)).collect(),
+        without.limits,
+    );
+    core.set_desired(Arc::new(without));
+    assert!(core.admit(now, &request("chat")).is_err());
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut all = routes();
+    let mut deep = route("chat", "desk", Repeat::Safe);
+    deep.name = "deep".into();
+    deep.prefix = "/chat/deep/".into();
+    all.push(deep);
+    let desired = desired(1, all);
+    let name = |path: &str| desired.route("site.example", path).map(|r| r.name.clone());
+    assert_eq!(name("/chat/deep/x").as_deref(), Some("deep"));
+    assert_eq!(name("/chat/x").as_deref(), Some("chat"));
+    assert_eq!(name("/chatter"), None);
+    assert!(desired.route("other.example", "/chat/x").is_none());
+}
+
+#[rstest]
+#[case::route(true, false)]
+#[case::customer(false, true)]
+#[case::both(true, true)]
+fn regions_of_route_and_customer_both_bind(#[case] by_route: bool, #[case] by_customer: bool) {
+    let now = Instant::now();
+    for _ in 0..20 {
+        let mut core = core(now);
+        if by_route {
+            let mut all = routes();
+            all[0].regions = vec!["south".into()];
+            core.set_desired(Arc::new(desired(2, all)));
+        }
+        let key = match by_customer {
+            true => "key-2",
+            false => "key-1",
+        };
+        let req = CallerRequest {
+            key: Some(key.into()),
+            ..request("chat")
+        };
+        let (_, lease) = send(&mut core, now, &req);
+        assert_eq!(&*lease.endpoint, "e3");
+    }
+}
--- /dev/null
+++ b/src/dispatch/tests/fixture.rs
@@ -0,0 +1,199 @@
+//! A small fleet: three engines in two regions and two endpoints of a plain service.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::codes::Code;
+use crate::dispatch::*;
+
+pub const MODEL: &str = "llama";
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn engine_model() -> EngineModel {
+    EngineModel {
+        step: Duration::from_micros(6_730),
+        per_request: Duration::from_micros(22),
+        read_rate: 30_600.0,
+        stride: 6,
+        places: 16,
+        usual_prompt: 964.0,
+        usual_answer: 119.0,
+        layers: 16,
+    }
+}
+
+pub fn route(name: &str, target: &str, repeat: Repeat) -> Route {
+    Route {
+        name: name.into(),
+        host: "site.example".into(),
+        prefix: format!("/{name}/").into(),
+        targets: vec![(target.into(), 1)],
+        is_stream: target == "engines",
+        repeat,
+        timeout: ms(6_000),
+        goal: ms(400),
+        gap_goal: Some(ms(300)),
+        priority: 1,
+        max_attempts: 2,
+        anonymous: false,
+        regions: Vec::new(),
+    }
+}
+
+pub fn desired(version: u64, routes: Vec<Route>) -> Desired {
+    let customer = |name: &str, regions: Vec<Arc<str>>| Customer {
+        id: name.into(),
+        priority: None,
+        regions,
+    };
+    let customers = vec![
+        (customer("studio", Vec::new()), vec!["key-1".into()]),
+        (
+            customer("homely", vec!["south".into()]),
+            vec!["key-2".into()],
+        ),
+    ];
+    let target = |id: &str, engine: Option<EngineModel>, models: Vec<Arc<str>>| Target {
+        id: id.into(),
+        engine,
+        models,
+        cold_rate: 36.0,
+    };
+    let limits = CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_time: ms(3_000),
+        idle_time: ms(15_000),
+    };
+    Desired::new(
+        version,
+        routes,
+        Some(customers),
+        vec![
+            target("engines", Some(engine_model()), vec![MODEL.into()]),
+            target("desk", None, Vec::new()),
+        ],
+        limits,
+    )
+}
+
+pub fn routes() -> Vec<Route> {
+    vec![
+        route("chat", "engines", Repeat::Resumable),
+        route("look", "desk", Repeat::Safe),
+        route("hold", "desk", Repeat::Never),
+    ]
+}
+
+pub fn addr(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 8_000))
+}
+
+pub fn ip(host: u8) -> IpAddr {
+    addr(host).ip()
+}
+
+pub fn listed(id: &str, target: &str, host: u8, region: &str) -> Listed {
+    let models = match target {
+        "engines" => vec![(MODEL.into(), 1)],
+        _ => Vec::new(),
+    };
+    Listed {
+        id: id.into(),
+        target: target.into(),
+        addr: addr(host),
+        zone: format!("{region}-a").into(),
+        region: region.into(),
+        places: 16,
+        is_leaving: false,
+        cold_left: Duration::ZERO,
+        incarnation: 1,
+        models,
+    }
+}
+
+pub fn load(running: u32) -> EndpointLoad {
+    EndpointLoad {
+        incarnation: 1,
+        running,
+        waiting: 0,
+        pace: 1.0,
+        models: vec![(MODEL.into(), 1)],
+        is_switching: false,
+    }
+}
+
+/// A core that knows nothing yet.
+pub fn empty() -> Dispatcher {
+    Dispatcher::new(DispatchConfig {
+        zone: "north-a".into(),
+        region: "north".into(),
+        retry: RetryLimit {
+            ratio: 0.2,
+            slack: 100.0,
+            window: ms(10_000),
+        },
+        cold: (1.0, 0.0),
+        version_grace: ms(7_000),
+        seed: 7,
+    })
+}
+
+/// A core that knows engines 1 and 2 in the north, 3 in the south, and desks 11 and 12.
+pub fn core(now: Instant) -> Dispatcher {
+    let mut core = empty();
+    core.set_desired(Arc::new(desired(1, routes())));
+    for (id, host, region) in [("e1", 1, "north"), ("e2", 2, "north"), ("e3", 3, "south")] {
+        core.list(now, listed(id, "engines", host, region));
+    }
+    for (id, host) in [("d1", 11), ("d2", 12)] {
+        core.list(now, listed(id, "desk", host, "north"));
+    }
+    core
+}
+
+pub fn request(route: &str) -> CallerRequest {
+    CallerRequest {
+        name: "req".into(),
+        host: "site.example".into(),
+        path: format!("/{route}/x").into(),
+        key: Some("key-1".into()),
+        patience: Some(ms(6_000)),
+        model: None,
+        prompt_tokens: match route {
+            "chat" => 1_000,
+            _ => 0,
+        },
+        fingerprint: 99,
+    }
+}
+
+/// Admits a request and places it at once.
+pub fn send(core: &mut Dispatcher, now: Instant, req: &CallerRequest) -> (TicketId, Lease) {
+    let ticket = core.admit(now, req).unwrap();
+    match next(core, now, ticket) {
+        Some(Placing::Send(lease)) => (ticket, lease),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// What the core decides for one ticket now.
+pub fn next(core: &mut Dispatcher, now: Instant, ticket: TicketId) -> Option<Placing> {
+    let placed = core.pump(now);
+    placed
+        .into_iter()
+        .find(|(id, _)| *id == ticket)
+        .map(|p| p.1)
+}
+
+/// Code of a refusal.
+pub fn code(placing: Option<Placing>) -> Option<Code> {
+    match placing {
+        Some(Placing::Refuse(refusal)) => Some(refusal.code),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/dispatch/tests/overload.rs
@@ -0,0 +1,143 @@
+//! More requests than the engines can carry: who is sent, who waits, who is refused.
+
+use std::time::Instant;
+
+use rstest::rstest;
+
+use super::fixture::*;
+use crate::codes::Code;
+use crate::dispatch::*;
+
+fn full(core: &mut Dispatcher, now: Instant, running: u32) {
+    for host in [1, 2, 3] {
+        core.report(now, ip(host), load(running));
+    }
+}
+
+#[test]
+fn a_request_that_would_start_late_is_refused_within_an_eighth_of_its_goal() {
+    let now = Instant::now();
+    let mut core = core(now);
+    full(&mut core, now, 24);
+    let ticket = core.admit(now, &request("chat")).unwrap();
+    assert_eq!(next(&mut core, now, ticket), None);
+    assert_eq!(core.wake(), Some(now + ms(50)));
+    match next(&mut core, now + ms(50), ticket) {
+        Some(Placing::Refuse(refusal)) => {
+            assert_eq!(refusal.code, Code::DeadlineUnreachable);
+            assert!(refusal.retry_after.is_some());
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_place_that_becomes_free_in_time_goes_to_the_one_that_waits() {
+    let now = Instant::now();
+    let mut core = core(now);
+    full(&mut core, now, 24);
+    let ticket = core.admit(now, &request("chat")).unwrap();
+    assert_eq!(next(&mut core, now, ticket), None);
+    let later = now + ms(30);
+    core.report(later, ip(2), load(12));
+    assert!(matches!(
+        next(&mut core, later, ticket),
+        Some(Placing::Send(_))
+    ));
+}
+
+#[test]
+fn nothing_is_refused_while_half_of_the_places_are_free() {
+    let now = Instant::now();
+    let mut core = core(now);
+    full(&mut core, now, 7);
+    let huge = CallerRequest {
+        prompt_tokens: 30_000,
+        ..request("chat")
+    };
+    send(&mut core, now, &huge);
+}
+
+#[test]
+fn a_caller_that_came_back_does_not_take_the_place_of_one_that_can_be_on_time() {
+    let now = Instant::now();
+    let mut core = core(now);
+    send(&mut core, now, &request("chat"));
+    full(&mut core, now, 24);
+    let back = CallerRequest {
+        patience: Some(ms(4_500)),
+        ..request("chat")
+    };
+    let returned = core.admit(now, &back).unwrap();
+    let fresh = core.admit(now, &request("chat")).unwrap();
+    assert!(core.pump(now).is_empty());
+    let later = now + ms(10);
+    core.report(later, ip(2), load(17));
+    let placed = core.pump(later);
+    assert_eq!(placed.first().map(|(id, _)| *id), Some(fresh));
+    // It waits longer than a fresh one before it is refused for good.
+    assert_eq!(next(&mut core, now + ms(100), returned), None);
+    assert!(code(next(&mut core, now + ms(201), returned)).is_some());
+}
+
+#[rstest]
+#[case::one_entry(1)]
+#[case::four_entries(4)]
+#[case::sixteen_entries(16)]
+fn without_reports_an_entry_takes_its_own_part_of_the_places(#[case] entries: u32) {
+    let now = Instant::now();
+    let mut core = core(now);
+    core.set_entries(entries);
+    let mut sent = 0;
+    for _ in 0..200 {
+        let ticket = core.admit(now, &request("chat")).unwrap();
+        sent += u32::from(matches!(
+            next(&mut core, now, ticket),
+            Some(Placing::Send(_))
+        ));
+    }
+    // Three engines bear 16 each, and a queue that still starts in time.
+    let most = 3 * 22 / entries + 3;
+    assert!(sent <= most, "{sent} of {most}");
+    assert!(sent >= 3 * 8 / entries, "{sent}");
+}
+
+#[test]
+fn work_goes_to_the_engine_that_starts_it_first() {
+    let now = Instant::now();
+    let mut core = core(now);
+    for (host, running) in [(1, 20), (2, 4), (3, 20)] {
+        core.report(now, ip(host), load(running));
+    }
+    let (_, lease) = send(&mut core, now, &request("chat"));
+    assert_eq!(&*lease.endpoint, "e2");
+    let mut slow = load(0);
+    slow.pace = 5.0;
+    core.report(now, ip(1), slow);
+    for _ in 0..10 {
+        let (ticket, lease) = send(&mut core, now, &request("chat"));
+        assert_eq!(&*lease.endpoint, "e2");
+        core.finish(now, ticket);
+    }
+}
+
+#[test]
+fn an_endpoint_that_fails_gets_less_and_is_tried_again() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let first = loop {
+        let (ticket, lease) = send(&mut core, now, &request("look"));
+        core.ended(now, ticket, End::Broken);
+        core.finish(now, ticket);
+        if &*lease.endpoint == "d1" {
+            break lease.endpoint;
+        }
+        core.list(now, listed("d2", "desk", 12, "north"));
+    };
+    let soon = now + ms(100);
+    for _ in 0..10 {
+        let (ticket, lease) = send(&mut core, soon + ms(900), &request("look"));
+        assert_eq!(&*lease.endpoint, "d2", "after {first} failed");
+        core.ended(soon + ms(900), ticket, End::Answered);
+    }
+}
