Streams that have begun go on where new requests would be late; engines about to change get what ends before

It now waits up to half a second for a start within 1.2 s. Engines tell when they will change their version, and get only requests whose answer is estimated to end by then. Refusals log what decided them. Not measured yet.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -25,6 +25,11 @@
 const HOLD: f64 = 0.125;
 /// The same for a caller that was refused before and gets no other turn.
 const HOLD_RETURNED: f64 = 0.5;
+/// Predicted wait up to which a broken stream goes on elsewhere; its caller leaves after two
+/// seconds without an event.
+const RESUME_WAIT: Duration = Duration::from_millis(1_200);
+/// Time for which a broken stream may wait for a place to go on.
+const RESUME_HOLD: Duration = Duration::from_millis(500);
 /// Part of the goal that the prediction for a request that is late already may take: it must not
 /// make others late, whose service counts for more.
 const LATE_USED: f64 = 0.7;
@@ -71,7 +76,20 @@
     /// It may be sent.
     Send(Lease),
     /// It gets its final answer.
-    Refuse(Refusal),
+    Refuse(Refusal, Grounds),
+}
+
+/// What a refusal was decided by.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Grounds {
+    /// Version of the desired state.
+    pub desired: u64,
+    /// Endpoints that could have run the request, whatever their load.
+    pub fitting: usize,
+    /// Earliest predicted start among those that were compared.
+    pub best: Option<Duration>,
+    /// Latest start that would have been accepted.
+    pub room: Option<Duration>,
 }
 
 /// What follows the end of an attempt.
@@ -308,6 +326,7 @@
             customer,
             model: req.model.clone(),
             prompt: req.prompt_tokens,
+            answer: req.answer_tokens,
             fingerprint: req.fingerprint,
             deadline: now + patience.min(route.timeout),
             asked,
@@ -368,9 +387,10 @@
         let engine = target.and_then(|target| target.engine.as_ref());
         let ask = Ask {
             target: &work.target,
-            is_model: engine.is_some(),
             model: work.model.as_deref(),
             version: work.version,
+            answer_tokens: work.answer,
+            engine,
             route_regions: &work.route.regions,
             customer_regions: work.customer.as_ref().map_or(&[], |c| &c.regions),
             tried: &work.tried,
@@ -379,6 +399,11 @@
             .fleet
             .fitting(now, ask, self.cfg.version_grace)
             .collect();
+        let mut grounds = Grounds {
+            desired: desired.version,
+            fitting: fitting.len(),
+            ..Grounds::default()
+        };
         let compared: Vec<&&Endpoint> = fitting.choose_multiple(&mut self.rng, COMPARED).collect();
         let goal = work.route.goal;
         let best = compared
@@ -390,22 +415,27 @@
             .min_by_key(|(_, cost, _)| *cost);
         let exhausted = now >= work.hold_until || now >= work.deadline;
         let Some((predicted, _, endpoint)) = best else {
-            return exhausted.then(|| self.give_up(now, ticket, Code::NoEndpoint));
+            return exhausted.then(|| self.give_up(now, ticket, Code::NoEndpoint, grounds));
         };
         let left = work.deadline.saturating_duration_since(now);
         let on_time = work.asked + goal.mul_f64(GOAL_USED);
+        let is_resumed = work.version.is_some();
         let room = match on_time.checked_duration_since(now) {
             Some(room) if !work.returned && work.tried.is_empty() => room,
+            _ if is_resumed => RESUME_WAIT.min(left),
             _ => goal.mul_f64(LATE_USED).min(left),
         };
+        grounds.best = Some(predicted);
+        grounds.room = Some(room);
         let load = endpoint.load(now, self.entries);
         if predicted > room && load >= IDLE_LOAD {
-            return exhausted.then(|| self.give_up(now, ticket, Code::DeadlineUnreachable));
+            return exhausted
+                .then(|| self.give_up(now, ticket, Code::DeadlineUnreachable, grounds));
         }
         let id = endpoint.listed.id.clone();
         let rate = target.map_or(0.0, |target| target.cold_rate);
         if !self.cold_admits(now, &id, rate) {
-            return exhausted.then(|| self.give_up(now, ticket, Code::NoEndpoint));
+            return exhausted.then(|| self.give_up(now, ticket, Code::NoEndpoint, grounds));
         }
         Some(Placing::Send(self.lease(now, ticket, &id, predicted)?))
     }
@@ -463,17 +493,18 @@
     }
 
     /// Final answer to a request that waited in vain; it has ended.
-    fn give_up(&mut self, now: Instant, ticket: TicketId, code: Code) -> Placing {
+    fn give_up(&mut self, now: Instant, ticket: TicketId, code: Code, grounds: Grounds) -> Placing {
         let may_have_run = self
             .works
             .get(&ticket)
             .is_some_and(|work| work.may_have_run);
         self.finish(now, ticket);
-        Placing::Refuse(match (may_have_run, code) {
+        let refusal = match (may_have_run, code) {
             (true, _) => Refusal::new(Code::OutcomeUnknown),
             (false, Code::NoEndpoint) => self.later(code),
             (false, _) => self.soon(code),
-        })
+        };
+        Placing::Refuse(refusal, grounds)
     }
 
     /// The first event of the running attempt has come.
@@ -583,7 +614,10 @@
             && (work.sent == 0 || budget.is_some_and(|budget| budget.draw(now, limit, entries)));
         if drawn {
             work.waiting = true;
-            work.hold_until = now + work.route.goal.mul_f64(HOLD_RETURNED);
+            work.hold_until = match work.version {
+                Some(_) => now + RESUME_HOLD,
+                None => now + work.route.goal.mul_f64(HOLD_RETURNED),
+            };
             self.queue.insert((false, work.asked, ticket));
             return Step::Wait;
         }
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -64,6 +64,8 @@
     pub models: Vec<(Arc<str>, u64)>,
     /// True while it takes no new work because it changes its version.
     pub is_switching: bool,
+    /// Time left until it is told to change its version.
+    pub switch_in: Option<Duration>,
 }
 
 /// What an entry knows of one endpoint.
@@ -187,6 +189,13 @@
         self.fresh(now).is_some_and(|load| load.is_switching)
     }
 
+    /// Time at which it will be told to change its version.
+    pub fn switch_at(&self, now: Instant) -> Option<Instant> {
+        let (at, load) = self.report.as_ref()?;
+        let is_fresh = self.load_age(now).is_some();
+        load.switch_in.filter(|_| is_fresh).map(|left| *at + left)
+    }
+
     /// Version of a model that it serves; the only one when the request names none.
     pub fn version(&self, model: Option<&str>) -> Option<u64> {
         let mut models = self.listed.models.iter();
--- a/src/dispatch/estimate.rs
+++ b/src/dispatch/estimate.rs
@@ -35,6 +35,11 @@
         Duration::from_secs_f64(tokens.max(0.0) / self.read_rate.max(1.0))
     }
 
+    /// Time to write an answer while all places are taken.
+    pub fn run(&self, tokens: f64) -> Duration {
+        (self.step + self.per_request * self.places).mul_f64(tokens.max(0.0))
+    }
+
     /// Mean time between two ends of requests while all places are taken.
     pub fn turn(&self) -> Duration {
         let places = self.places.max(1);
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -8,6 +8,11 @@
 use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
 
 use super::endpoint::{Endpoint, EndpointLoad, Listed};
+use super::estimate::EngineModel;
+
+/// Time by which a request may outlast the work of an engine that is about to change its version;
+/// estimates of answers are often off by more.
+const OUTLAST: Duration = Duration::from_millis(400);
 
 /// Time for which an endpoint whose lease ran out still gets work: entries of endpoints that live
 /// are back within two seconds.
@@ -28,8 +33,10 @@
 pub struct Ask<'a> {
     /// Model or service.
     pub target: &'a TargetId,
-    /// True when the target's endpoints are engines that need weights.
-    pub is_model: bool,
+    /// Time model of the target's engines, which need weights; absent for a plain service.
+    pub engine: Option<&'a EngineModel>,
+    /// Estimate of the answer's tokens, when the caller gives one.
+    pub answer_tokens: Option<u32>,
     /// Model that the request names.
     pub model: Option<&'a str>,
     /// Version that a continued answer must keep.
@@ -172,7 +179,9 @@
                 && allows(ask.customer_regions, &e.listed.region)
                 && !ask.tried.contains(&e.listed.id)
                 && e.paused_until.is_none_or(|until| now >= until)
-                && (!ask.is_model || self.has_version(now, e, ask, grace))
+                && ask.engine.is_none_or(|engine| {
+                    self.has_version(now, e, ask, grace) && ends_in_time(now, e, engine, ask)
+                })
         })
     }
 
@@ -190,3 +199,11 @@
             && version >= self.oldest_version(now, model, grace)
     }
 }
+
+/// False when the request would hold up an engine that is about to change its version.
+fn ends_in_time(now: Instant, endpoint: &Endpoint, engine: &EngineModel, ask: Ask) -> bool {
+    endpoint.switch_at(now).is_none_or(|at| {
+        let answer = ask.answer_tokens.map_or(engine.usual_answer, f64::from);
+        now + engine.run(answer) <= at + OUTLAST
+    })
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 pub use budget::{RetryLimit, RetryWindow};
 pub use cold::ColdBound;
 pub use desired::{CallerLimits, Customer, Desired, Repeat, Route, Target};
-pub use dispatcher::{DispatchConfig, Dispatcher, EndpointView, Placing, Snapshot, Step};
+pub use dispatcher::{DispatchConfig, Dispatcher, EndpointView, Grounds, Placing, Snapshot, Step};
 pub use endpoint::{Endpoint, EndpointLoad, Listed};
 pub use estimate::EngineModel;
 pub use fleet::Fleet;
--- a/src/dispatch/tests/attempts.rs
+++ b/src/dispatch/tests/attempts.rs
@@ -145,3 +145,21 @@
     assert_eq!(own(&core), 0);
     assert_eq!(core.snapshot(now).requests, 0);
 }
+
+#[test]
+fn a_stream_that_has_begun_goes_on_where_a_new_request_would_be_late() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let (ticket, _) = send(&mut core, now, &request("chat"));
+    core.started(now, ticket, Some(1));
+    for host in [1, 2, 3] {
+        core.report(now, ip(host), load(20));
+    }
+    assert_eq!(core.ended(now, ticket, End::Broken), Step::Wait);
+    assert!(matches!(
+        next(&mut core, now, ticket),
+        Some(Placing::Send(_))
+    ));
+    let fresh = core.admit(now, &request("chat")).unwrap();
+    assert_eq!(next(&mut core, now, fresh), None);
+}
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -124,6 +124,7 @@
         pace: 1.0,
         models: vec![(MODEL.into(), 1)],
         is_switching: false,
+        switch_in: None,
     }
 }
 
@@ -168,6 +169,7 @@
             "chat" => 1_000,
             _ => 0,
         },
+        answer_tokens: None,
         fingerprint: 99,
     }
 }
@@ -193,7 +195,7 @@
 /// Code of a refusal.
 pub fn code(placing: Option<Placing>) -> Option<Code> {
     match placing {
-        Some(Placing::Refuse(refusal)) => Some(refusal.code),
+        Some(Placing::Refuse(refusal, _)) => Some(refusal.code),
         _ => None,
     }
 }
--- a/src/dispatch/tests/knowledge.rs
+++ b/src/dispatch/tests/knowledge.rs
@@ -156,3 +156,29 @@
     // 36 a second and endpoint, for four entries and two endpoints.
     assert_eq!(sent, 18);
 }
+
+#[rstest]
+#[case::short(20, 300, true)]
+#[case::long(200, 300, false)]
+#[case::long_with_time(200, 1_500, true)]
+#[case::unknown_length(0, 300, false)]
+fn an_engine_about_to_change_its_version_gets_only_what_ends_before(
+    #[case] answer: u32,
+    #[case] left_ms: u64,
+    #[case] is_sent: bool,
+) {
+    let now = Instant::now();
+    let mut core = core(now);
+    for host in [1, 2, 3] {
+        let mut load = load(0);
+        load.switch_in = Some(ms(left_ms));
+        core.report(now, ip(host), load);
+    }
+    let req = CallerRequest {
+        answer_tokens: (answer > 0).then_some(answer),
+        ..request("chat")
+    };
+    let ticket = core.admit(now, &req).unwrap();
+    let placed = next(&mut core, now, ticket);
+    assert_eq!(matches!(placed, Some(Placing::Send(_))), is_sent);
+}
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -4,5 +4,6 @@
 mod attempts;
 mod crashes;
 mod fixture;
+mod fuzz;
 mod knowledge;
 mod overload;
--- a/src/dispatch/tests/overload.rs
+++ b/src/dispatch/tests/overload.rs
@@ -23,7 +23,9 @@
     assert_eq!(next(&mut core, now, ticket), None);
     assert_eq!(core.wake(), Some(now + ms(50)));
     match next(&mut core, now + ms(50), ticket) {
-        Some(Placing::Refuse(refusal)) => {
+        Some(Placing::Refuse(refusal, grounds)) => {
+            assert_eq!((grounds.desired, grounds.fitting), (1, 3));
+            assert!(grounds.best > grounds.room);
             assert_eq!(refusal.code, Code::DeadlineUnreachable);
             assert!(refusal.retry_after.is_some());
         }
--- a/src/dispatch/work.rs
+++ b/src/dispatch/work.rs
@@ -28,6 +28,8 @@
     pub model: Option<Arc<str>>,
     /// Tokens of the prompt; 0 for a plain service.
     pub prompt_tokens: u32,
+    /// Estimate of the answer's tokens, when the caller gives one.
+    pub answer_tokens: Option<u32>,
     /// Digest of path, customer and body; the same for every copy of the request.
     pub fingerprint: u64,
 }
@@ -87,6 +89,7 @@
     pub customer: Option<Arc<Customer>>,
     pub model: Option<Arc<str>>,
     pub prompt: u32,
+    pub answer: Option<u32>,
     pub fingerprint: u64,
     /// Latest time for the whole answer.
     pub deadline: Instant,
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -116,6 +116,8 @@
     pub models: Vec<(Arc<str>, u64)>,
     /// True while it takes no new work because it changes its version.
     pub is_switching: bool,
+    /// Time left until it is told to change its version, in milliseconds.
+    pub switch_in_ms: Option<u32>,
 }
 
 /// Writes a datagram.
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -11,7 +11,9 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::codes::{Code, RunState};
-use crate::dispatch::{CallerRequest, Dispatcher, End, Lease, Placing, Route, Step, TicketId};
+use crate::dispatch::{
+    CallerRequest, Dispatcher, End, Grounds, Lease, Placing, Route, Step, TicketId,
+};
 use crate::http::{AnswerBody, BodyLimits, full, read_body};
 use crate::log_fields;
 use crate::telemetry::{Event, Metrics, RequestResult};
@@ -250,7 +252,7 @@
         self.pump();
         // The sender is dropped only with the ticket.
         rx.await
-            .unwrap_or(Placing::Refuse(Refusal::new(Code::NoEndpoint)))
+            .unwrap_or_else(|_| Placing::Refuse(Refusal::new(Code::NoEndpoint), Grounds::default()))
     }
 
     async fn attempts(&self, ticket: Ticket<D>, carried: Carried) -> Response<AnswerBody> {
@@ -261,9 +263,9 @@
         loop {
             let lease = match self.place(ticket.id).await {
                 Placing::Send(lease) => lease,
-                Placing::Refuse(refusal) => {
+                Placing::Refuse(refusal, grounds) => {
                     return failure.unwrap_or_else(|| {
-                        self.refuse(carried.arrived, Some(&name), &route, &refusal)
+                        self.refuse_for(carried.arrived, Some(&name), &route, &refusal, grounds)
                     });
                 }
             };
@@ -389,6 +391,23 @@
         name: Option<&Arc<str>>,
         route: &str,
         refusal: &Refusal,
+    ) -> Response<AnswerBody> {
+        let desired = self.core().desired().map_or(0, |desired| desired.version);
+        let grounds = Grounds {
+            desired,
+            ..Grounds::default()
+        };
+        self.refuse_for(arrived, name, route, refusal, grounds)
+    }
+
+    /// Answers with a refusal and logs what it was decided by.
+    fn refuse_for(
+        &self,
+        arrived: Instant,
+        name: Option<&Arc<str>>,
+        route: &str,
+        refusal: &Refusal,
+        grounds: Grounds,
     ) -> Response<AnswerBody> {
         let result = RequestResult::Refused(refusal.code);
         self.inner.metrics.request(route, result);
@@ -398,6 +417,10 @@
             code: refusal.code.number(),
             not_run: refusal.code.run_state() == RunState::NotRun,
             retry_after_ms: refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
+            config: grounds.desired,
+            fitting: grounds.fitting,
+            best_ms: grounds.best.map_or(-1, |best| best.as_millis() as i64),
+            room_ms: grounds.room.map_or(-1, |room| room.as_millis() as i64),
             held_ms: arrived.elapsed().as_millis() as u64
         });
         self.inner.dialect.refuse(name, refusal)
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -243,7 +243,7 @@
         loop {
             self.lease = match relay.place(self.ticket.id).await {
                 Placing::Send(lease) => lease,
-                Placing::Refuse(_) => return None,
+                Placing::Refuse(..) => return None,
             };
             let resume = Resume {
                 after: self.last,
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -148,6 +148,13 @@
         engine.version != wanted && self.is_ordered(now, engine)
     }
 
+    /// Time at which an engine that serves will be told to change its version.
+    pub fn switch_at(&self, engine: EngineState) -> Option<Instant> {
+        let (version, due) = self.wanted?;
+        let waits = engine.version.is_some_and(|served| served != version);
+        (waits && self.held == Some(version)).then(|| self.turn_at(due))
+    }
+
     /// Version that is in the staging as far as it is known.
     pub fn staged(&self) -> Option<u64> {
         self.staged
--- a/src/weights/driver.rs
+++ b/src/weights/driver.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,7 +16,7 @@
 use super::client::WeightsClient;
 use super::core::{Have, Source, Wanted, WeightsAction, WeightsConfig, WeightsCore, WeightsEvent};
 use super::error::FetchError;
-use super::limit::RateLimit;
+use super::limit::{RateLimit, lock_rate};
 use super::manifest::Manifest;
 use super::origin::OriginApi;
 use super::service::{Input, WeightsNotice, WeightsState};
@@ -59,7 +59,7 @@
     client: WeightsClient,
     notices: mpsc::UnboundedSender<WeightsNotice>,
     tick: Duration,
-    download_rate: Option<RateLimit>,
+    download_rate: Option<Arc<Mutex<RateLimit>>>,
     tasks: JoinSet<Done>,
     running: Running,
     /// Manifests fetched but not yet opened.
@@ -73,11 +73,12 @@
         seed: u64,
         store: Arc<ChunkStore>,
         client: WeightsClient,
+        download_rate: Option<Arc<Mutex<RateLimit>>>,
         notices: mpsc::UnboundedSender<WeightsNotice>,
     ) -> Self {
         Self {
             tick: (cfg.announce_interval / TICKS_PER_INTERVAL).max(MIN_TICK),
-            download_rate: cfg.download_rate.map(RateLimit::new),
+            download_rate,
             origin: cfg.origin_api.clone(),
             staging: cfg.staging.clone(),
             core: WeightsCore::new(cfg, seed),
@@ -287,8 +288,8 @@
         let size = manifest.chunk_len(index);
         let start_at = self
             .download_rate
-            .as_mut()
-            .map(|limit| limit.reserve(Instant::now(), size));
+            .as_ref()
+            .map(|limit| lock_rate(limit).reserve(Instant::now(), size));
         let client = self.client.clone();
         let store = self.store.clone();
         let version = wanted.version.clone();
--- a/src/weights/limit.rs
+++ b/src/weights/limit.rs
@@ -1,5 +1,6 @@
 //! Cap on a rate of bytes.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Cap on a rate of bytes, as a schedule of when each transfer may pass.
@@ -18,6 +19,11 @@
         }
     }
 
+    /// Changes the cap for what is booked from now on.
+    pub fn set(&mut self, bytes_per_second: u64) {
+        self.bytes_per_second = bytes_per_second.max(1);
+    }
+
     /// Books `bytes` and returns the time at which they have passed.
     pub fn reserve(&mut self, now: Instant, bytes: u64) -> Instant {
         let start = self.free_at.map_or(now, |free_at| free_at.max(now));
@@ -27,3 +33,8 @@
         end
     }
 }
+
+/// A shared cap; one that a panic left behind is still whole.
+pub(super) fn lock_rate(limit: &Mutex<RateLimit>) -> MutexGuard<'_, RateLimit> {
+    limit.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/weights/service.rs
+++ b/src/weights/service.rs
@@ -12,7 +12,7 @@
 use super::core::{Wanted, WeightsConfig, WeightsEvent};
 use super::driver::Driver;
 use super::error::StageError;
-use super::limit::RateLimit;
+use super::limit::{RateLimit, lock_rate};
 use super::peers::Peer;
 use super::stage;
 use super::store::ChunkStore;
@@ -36,6 +36,7 @@
     owner: mpsc::UnboundedSender<Input>,
     pub uploads: Semaphore,
     pub upload_rate: Option<Mutex<RateLimit>>,
+    download_rate: Option<Arc<Mutex<RateLimit>>>,
     client: WeightsClient,
 }
 
@@ -92,15 +93,21 @@
             addr: cfg.own.addr,
         };
         let client = WeightsClient::new(own, cfg.fetch_timeout, cfg.origin_api.clone());
+        let download_rate = cfg
+            .download_rate
+            .map(|rate| Arc::new(Mutex::new(RateLimit::new(rate))));
         let inner = Inner {
             store: store.clone(),
             events: tx,
             owner,
             uploads: Semaphore::new(cfg.uploads),
             upload_rate: cfg.upload_rate.map(|rate| Mutex::new(RateLimit::new(rate))),
+            download_rate: download_rate.clone(),
             client: client.clone(),
         };
-        tokio::spawn(Driver::new(cfg, seed, store, client, notices).run(owner_rx, rx));
+        tokio::spawn(
+            Driver::new(cfg, seed, store, client, download_rate, notices).run(owner_rx, rx),
+        );
         let service = Self {
             inner: Arc::new(inner),
         };
@@ -122,6 +129,16 @@
         self.send(WeightsEvent::PeersListed(peers));
     }
 
+    /// Changes the caps on chunk bytes a second, where the service has caps.
+    pub fn set_rate(&self, bytes_per_second: u64) {
+        if let Some(limit) = &self.inner.upload_rate {
+            lock_rate(limit).set(bytes_per_second);
+        }
+        if let Some(limit) = &self.inner.download_rate {
+            lock_rate(limit).set(bytes_per_second);
+        }
+    }
+
     /// Puts a held version into an engine's staging.
     ///
     /// # Errors
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -22,6 +22,32 @@
     assert_eq!(world.crossed, 0);
 }
 
+#[rstest]
+#[case::two_regions(16, 2)]
+#[case::three_regions(27, 3)]
+fn regions_that_share_a_draw_take_one_copy_from_the_origin(
+    #[case] hosts: usize,
+    #[case] regions: usize,
+) {
+    let mut world = World::with_one_draw(hosts, regions);
+    world.want(&wanted("m", "v1"));
+    assert!(world.run_until_held("v1").is_some());
+    assert_eq!(world.drawn, CHUNKS);
+    // One copy into each other region, and a little for chunks that two hosts fetch at once.
+    let crossed = CHUNKS * (regions as u32 - 1);
+    assert!(world.crossed >= crossed, "{}", world.crossed);
+    assert!(world.crossed <= crossed * 5 / 4, "{}", world.crossed);
+}
+
+#[test]
+fn owners_that_are_dead_do_not_keep_chunks_from_regions_that_share_a_draw() {
+    let mut world = World::with_one_draw(16, 2);
+    world.kill(1);
+    world.kill(4);
+    world.want(&wanted("m", "v1"));
+    assert!(world.run_until_held("v1").is_some());
+}
+
 #[test]
 fn a_corrupting_peer_is_asked_no_more_after_its_first_corrupt_chunk() {
     let mut world = World::new(16, 1);
--- a/src/weights/tests/world.rs
+++ b/src/weights/tests/world.rs
@@ -33,6 +33,8 @@
     sequence: u64,
     regions: usize,
     memory: u64,
+    /// True when all regions share one draw from the origin.
+    pub one_draw: bool,
     pub origin_up: bool,
     /// True when the origin publishes another manifest under the name.
     pub origin_changed: bool,
@@ -66,6 +68,7 @@
             sequence: 0,
             regions,
             memory: u64::MAX,
+            one_draw: false,
             origin_up: true,
             origin_changed: false,
             drawn: 0,
@@ -80,6 +83,14 @@
         world
     }
 
+    /// A world whose regions share one draw from the origin.
+    pub fn with_one_draw(hosts: usize, regions: usize) -> Self {
+        let mut world = Self::new(hosts, regions);
+        world.one_draw = true;
+        (0..hosts).for_each(|host| world.start(host));
+        world
+    }
+
     /// Bounds the memory of hosts that start from now on, in whole versions.
     pub fn bound_memory(&mut self, versions: u64) {
         self.memory = versions * u64::from(CHUNKS) * CHUNK_BYTES;
@@ -89,6 +100,7 @@
         let mut cfg = WeightsConfig::new(self.peer(host), vec![self.peer(0).addr]);
         cfg.takeover = Duration::from_secs(2);
         cfg.memory = self.memory;
+        cfg.one_draw = self.one_draw;
         self.sequence += 1;
         self.nodes[host] = Some(Node {
             core: WeightsCore::new(cfg, host as u64),
