--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -48,6 +48,8 @@
 /// Bounds of the advice while nothing can serve the request.
 const COME_BACK_LATER: (Duration, Duration) =
     (Duration::from_millis(1_200), Duration::from_millis(2_000));
+/// Entries that are assumed to share the fleet until agents tell how many do.
+const USUAL_ENTRIES: u32 = 4;
 /// Time within which a dead endpoint explains a broken attempt.
 const CRASH_WINDOW: Duration = Duration::from_secs(3);
 /// Broken attempts that are remembered until their endpoint is known to be dead or alive.
@@ -187,7 +189,7 @@
             quarantine: Quarantine::default(),
             breaks: VecDeque::new(),
             patience: HashMap::new(),
-            entries: 1,
+            entries: USUAL_ENTRIES,
         }
     }
 
