--- a/src/weights/core/config.rs
+++ b/src/weights/core/config.rs
@@ -39,6 +39,8 @@
     pub announce_interval: Duration,
     /// Time without news after which the next host in rank draws a chunk from the origin.
     pub takeover: Duration,
+    /// Wait after an origin failed, before it is asked again.
+    pub origin_retry: Duration,
     /// Time after which a fetch is given up.
     pub fetch_timeout: Duration,
     /// Bound on the memory for chunks in bytes.
@@ -66,6 +68,7 @@
             uploads: 4,
             announce_interval: Duration::from_millis(500),
             takeover: Duration::from_secs(5),
+            origin_retry: Duration::from_secs(1),
             fetch_timeout: Duration::from_secs(30),
             memory: 64 << 30,
             download_rate: None,
--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -14,8 +14,6 @@
 use super::transfer::InFlight;
 use super::{Have, Source, WeightsAction, WeightsCore};
 
-/// Wait after an origin failed, before it is asked again.
-const ORIGIN_RETRY: Duration = Duration::from_secs(1);
 /// Step in thousandths in which progress is reported.
 const PROGRESS_STEP: u32 = 10;
 
@@ -464,7 +462,9 @@
             }
             Source::Origin(at) => {
                 if let Some(transfer) = self.transfers.get_mut(version) {
-                    transfer.origin_after.insert(*at, now + ORIGIN_RETRY);
+                    transfer
+                        .origin_after
+                        .insert(*at, now + self.cfg.origin_retry);
                 }
             }
         }
