Engines take a version between while the newest is on its way; dispatcher and entry split by job

Cause: a version named four seconds after another leaves engines of the first without any to serve once its time is over. Half of the fleet now takes the one between if that is whole already.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -6,41 +6,25 @@
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::codes::Code;
 use crate::delivery::{Quarantine, Standing};
 use crate::types::{EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
 
+mod outcome;
+mod place;
+
 use super::budget::{RetryLimit, RetryWindow};
-use super::desired::{Customer, Desired, Repeat, Route};
+use super::desired::{Customer, Desired, Route};
 use super::endpoint::{Endpoint, EndpointLoad, Listed};
-use super::fleet::{Ask, Fleet};
-use super::work::{CallerRequest, End, Lease, Running, TicketId, Work};
+use super::fleet::Fleet;
+use super::work::{CallerRequest, Lease, TicketId, Work};
 
-/// Part of the goal that a prediction may take, for what it does not see.
-const GOAL_USED: f64 = 0.85;
 /// Part of the goal for which a request may wait for a place before it is refused.
 const HOLD: f64 = 0.125;
 /// The same for a caller that was refused before and gets no other turn.
 const HOLD_RETURNED: f64 = 0.5;
-/// Predicted wait up to which a broken stream goes on elsewhere; its caller leaves after two
-/// seconds without an event.
-const RESUME_WAIT: Duration = Duration::from_millis(1_200);
-/// Time for which a broken stream may wait for a place to go on.
-const RESUME_HOLD: Duration = Duration::from_millis(500);
-/// Part of the goal that the prediction for a request that is late already may take: it must not
-/// make others late, whose service counts for more.
-const LATE_USED: f64 = 0.7;
-/// Load below which a request is sent whatever the prediction says.
-const IDLE_LOAD: f64 = 0.5;
-/// Endpoints that are compared for one request; few, so that entries do not all pick the same.
-const COMPARED: usize = 5;
-/// Cost of leaving the region, in time; bytes between regions are dear.
-const REGION_COST: Duration = Duration::from_millis(12);
-/// Cost of leaving the zone, in time.
-const ZONE_COST: Duration = Duration::from_millis(4);
 /// Shorter patience than usual by this much tells a caller that has come back.
 const RETURN_MARGIN: Duration = Duration::from_millis(15);
 /// Bounds of the advice when to come back after an overload.
@@ -50,10 +34,6 @@
     (Duration::from_millis(1_200), Duration::from_millis(2_000));
 /// Entries that are assumed to share the fleet until agents tell how many do.
 const USUAL_ENTRIES: u32 = 4;
-/// Time within which a dead endpoint explains a broken attempt.
-const CRASH_WINDOW: Duration = Duration::from_secs(3);
-/// Broken attempts that are remembered until their endpoint is known to be dead or alive.
-const BREAKS_MAX: usize = 256;
 
 /// Settings of the request core.
 #[derive(Clone, Debug)]
@@ -382,300 +362,6 @@
         self.works.get(&ticket).map(|work| work.route.clone())
     }
 
-    fn place(&mut self, now: Instant, ticket: TicketId) -> Option<Placing> {
-        let work = self.works.get(&ticket)?;
-        let desired = self.desired.as_ref()?;
-        let target = desired.targets.get(&work.target);
-        let engine = target.and_then(|target| target.engine.as_ref());
-        let ask = Ask {
-            target: &work.target,
-            model: work.model.as_deref(),
-            version: work.version,
-            answer_tokens: work.answer,
-            engine,
-            route_regions: &work.route.regions,
-            customer_regions: work.customer.as_ref().map_or(&[], |c| &c.regions),
-            tried: &work.tried,
-        };
-        let fitting: Vec<&Endpoint> = self
-            .fleet
-            .fitting(now, ask, self.cfg.version_grace)
-            .collect();
-        let mut grounds = Grounds {
-            desired: desired.version,
-            fitting: fitting.len(),
-            ..Grounds::default()
-        };
-        let compared: Vec<&&Endpoint> = fitting.choose_multiple(&mut self.rng, COMPARED).collect();
-        let goal = work.route.goal;
-        let best = compared
-            .into_iter()
-            .map(|e| {
-                let predicted = e.predict(now, engine, work.prompt, self.entries);
-                (predicted, self.cost(e, predicted, goal), *e)
-            })
-            .min_by_key(|(_, cost, _)| *cost);
-        let exhausted = now >= work.hold_until || now >= work.deadline;
-        let Some((predicted, _, endpoint)) = best else {
-            return exhausted.then(|| self.give_up(now, ticket, Code::NoEndpoint, grounds));
-        };
-        let left = work.deadline.saturating_duration_since(now);
-        let on_time = work.asked + goal.mul_f64(GOAL_USED);
-        let is_resumed = work.version.is_some();
-        let room = match on_time.checked_duration_since(now) {
-            Some(room) if !work.returned && work.tried.is_empty() => room,
-            _ if is_resumed => RESUME_WAIT.min(left),
-            _ => goal.mul_f64(LATE_USED).min(left),
-        };
-        grounds.best = Some(predicted);
-        grounds.room = Some(room);
-        let load = endpoint.load(now, self.entries);
-        if predicted > room && load >= IDLE_LOAD {
-            return exhausted
-                .then(|| self.give_up(now, ticket, Code::DeadlineUnreachable, grounds));
-        }
-        let id = endpoint.listed.id.clone();
-        let rate = target.map_or(0.0, |target| target.cold_rate);
-        if !self.cold_admits(now, &id, rate) {
-            return exhausted.then(|| self.give_up(now, ticket, Code::NoEndpoint, grounds));
-        }
-        Some(Placing::Send(self.lease(now, ticket, &id, predicted)?))
-    }
-
-    fn cost(&self, endpoint: &Endpoint, predicted: Duration, goal: Duration) -> Duration {
-        let far = match endpoint {
-            e if e.listed.region != self.cfg.region => REGION_COST,
-            e if e.listed.zone != self.cfg.zone => ZONE_COST,
-            _ => Duration::ZERO,
-        };
-        predicted + far + goal.mul_f64(endpoint.failing())
-    }
-
-    fn cold_admits(&mut self, now: Instant, id: &str, rate: f64) -> bool {
-        let (factor, addend) = self.cfg.cold;
-        let entries = self.entries;
-        let Some(endpoint) = self.fleet.get_mut(id) else {
-            return false;
-        };
-        let is_cold = endpoint.cold_until.is_some_and(|until| now < until);
-        !is_cold || rate <= 0.0 || endpoint.cold.admits(now, rate * factor + addend, entries)
-    }
-
-    fn lease(
-        &mut self,
-        now: Instant,
-        ticket: TicketId,
-        id: &EndpointId,
-        predicted: Duration,
-    ) -> Option<Lease> {
-        let entries = self.entries;
-        let work = self.works.get_mut(&ticket)?;
-        let endpoint = self.fleet.get_mut(id)?;
-        let lease = Lease {
-            endpoint: id.clone(),
-            addr: endpoint.listed.addr,
-            customer: work.customer.as_ref().map(|customer| customer.id.clone()),
-            attempt: work.sent + 1,
-            at: now,
-            predicted,
-            in_system: endpoint.in_system(now, entries),
-            load_age: endpoint.load_age(now),
-        };
-        endpoint.sent(now, work.prompt);
-        work.waiting = false;
-        work.tried.push(id.clone());
-        work.sent += 1;
-        work.running = Some(Running {
-            endpoint: id.clone(),
-            since: now,
-            predicted,
-            started: false,
-        });
-        Some(lease)
-    }
-
-    /// Final answer to a request that waited in vain; it has ended.
-    fn give_up(&mut self, now: Instant, ticket: TicketId, code: Code, grounds: Grounds) -> Placing {
-        let may_have_run = self
-            .works
-            .get(&ticket)
-            .is_some_and(|work| work.may_have_run);
-        self.finish(now, ticket);
-        let refusal = match (may_have_run, code) {
-            (true, _) => Refusal::new(Code::OutcomeUnknown),
-            (false, Code::NoEndpoint) => self.later(code),
-            (false, _) => self.soon(code),
-        };
-        Placing::Refuse(refusal, grounds)
-    }
-
-    /// The first event of the running attempt has come.
-    pub fn started(&mut self, now: Instant, ticket: TicketId, version: Option<u64>) {
-        let Some(work) = self.works.get_mut(&ticket) else {
-            return;
-        };
-        work.version = work.version.or(version);
-        let Some(running) = work.running.as_mut().filter(|running| !running.started) else {
-            return;
-        };
-        running.started = true;
-        let took = now.saturating_duration_since(running.since);
-        if let Some(endpoint) = self.fleet.get_mut(&running.endpoint) {
-            endpoint.started(work.prompt, took, running.predicted);
-        }
-    }
-
-    /// The running attempt has ended. The request has ended too unless the step says otherwise.
-    pub fn ended(&mut self, now: Instant, ticket: TicketId, end: End) -> Step {
-        let Some(work) = self.works.get_mut(&ticket) else {
-            return Step::Finish;
-        };
-        let Some(running) = work.running.take() else {
-            return Step::Finish;
-        };
-        let (fingerprint, prompt) = (work.fingerprint, work.prompt);
-        if !matches!(end, End::NotRun { .. } | End::NotSent) {
-            work.may_have_run = true;
-        }
-        if matches!(end, End::NotSent) {
-            work.sent -= 1;
-        }
-        self.note_end(now, &running, prompt, fingerprint, end);
-        match end {
-            End::Answered | End::CallerGone => {
-                self.finish(now, ticket);
-                Step::Finish
-            }
-            End::TimedOut => {
-                self.finish(now, ticket);
-                Step::Refuse(Refusal::new(Code::AnswerTimeout))
-            }
-            End::Failed | End::NotRun { .. } | End::NotSent | End::Broken | End::Silent => {
-                self.again(now, ticket, end)
-            }
-        }
-    }
-
-    fn note_end(
-        &mut self,
-        now: Instant,
-        running: &Running,
-        prompt: u32,
-        fingerprint: u64,
-        end: End,
-    ) {
-        let Some(endpoint) = self.fleet.get_mut(&running.endpoint) else {
-            return;
-        };
-        endpoint.left(prompt, running.started);
-        let incarnation = endpoint.listed.incarnation;
-        match end {
-            End::Answered => {
-                endpoint.succeeded();
-                endpoint.worked(now.saturating_duration_since(running.since));
-            }
-            End::NotRun { is_full: true } => endpoint.was_full(now),
-            End::NotRun { is_full: false } | End::CallerGone | End::TimedOut | End::Failed => {}
-            End::NotSent => {
-                endpoint.failed(now);
-                self.crashed(now, &running.endpoint, incarnation);
-            }
-            End::Broken => {
-                endpoint.failed(now);
-                self.breaks.push_back(Break {
-                    at: now,
-                    endpoint: running.endpoint.clone(),
-                    incarnation,
-                    fingerprint,
-                });
-                if self.breaks.len() > BREAKS_MAX {
-                    self.breaks.pop_front();
-                }
-            }
-            End::Silent => endpoint.failed(now),
-        }
-        self.fleet.sweep();
-    }
-
-    /// Decides whether a request goes to another endpoint after a failed attempt.
-    fn again(&mut self, now: Instant, ticket: TicketId, end: End) -> Step {
-        let entries = self.entries;
-        let Some(work) = self.works.get_mut(&ticket) else {
-            return Step::Finish;
-        };
-        let repeatable = !work.may_have_run || work.route.repeat != Repeat::Never;
-        let suspected = self.quarantine.standing(&digest(work.fingerprint));
-        let allowed = repeatable
-            && suspected != Standing::Quarantined
-            && work.sent < work.route.max_attempts
-            && now < work.deadline;
-        let limit = self.cfg.retry;
-        let budget = self.budgets.get_mut(&work.target);
-        // Nothing arrived when no connection was made, so that another try is no repeat.
-        let drawn = allowed
-            && (work.sent == 0 || budget.is_some_and(|budget| budget.draw(now, limit, entries)));
-        if drawn {
-            work.waiting = true;
-            work.hold_until = match work.version {
-                Some(_) => now + RESUME_HOLD,
-                None => now + work.route.goal.mul_f64(HOLD_RETURNED),
-            };
-            self.queue.insert((false, work.asked, ticket));
-            return Step::Wait;
-        }
-        let code = match (work.may_have_run, end) {
-            // The endpoint's own answer is passed on.
-            (_, End::Failed) => None,
-            (true, _) => Some(Code::OutcomeUnknown),
-            (false, End::NotRun { .. }) => Some(Code::EndpointFull),
-            (false, _) => Some(Code::NoEndpoint),
-        };
-        self.finish(now, ticket);
-        match code {
-            None => Step::Finish,
-            Some(code @ Code::OutcomeUnknown) => Step::Refuse(Refusal::new(code)),
-            Some(code) => Step::Refuse(self.soon(code)),
-        }
-    }
-
-    /// Forgets a request; a running attempt counts as left by the caller.
-    pub fn finish(&mut self, now: Instant, ticket: TicketId) {
-        let Some(work) = self.works.remove(&ticket) else {
-            return;
-        };
-        if work.waiting {
-            self.queue.remove(&(work.returned, work.asked, ticket));
-            self.queue.remove(&(false, work.asked, ticket));
-        }
-        if let Some(running) = work.running {
-            self.note_end(
-                now,
-                &running,
-                work.prompt,
-                work.fingerprint,
-                End::CallerGone,
-            );
-        }
-    }
-
-    /// An incarnation of an endpoint is dead: what broke there lately is suspected.
-    fn crashed(&mut self, now: Instant, id: &str, incarnation: InstanceId) {
-        let mut kept = VecDeque::new();
-        for broken in std::mem::take(&mut self.breaks) {
-            if now.saturating_duration_since(broken.at) > CRASH_WINDOW {
-                continue;
-            }
-            if &*broken.endpoint == id && broken.incarnation == incarnation {
-                let fingerprint = digest(broken.fingerprint);
-                let instance = instance(id, incarnation);
-                self.quarantine.crashed(now, &fingerprint, instance);
-            } else {
-                kept.push_back(broken);
-            }
-        }
-        self.breaks = kept;
-    }
-
     /// Draws one of a route's targets by weight, of those that have endpoints if any has.
     fn target(&mut self, route: &Route) -> TargetId {
         let has_endpoints = |id: &TargetId| self.fleet.endpoints().any(|e| e.listed.target == *id);
@@ -740,16 +426,6 @@
     }
 }
 
-/// One life of one endpoint; endpoints that start together have the same incarnation.
-fn instance(id: &str, incarnation: InstanceId) -> InstanceId {
-    let mut hash = blake3::Hasher::new();
-    hash.update(&incarnation.to_le_bytes())
-        .update(id.as_bytes());
-    let mut short = [0; 8];
-    short.copy_from_slice(&hash.finalize().as_bytes()[..8]);
-    InstanceId::from_le_bytes(short)
-}
-
 fn digest(fingerprint: u64) -> Arc<str> {
     format!("{fingerprint:016x}").into()
 }
--- /dev/null
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -0,0 +1,198 @@
+//! What follows the start and the end of an attempt.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::codes::Code;
+use crate::delivery::Standing;
+use crate::dispatch::desired::Repeat;
+use crate::dispatch::work::{End, Running, TicketId};
+use crate::types::{InstanceId, Refusal};
+
+use super::{Break, Dispatcher, HOLD_RETURNED, Step, digest};
+
+/// Time for which a broken stream may wait for a place to go on.
+const RESUME_HOLD: Duration = Duration::from_millis(500);
+/// Time within which a dead endpoint explains a broken attempt.
+const CRASH_WINDOW: Duration = Duration::from_secs(3);
+/// Broken attempts that are remembered until their endpoint is known to be dead or alive.
+const BREAKS_MAX: usize = 256;
+
+impl Dispatcher {
+    /// The first event of the running attempt has come.
+    pub fn started(&mut self, now: Instant, ticket: TicketId, version: Option<u64>) {
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return;
+        };
+        work.version = work.version.or(version);
+        let Some(running) = work.running.as_mut().filter(|running| !running.started) else {
+            return;
+        };
+        running.started = true;
+        let took = now.saturating_duration_since(running.since);
+        if let Some(endpoint) = self.fleet.get_mut(&running.endpoint) {
+            endpoint.started(work.prompt, took, running.predicted);
+        }
+    }
+
+    /// The running attempt has ended. The request has ended too unless the step says otherwise.
+    pub fn ended(&mut self, now: Instant, ticket: TicketId, end: End) -> Step {
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return Step::Finish;
+        };
+        let Some(running) = work.running.take() else {
+            return Step::Finish;
+        };
+        let (fingerprint, prompt) = (work.fingerprint, work.prompt);
+        if !matches!(end, End::NotRun { .. } | End::NotSent) {
+            work.may_have_run = true;
+        }
+        if matches!(end, End::NotSent) {
+            work.sent -= 1;
+        }
+        self.note_end(now, &running, prompt, fingerprint, end);
+        match end {
+            End::Answered | End::CallerGone => {
+                self.finish(now, ticket);
+                Step::Finish
+            }
+            End::TimedOut => {
+                self.finish(now, ticket);
+                Step::Refuse(Refusal::new(Code::AnswerTimeout))
+            }
+            End::Failed | End::NotRun { .. } | End::NotSent | End::Broken | End::Silent => {
+                self.again(now, ticket, end)
+            }
+        }
+    }
+
+    pub(super) fn note_end(
+        &mut self,
+        now: Instant,
+        running: &Running,
+        prompt: u32,
+        fingerprint: u64,
+        end: End,
+    ) {
+        let Some(endpoint) = self.fleet.get_mut(&running.endpoint) else {
+            return;
+        };
+        endpoint.left(prompt, running.started);
+        let incarnation = endpoint.listed.incarnation;
+        match end {
+            End::Answered => {
+                endpoint.succeeded();
+                endpoint.worked(now.saturating_duration_since(running.since));
+            }
+            End::NotRun { is_full: true } => endpoint.was_full(now),
+            End::NotRun { is_full: false } | End::CallerGone | End::TimedOut | End::Failed => {}
+            End::NotSent => {
+                endpoint.failed(now);
+                self.crashed(now, &running.endpoint, incarnation);
+            }
+            End::Broken => {
+                endpoint.failed(now);
+                self.breaks.push_back(Break {
+                    at: now,
+                    endpoint: running.endpoint.clone(),
+                    incarnation,
+                    fingerprint,
+                });
+                if self.breaks.len() > BREAKS_MAX {
+                    self.breaks.pop_front();
+                }
+            }
+            End::Silent => endpoint.failed(now),
+        }
+        self.fleet.sweep();
+    }
+
+    /// Decides whether a request goes to another endpoint after a failed attempt.
+    pub(super) fn again(&mut self, now: Instant, ticket: TicketId, end: End) -> Step {
+        let entries = self.entries;
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return Step::Finish;
+        };
+        let repeatable = !work.may_have_run || work.route.repeat != Repeat::Never;
+        let suspected = self.quarantine.standing(&digest(work.fingerprint));
+        let allowed = repeatable
+            && suspected != Standing::Quarantined
+            && work.sent < work.route.max_attempts
+            && now < work.deadline;
+        let limit = self.cfg.retry;
+        let budget = self.budgets.get_mut(&work.target);
+        // Nothing arrived when no connection was made, so that another try is no repeat.
+        let drawn = allowed
+            && (work.sent == 0 || budget.is_some_and(|budget| budget.draw(now, limit, entries)));
+        if drawn {
+            work.waiting = true;
+            work.hold_until = match work.version {
+                Some(_) => now + RESUME_HOLD,
+                None => now + work.route.goal.mul_f64(HOLD_RETURNED),
+            };
+            self.queue.insert((false, work.asked, ticket));
+            return Step::Wait;
+        }
+        let code = match (work.may_have_run, end) {
+            // The endpoint's own answer is passed on.
+            (_, End::Failed) => None,
+            (true, _) => Some(Code::OutcomeUnknown),
+            (false, End::NotRun { .. }) => Some(Code::EndpointFull),
+            (false, _) => Some(Code::NoEndpoint),
+        };
+        self.finish(now, ticket);
+        match code {
+            None => Step::Finish,
+            Some(code @ Code::OutcomeUnknown) => Step::Refuse(Refusal::new(code)),
+            Some(code) => Step::Refuse(self.soon(code)),
+        }
+    }
+
+    /// Forgets a request; a running attempt counts as left by the caller.
+    pub fn finish(&mut self, now: Instant, ticket: TicketId) {
+        let Some(work) = self.works.remove(&ticket) else {
+            return;
+        };
+        if work.waiting {
+            self.queue.remove(&(work.returned, work.asked, ticket));
+            self.queue.remove(&(false, work.asked, ticket));
+        }
+        if let Some(running) = work.running {
+            self.note_end(
+                now,
+                &running,
+                work.prompt,
+                work.fingerprint,
+                End::CallerGone,
+            );
+        }
+    }
+
+    /// An incarnation of an endpoint is dead: what broke there lately is suspected.
+    pub(super) fn crashed(&mut self, now: Instant, id: &str, incarnation: InstanceId) {
+        let mut kept = VecDeque::new();
+        for broken in std::mem::take(&mut self.breaks) {
+            if now.saturating_duration_since(broken.at) > CRASH_WINDOW {
+                continue;
+            }
+            if &*broken.endpoint == id && broken.incarnation == incarnation {
+                let fingerprint = digest(broken.fingerprint);
+                let instance = instance(id, incarnation);
+                self.quarantine.crashed(now, &fingerprint, instance);
+            } else {
+                kept.push_back(broken);
+            }
+        }
+        self.breaks = kept;
+    }
+}
+
+/// One life of one endpoint; endpoints that start together have the same incarnation.
+fn instance(id: &str, incarnation: InstanceId) -> InstanceId {
+    let mut hash = blake3::Hasher::new();
+    hash.update(&incarnation.to_le_bytes())
+        .update(id.as_bytes());
+    let mut short = [0; 8];
+    short.copy_from_slice(&hash.finalize().as_bytes()[..8]);
+    InstanceId::from_le_bytes(short)
+}
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -78,16 +78,12 @@
 /// Versions of a model whose naming is remembered: more than are named within the time for one.
 const NAMED_MAX: usize = 4;
 
-/// What is owed of one model.
-#[derive(Clone, Debug)]
-struct Debt {
-    /// Newest named version; only grows.
+/// A named version.
+#[derive(Clone, Copy, Debug)]
+struct Named {
     version: u64,
-    /// Versions with the times at which they were named, oldest first.
-    ///
-    /// Invariant: at most [`NAMED_MAX`], the newest of them last.
-    named: Vec<(u64, Instant)>,
-    /// Latest time to leave the versions before the oldest one that was not served.
+    at: Instant,
+    /// Latest time to leave the versions before it.
     due: Instant,
 }
 
@@ -95,8 +91,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Orders {
     plan: Option<Plan>,
-    /// What is owed of each model.
-    wanted: BTreeMap<Arc<str>, Debt>,
+    /// Named versions of each model, oldest first.
+    ///
+    /// Invariant: versions grow; at most [`NAMED_MAX`] of a model.
+    wanted: BTreeMap<Arc<str>, Vec<Named>>,
 }
 
 impl Orders {
@@ -123,55 +121,40 @@
     fn want(&mut self, now: Instant, wanted: &WantedModel) -> bool {
         let age = Duration::from_millis(wanted.age_ms);
         let within = Duration::from_millis(wanted.within_ms);
-        let named = now.checked_sub(age).unwrap_or(now);
-        let due = now + within.saturating_sub(age);
-        match self.wanted.get_mut(&wanted.model) {
-            Some(debt) if debt.version >= wanted.version => false,
-            Some(debt) => {
-                // A version that is still owed keeps its time when a newer one takes its place.
-                let due = match debt.due > now {
-                    true => debt.due.min(due),
-                    false => due,
-                };
-                debt.due = due;
-                debt.version = wanted.version;
-                debt.named.push((wanted.version, named));
-                let over = debt.named.len().saturating_sub(NAMED_MAX);
-                debt.named.drain(..over);
-                true
-            }
-            None => {
-                let debt = Debt {
-                    version: wanted.version,
-                    named: vec![(wanted.version, named)],
-                    due,
-                };
-                self.wanted.insert(wanted.model.clone(), debt);
-                true
-            }
-        }
-    }
-
-    /// The wanted version of a model is served: the next one gets a time of its own.
-    pub fn served(&mut self, now: Instant, model: &str) {
-        if let Some(debt) = self.wanted.get_mut(model) {
-            debt.due = debt.due.min(now);
+        let named = self.wanted.entry(wanted.model.clone()).or_default();
+        if named
+            .last()
+            .is_some_and(|last| last.version >= wanted.version)
+        {
+            return false;
         }
+        named.push(Named {
+            version: wanted.version,
+            at: now.checked_sub(age).unwrap_or(now),
+            due: now + within.saturating_sub(age),
+        });
+        let over = named.len().saturating_sub(NAMED_MAX);
+        named.drain(..over);
+        true
     }
 
-    /// Wanted version of each model, with the latest time to serve it.
-    pub fn wanted(&self) -> impl Iterator<Item = (&Arc<str>, u64, Instant)> {
+    /// Named versions of each model, oldest first, each with the latest time to leave the versions
+    /// before it.
+    pub fn wanted(&self) -> impl Iterator<Item = (&Arc<str>, Vec<(u64, Instant)>)> {
         let wanted = self.wanted.iter();
-        wanted.map(|(model, debt)| (model, debt.version, debt.due))
+        wanted.map(|(model, named)| {
+            let versions = named.iter().map(|named| (named.version, named.due));
+            (model, versions.collect())
+        })
     }
 
-    /// What is owed, for entries that started since.
+    /// When versions were named, for entries that started since.
     pub fn owed(&self, now: Instant) -> Vec<Owed> {
-        let owed = self.wanted.iter().flat_map(|(model, debt)| {
-            debt.named.iter().map(|(version, named)| Owed {
+        let owed = self.wanted.iter().flat_map(|(model, named)| {
+            named.iter().map(|named| Owed {
                 model: model.clone(),
-                version: *version,
-                age_ms: now.saturating_duration_since(*named).as_millis() as u64,
+                version: named.version,
+                age_ms: now.saturating_duration_since(named.at).as_millis() as u64,
             })
         });
         owed.collect()
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// Time before the latest time for a version in which the last engine is ordered. An order stops
@@ -21,6 +22,13 @@
 /// and loading less than one.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Part of a fleet that takes a version between when a newer one is on its way.
+const BETWEEN_SHARE: f64 = 0.5;
+/// Time that a version between must still be allowed for: a change takes about as long.
+const WORTHWHILE: Duration = Duration::from_millis(2_500);
+/// Named versions that are remembered: more than are named within the time for one.
+const NAMED_MAX: usize = 4;
+
 /// What an engine says of itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EngineState {
@@ -66,12 +74,14 @@
 /// Decides for one engine.
 #[derive(Clone, Debug, Default)]
 pub struct Rollout {
-    /// Wanted version, with the latest time to serve it.
-    wanted: Option<(u64, Instant)>,
+    /// Named versions, with the latest time to leave the versions before each.
+    ///
+    /// Invariant: at most [`NAMED_MAX`], the newest.
+    named: BTreeMap<u64, Instant>,
     /// Place of this engine in the order of the fleet, from 0 to 1.
     turn: f64,
-    /// Version that is whole in this host's memory.
-    held: Option<u64>,
+    /// Versions that are whole in this host's memory.
+    held: BTreeSet<u64>,
     /// Version whose chunks were all put into the staging.
     staged: Option<u64>,
     ordered: Option<Ordered>,
@@ -81,30 +91,31 @@
 }
 
 impl Rollout {
-    /// A version is wanted until `due`; `turn` is the engine's place in the order of the fleet.
+    /// A version was named; those before it may be served until `due`. `turn` is the engine's place
+    /// in the order of the fleet for the newest version.
     pub fn want(&mut self, version: u64, due: Instant, turn: f64) {
-        self.wanted = Some((version, due));
+        self.named.insert(version, due);
+        while self.named.len() > NAMED_MAX {
+            self.named.pop_first();
+        }
         self.turn = turn.clamp(0.0, 1.0);
     }
 
     /// A version is whole in this host's memory.
     pub fn hold(&mut self, version: u64) {
-        self.held = self.held.max(Some(version));
+        self.held.insert(version);
     }
 
     /// The next task, if there is one; its end has to be told by [`Self::ended`].
     pub fn next(&mut self, now: Instant, engine: EngineState) -> Option<Task> {
-        let (version, due) = self.wanted?;
         let waits = self.running.is_some() || self.not_before.is_some_and(|at| now < at);
-        if waits || engine.version == Some(version) || self.held != Some(version) {
-            return None;
-        }
-        if self.is_ordered(now, engine) {
+        let (version, at) = self.change(now, engine)?;
+        if waits || self.is_ordered(now, engine, version) {
             return None;
         }
         let task = if self.staged != Some(version) {
             Task::Stage { version }
-        } else if engine.version.is_none() || now >= self.turn_at(due) {
+        } else if now >= at {
             Task::Order { version }
         } else {
             return None;
@@ -113,14 +124,60 @@
         Some(task)
     }
 
-    fn turn_at(&self, due: Instant) -> Instant {
-        let before = TAIL + SPREAD.mul_f64(1.0 - self.turn);
-        due.checked_sub(before).unwrap_or(due)
+    /// The version that the engine changes to next, and when.
+    fn change(&self, now: Instant, engine: EngineState) -> Option<(u64, Instant)> {
+        let (newest, _) = self.named.last_key_value()?;
+        if engine.version == Some(*newest) {
+            return None;
+        }
+        if self.held.contains(newest) {
+            return Some((
+                *newest,
+                self.turn_at(now, engine, self.turn_to_newest(now, engine)),
+            ));
+        }
+        // Until the newest version is whole, one between is better than none, and lets a part of
+        // the fleet serve while the rest waits for the newest beyond the time for the oldest.
+        let between = self.held.iter().rev().find(|version| {
+            let until = self.due_after(**version);
+            engine.version < Some(**version) && until.is_none_or(|until| until > now + WORTHWHILE)
+        })?;
+        match engine.version {
+            None => Some((*between, now)),
+            Some(_) if self.turn < BETWEEN_SHARE => {
+                let at = self.turn_at(now, engine, self.turn / BETWEEN_SHARE);
+                Some((*between, at))
+            }
+            Some(_) => None,
+        }
     }
 
-    fn is_ordered(&self, now: Instant, engine: EngineState) -> bool {
+    /// Engines that took a version between have had their turn and come last.
+    fn turn_to_newest(&self, now: Instant, engine: EngineState) -> f64 {
+        let due = engine.version.and_then(|version| self.named.get(&version));
+        match due {
+            Some(due) if *due + SPREAD > now => BETWEEN_SHARE + self.turn.min(BETWEEN_SHARE),
+            _ => self.turn,
+        }
+    }
+
+    fn turn_at(&self, now: Instant, engine: EngineState, turn: f64) -> Instant {
+        let due = engine.version.and_then(|version| self.due_after(version));
+        due.map_or(now, |due| {
+            let before = TAIL + SPREAD.mul_f64(1.0 - turn.min(1.0));
+            due.checked_sub(before).unwrap_or(due)
+        })
+    }
+
+    /// Latest time to leave a version.
+    fn due_after(&self, version: u64) -> Option<Instant> {
+        let later = self.named.range(version + 1..);
+        later.map(|(_, due)| *due).min()
+    }
+
+    fn is_ordered(&self, now: Instant, engine: EngineState, version: u64) -> bool {
         self.ordered.is_some_and(|ordered| {
-            Some(ordered.version) == self.wanted.map(|(version, _)| version)
+            ordered.version == version
                 && ordered.incarnation == engine.incarnation
                 && now.saturating_duration_since(ordered.at) < PATIENCE
         })
@@ -144,20 +201,15 @@
 
     /// True while the engine takes no new work because it was told to change its version.
     pub fn is_switching(&self, now: Instant, engine: EngineState) -> bool {
-        let (wanted, _) = self.wanted.unzip();
-        engine.version != wanted && self.is_ordered(now, engine)
+        self.ordered.is_some_and(|ordered| {
+            engine.version != Some(ordered.version) && self.is_ordered(now, engine, ordered.version)
+        })
     }
 
     /// Time at which an engine that serves will be told to change its version.
-    pub fn switch_at(&self, engine: EngineState) -> Option<Instant> {
-        let (version, due) = self.wanted?;
-        let waits = engine.version.is_some_and(|served| served != version);
-        (waits && self.held == Some(version)).then(|| self.turn_at(due))
-    }
-
-    /// Version that is in the staging as far as it is known.
-    pub fn staged(&self) -> Option<u64> {
-        self.staged
+    pub fn switch_at(&self, now: Instant, engine: EngineState) -> Option<Instant> {
+        engine.version?;
+        self.change(now, engine).map(|(_, at)| at)
     }
 }
 
--- a/src/weights/client.rs
+++ b/src/weights/client.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -63,7 +64,7 @@
             Source::Peer(_) => PeerRequest::Manifest(wanted.version.clone()).path(),
             Source::Origin(_) => self.origin.manifest_path(wanted),
         };
-        let answer = self.call(Method::GET, addr, &path, Bytes::new());
+        let answer = self.get(source, addr, &path);
         let answer = self.in_time(answer).await?;
         self.in_time(read(check(answer)?, MANIFEST_LIMIT)).await
     }
@@ -82,8 +83,7 @@
         };
         let start = Instant::now();
         let fetch = async {
-            let answer = self.call(Method::GET, addr, &path, Bytes::new()).await?;
-            let answer = check(answer)?;
+            let answer = check(self.get(source, addr, &path).await?)?;
             let have = answer
                 .headers()
                 .get(wire::HAVE)
@@ -134,20 +134,47 @@
         self.in_time(call).await.map(drop)
     }
 
-    async fn call(
+    /// Fetches from a peer, or from an origin without keeping the connection: an origin bears few,
+    /// and each host draws little from it.
+    async fn get(
+        &self,
+        source: &Source,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<Response<Incoming>, FetchError> {
+        let mut req = self.request(Method::GET, addr, path, Bytes::new())?;
+        if matches!(source, Source::Origin(_)) {
+            let close = HeaderValue::from_static("close");
+            req.headers_mut().insert(CONNECTION, close);
+        }
+        let answer = self.http.request(req).await;
+        answer.map_err(|_| FetchError::Unreachable)
+    }
+
+    fn request(
         &self,
         method: Method,
         addr: SocketAddr,
         path: &str,
         body: Bytes,
-    ) -> Result<Response<Incoming>, FetchError> {
-        let req = Request::builder()
+    ) -> Result<Request<Full<Bytes>>, FetchError> {
+        Request::builder()
             .method(method)
             .uri(format!("http://{addr}{path}"))
             .header(wire::HOST, &*self.own.host)
             .header(wire::ADDR, self.own.addr.to_string())
             .body(Full::new(body))
-            .map_err(|_| FetchError::Unreachable)?;
+            .map_err(|_| FetchError::Unreachable)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, FetchError> {
+        let req = self.request(method, addr, path, body)?;
         let answer = self.http.request(req).await;
         answer.map_err(|_| FetchError::Unreachable)
     }
--- a/src/weights/core/config.rs
+++ b/src/weights/core/config.rs
@@ -19,6 +19,8 @@
     pub origin_api: Arc<dyn OriginApi>,
     /// True when all regions share one draw from the origin; otherwise each region draws its own.
     pub one_draw: bool,
+    /// Hosts that draw chunks where all regions share one draw.
+    pub drawers: usize,
     /// Hosts of a region that draw the manifest from the origin at once; it is small against a
     /// copy, and the transfer starts only when it has spread.
     pub manifest_draws: u8,
@@ -59,6 +61,7 @@
             origins,
             origin_api: Arc::new(ProductOrigin),
             one_draw: false,
+            drawers: 24,
             manifest_draws: 8,
             staging: None,
             rings: 4,
--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::telemetry::Event;
-use crate::types::Digest;
+use crate::types::{Digest, HostId};
 use crate::weights::bitmap::ChunkSet;
 use crate::weights::error::FetchError;
 use crate::weights::manifest::Manifest;
@@ -205,19 +205,31 @@
             let next = next_chunk(transfer, &self.links, limits, &mut self.rng)
                 .or_else(|| hedge(transfer, &self.links, limits));
             let Some((index, host)) = next else { return };
-            let Some(link) = self.links.get_mut(&host) else {
+            let Some(addr) = self.links.get(&host).map(|link| link.addr) else {
                 return;
             };
+            self.fetch_from(now, version, (index, host, addr), out);
+        }
+    }
+
+    /// Starts to fetch a chunk from a peer.
+    fn fetch_from(
+        &mut self,
+        now: Instant,
+        version: &Digest,
+        (index, host, addr): (u32, HostId, SocketAddr),
+        out: &mut Vec<WeightsAction>,
+    ) {
+        if let Some(link) = self.links.get_mut(&host) {
             link.outstanding += 1;
-            let addr = link.addr;
-            self.downloads += 1;
-            let fetch = InFlight {
-                source: Source::Peer(host),
-                since: now,
-                owned: false,
-            };
-            self.start_fetch(version, index, fetch, addr, out);
         }
+        self.downloads += 1;
+        let fetch = InFlight {
+            source: Source::Peer(host),
+            since: now,
+            owned: false,
+        };
+        self.start_fetch(version, index, fetch, addr, out);
     }
 
     /// Brings chunks into the region that this host draws for it, from hosts of other regions.
@@ -241,26 +253,12 @@
             let Some((index, host, addr)) = self.regional_chunk(now, version) else {
                 return;
             };
-            let Some(link) = self.links.get_mut(&host) else {
-                return;
-            };
-            link.outstanding += 1;
-            self.downloads += 1;
-            let fetch = InFlight {
-                source: Source::Peer(host),
-                since: now,
-                owned: false,
-            };
-            self.start_fetch(version, index, fetch, addr, out);
+            self.fetch_from(now, version, (index, host, addr), out);
         }
     }
 
     /// A chunk that nobody near holds, that this host draws for its region, and a far holder.
-    fn regional_chunk(
-        &self,
-        now: Instant,
-        version: &Digest,
-    ) -> Option<(u32, crate::types::HostId, SocketAddr)> {
+    fn regional_chunk(&self, now: Instant, version: &Digest) -> Option<(u32, HostId, SocketAddr)> {
         let transfer = self.transfers.get(version)?;
         let waited = now.saturating_duration_since(transfer.news_at);
         let missing = (0..transfer.chunks()).filter(|index| {
--- a/src/weights/core/targets.rs
+++ b/src/weights/core/targets.rs
@@ -6,7 +6,9 @@
 use crate::telemetry::Event;
 use crate::types::{Digest, HostId};
 use crate::weights::manifest::Manifest;
-use crate::weights::peers::{Distance, Peer, chunk_ranks, remote_neighbours, ring_neighbours};
+use crate::weights::peers::{
+    Distance, Peer, chunk_ranks, drawers, remote_neighbours, ring_neighbours,
+};
 
 use super::link::Link;
 use super::transfer::{Talk, Transfer};
@@ -132,7 +134,12 @@
         transfer.manifest_rank = chunk_ranks(&own.host, &region, version, 1)[0];
         if self.cfg.one_draw {
             let all: Vec<&Peer> = region.iter().chain(&elsewhere).copied().collect();
-            transfer.ranks = chunk_ranks(&own.host, &all, version, chunks);
+            let drawers = drawers(version, all, self.cfg.drawers);
+            transfer.ranks = match drawers.iter().any(|peer| peer.host == own.host) {
+                true => chunk_ranks(&own.host, &drawers, version, chunks),
+                // The others take over only when all drawers are silent.
+                false => vec![u8::try_from(drawers.len()).unwrap_or(u8::MAX); chunks as usize],
+            };
         } else {
             transfer.ranks.clone_from(&transfer.region_ranks);
         }
--- a/src/weights/peers.rs
+++ b/src/weights/peers.rs
@@ -83,6 +83,14 @@
         .collect()
 }
 
+/// The hosts that draw a version from an origin that all regions share, which bears only so many
+/// connections.
+pub fn drawers<'a>(version: &Digest, mut hosts: Vec<&'a Peer>, count: usize) -> Vec<&'a Peer> {
+    hosts.sort_by_key(|peer| (pair_hash(version, &peer.host), peer.host.clone()));
+    hosts.truncate(count);
+    hosts
+}
+
 /// Rank of `own` among the hosts for each chunk by rendezvous hashing; rank 0 owns the chunk.
 pub fn chunk_ranks(own: &HostId, hosts: &[&Peer], version: &Digest, chunks: u32) -> Vec<u8> {
     let seeds: Vec<u64> = hosts
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -25,6 +25,7 @@
 #[rstest]
 #[case::two_regions(16, 2)]
 #[case::three_regions(27, 3)]
+#[case::many_hosts(100, 3)]
 fn regions_that_share_a_draw_take_one_copy_from_the_origin(
     #[case] hosts: usize,
     #[case] regions: usize,
