--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -1,5 +1,8 @@
 //! The request core: admission, choice of an endpoint, attempts, outcome.
 
+mod outcome;
+mod place;
+
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -12,9 +15,6 @@
 use crate::delivery::{Quarantine, Standing};
 use crate::types::{EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
 
-mod outcome;
-mod place;
-
 use super::budget::{RetryLimit, RetryWindow};
 use super::desired::{Customer, Desired, Route};
 use super::endpoint::{Endpoint, EndpointLoad, Listed};
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    pub(super) fn note_end(
+    fn note_end(
         &mut self,
         now: Instant,
         running: &Running,
@@ -108,7 +108,7 @@
     }
 
     /// Decides whether a request goes to another endpoint after a failed attempt.
-    pub(super) fn again(&mut self, now: Instant, ticket: TicketId, end: End) -> Step {
+    fn again(&mut self, now: Instant, ticket: TicketId, end: End) -> Step {
         let entries = self.entries;
         let Some(work) = self.works.get_mut(&ticket) else {
             return Step::Finish;
--- a/src/dispatch/dispatcher/place.rs
+++ b/src/dispatch/dispatcher/place.rs
@@ -30,6 +30,7 @@
 const ZONE_COST: Duration = Duration::from_millis(4);
 
 impl Dispatcher {
+    /// Places a request that waits, or refuses it when it waits in vain; `None` to wait on.
     pub(super) fn place(&mut self, now: Instant, ticket: TicketId) -> Option<Placing> {
         let work = self.works.get(&ticket)?;
         let desired = self.desired.as_ref()?;
@@ -90,12 +91,7 @@
         Some(Placing::Send(self.lease(now, ticket, &id, predicted)?))
     }
 
-    pub(super) fn cost(
-        &self,
-        endpoint: &Endpoint,
-        predicted: Duration,
-        goal: Duration,
-    ) -> Duration {
+    fn cost(&self, endpoint: &Endpoint, predicted: Duration, goal: Duration) -> Duration {
         let far = match endpoint {
             e if e.listed.region != self.cfg.region => REGION_COST,
             e if e.listed.zone != self.cfg.zone => ZONE_COST,
@@ -104,7 +100,7 @@
         predicted + far + goal.mul_f64(endpoint.failing())
     }
 
-    pub(super) fn cold_admits(&mut self, now: Instant, id: &str, rate: f64) -> bool {
+    fn cold_admits(&mut self, now: Instant, id: &str, rate: f64) -> bool {
         let (factor, addend) = self.cfg.cold;
         let entries = self.entries;
         let Some(endpoint) = self.fleet.get_mut(id) else {
@@ -114,7 +110,7 @@
         !is_cold || rate <= 0.0 || endpoint.cold.admits(now, rate * factor + addend, entries)
     }
 
-    pub(super) fn lease(
+    fn lease(
         &mut self,
         now: Instant,
         ticket: TicketId,
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -122,7 +122,12 @@
     /// Takes in a newer entry of the list. Returns true when the process is another.
     pub fn list(&mut self, now: Instant, listed: Listed) -> bool {
         let restarted = listed.incarnation != self.listed.incarnation;
+        let models = std::mem::take(&mut self.listed.models);
         self.listed = listed;
+        if !restarted && self.load_age(now).is_some() {
+            // The list lags behind what the agent reports.
+            self.listed.models = models;
+        }
         self.gone = false;
         self.lapsed_until = None;
         if restarted {
--- a/src/dispatch/tests/knowledge.rs
+++ b/src/dispatch/tests/knowledge.rs
@@ -182,3 +182,18 @@
     let placed = next(&mut core, now, ticket);
     assert_eq!(matches!(placed, Some(Placing::Send(_))), is_sent);
 }
+
+#[test]
+fn a_list_that_lags_takes_nothing_back_that_an_agent_has_reported() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let mut emptied = load(0);
+    emptied.models = Vec::new();
+    core.report(now, ip(1), emptied);
+    core.list(now, listed("e1", "engines", 1, "north"));
+    assert!(!reached(&mut core, now, "chat").contains("e1"));
+    // Without an agent's report the list is all there is.
+    let later = now + ms(2_000);
+    core.list(later, listed("e1", "engines", 1, "north"));
+    assert!(reached(&mut core, later, "chat").contains("e1"));
+}
--- a/src/weights/core/config.rs
+++ b/src/weights/core/config.rs
@@ -47,6 +47,8 @@
     pub fetch_timeout: Duration,
     /// Bound on the memory for chunks in bytes.
     pub memory: u64,
+    /// Versions that are kept at most, those that are wanted included; older ones go first.
+    pub versions: usize,
     /// Cap on received chunk bytes a second; `None` for no cap.
     pub download_rate: Option<u64>,
     /// Cap on sent chunk bytes a second; `None` for no cap.
@@ -74,6 +76,7 @@
             origin_retry: Duration::from_secs(1),
             fetch_timeout: Duration::from_secs(30),
             memory: 64 << 30,
+            versions: usize::MAX,
             download_rate: None,
             upload_rate: None,
         }
--- a/src/weights/core/targets.rs
+++ b/src/weights/core/targets.rs
@@ -214,7 +214,7 @@
         });
     }
 
-    /// Drops superseded versions until `size` bytes fit; false when they do not.
+    /// Drops superseded versions until another one of `size` bytes fits; false when they do not.
     fn make_room(&mut self, size: u64, out: &mut Vec<WeightsAction>) -> bool {
         loop {
             let used: u64 = self
@@ -224,7 +224,8 @@
                 .filter_map(|transfer| transfer.manifest.as_ref())
                 .map(|manifest| manifest.size)
                 .sum();
-            if used.saturating_add(size) <= self.cfg.memory {
+            let open = self.transfers.values().filter(|t| t.open).count();
+            if used.saturating_add(size) <= self.cfg.memory && open < self.cfg.versions {
                 return true;
             }
             let oldest = self
--- a/src/weights/store.rs
+++ b/src/weights/store.rs
@@ -51,7 +51,8 @@
             return;
         };
         if let Some(slot) = version.chunks.get_mut(index as usize) {
-            *slot = Some(chunk);
+            // A part of a connection's read buffer would keep the whole buffer in memory.
+            *slot = Some(Bytes::copy_from_slice(&chunk));
             version.have.insert(index);
         }
     }
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -290,3 +290,17 @@
     let bound = most(&small).map(|bytes| bytes * 3 / 2);
     assert!(most(&large) <= bound, "{:?} {bound:?}", most(&large));
 }
+
+#[test]
+fn only_so_many_versions_are_kept() {
+    let mut world = World::new(4, 1);
+    world.versions = 2;
+    (0..4).for_each(|host| world.start(host));
+    for version in ["v1", "v2", "v3"] {
+        world.want(&wanted("m", version));
+        assert!(world.run_until_held(version).is_some());
+    }
+    assert_eq!(world.has(0, "v1"), 0);
+    assert_eq!(world.has(0, "v2"), CHUNKS as usize);
+    assert_eq!(world.has(0, "v3"), CHUNKS as usize);
+}
--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod bitmap;
 mod faults;
+mod fuzz;
 mod manifest;
 mod world;
--- a/src/weights/tests/world.rs
+++ b/src/weights/tests/world.rs
@@ -33,6 +33,8 @@
     sequence: u64,
     regions: usize,
     memory: u64,
+    /// Versions that hosts keep which start from now on.
+    pub versions: usize,
     /// True when all regions share one draw from the origin.
     pub one_draw: bool,
     pub origin_up: bool,
@@ -69,6 +71,7 @@
             regions,
             memory: u64::MAX,
             one_draw: false,
+            versions: usize::MAX,
             origin_up: true,
             origin_changed: false,
             drawn: 0,
@@ -101,6 +104,7 @@
         cfg.takeover = Duration::from_secs(2);
         cfg.memory = self.memory;
         cfg.one_draw = self.one_draw;
+        cfg.versions = self.versions;
         self.sequence += 1;
         self.nodes[host] = Some(Node {
             core: WeightsCore::new(cfg, host as u64),
