Probes of idle connections are set in whole seconds, which is all that the kernel takes

Cause: the watch of an entry that was cut off from the store waited for the store's kernel to send its answer again, 6.2 s later, since its own probes never ran: an interval of 250 ms is refused and the library passes over that. Ruled out: a late store, a watch that lost its place.

--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -17,12 +17,12 @@
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Silence after which the other side of a connection is probed.
-const PROBE_AFTER: Duration = Duration::from_secs(1);
-/// Time between two probes.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Silence after which the other side of a connection is probed; the kernel takes whole seconds.
+pub(super) const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Time between two probes; the kernel takes whole seconds, and refuses less than one.
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes that break a connection.
-const PROBES: u32 = 2;
+const PROBES: u32 = 1;
 /// Time after which sent bytes that nobody acknowledges break a connection.
 const UNACKED: Duration = Duration::from_millis(1_500);
 /// Characters that stay as they are in a path.
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -8,6 +8,8 @@
 mod hosts;
 mod http;
 mod objects;
+#[cfg(test)]
+mod tests;
 mod weights;
 mod wire;
 
