--- a/src/http/connect.rs
+++ b/src/http/connect.rs
@@ -25,12 +25,9 @@
     Ok(stream)
 }
 
-/// Makes a connection notice a dead peer and send small writes at once.
-///
-/// # Errors
-///
-/// Fails when the operating system refuses the options.
-pub fn guard(stream: &TcpStream) -> io::Result<()> {
+/// Makes a connection notice a dead peer and send small writes at once. Only for connections to
+/// endpoints: a caller that reads slowly would be cut as if it were dead.
+fn guard(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKED))?;
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -18,7 +18,7 @@
 
 use crate::settings::LimitsSettings;
 
-use super::{AnswerBody, guard};
+use super::AnswerBody;
 
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -143,8 +143,8 @@
         H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
-        // Without the options small writes wait and a dead peer goes unnoticed for long; it still works.
-        let _ = guard(&stream);
+        // Without the option small writes wait; the connection still works.
+        let _ = stream.set_nodelay(true);
         let service = service_fn(move |req| {
             let answer = handler(req);
             async move { Ok::<_, Infallible>(answer.await) }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -11,7 +11,7 @@
 
 pub use body::{AnswerBody, BodyError, BodySender, channel, empty, full};
 pub use client::{TrafficClient, traffic_client};
-pub use connect::{connect, guard};
+pub use connect::connect;
 pub use headers::{header_number, header_text, names};
 pub use listener::{Listener, ListenerLimits};
 pub use metrics::{BEARER, is_authorized, metrics};
