--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -82,12 +82,6 @@
         self.endpoints.retain(|_, e| !e.gone || e.own > 0);
     }
 
-    /// Names of the endpoints on the list.
-    pub fn ids(&self) -> Vec<EndpointId> {
-        let listed = self.endpoints.iter().filter(|(_, e)| !e.gone);
-        listed.map(|(id, _)| id.clone()).collect()
-    }
-
     /// All endpoints on the list.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().filter(|e| !e.gone)
@@ -123,11 +117,6 @@
         self.evacuated = zones;
     }
 
-    /// Zones whose endpoints get nothing.
-    pub fn evacuated(&self) -> &BTreeSet<ZoneId> {
-        &self.evacuated
-    }
-
     /// A version was named for a model, at `since` if that is known; true when it is newer than
     /// those before.
     pub fn name_version(&mut self, model: &str, version: u64, since: Option<Instant>) -> bool {
