A stream that its caller leaves gives its place at the agent back

Cause: the agent counts a cancelled attempt until its end is reported, but the guard of an attempt reports only once, and its drop says "entry gone". After that nothing took the attempt out of the gate. Each caller that left a stream took a place with it until the agent restarted; one that had been sent again as a suspect, which runs alone, closed the endpoint at once. The fuzz world reported an end that the real shell never gave, so it saw nothing.

Ruled out: the speed of the stand-in (seven of eight copies end in 4.5 s, the eighth never), the listener's options, the load of the machine (the new test fails alone).

Now the shell cancels at the one endpoint, repeats what was lost, and reports the end; a plain service is told by the closed connection. A cancelled suspect is no longer held to have crashed its endpoint. The fuzz world reports what the shell reports.

--- a/src/agent/core/action.rs
+++ b/src/agent/core/action.rs
@@ -39,8 +39,10 @@
     },
     /// Cancel a running attempt at its endpoint.
     ///
-    /// The attempt counts until the shell reports its end, as answered or broken.
+    /// The attempt counts until [`super::AgentEvent::Cancelled`] reports its end.
     Cancel {
+        /// The endpoint that runs it.
+        endpoint: EndpointId,
         /// The attempt.
         attempt: AttemptId,
     },
--- a/src/agent/core/event.rs
+++ b/src/agent/core/event.rs
@@ -40,6 +40,11 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// A cancelled attempt has left its endpoint, or never reached it.
+    Cancelled {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// The entry closed its connection, so that the answer has no reader.
     EntryGone {
         /// The attempt.
--- a/src/agent/core/gate/mod.rs
+++ b/src/agent/core/gate/mod.rs
@@ -179,6 +179,16 @@
         Some(running)
     }
 
+    /// Frees the place of a cancelled attempt; false for any other.
+    pub fn cancelled(&mut self, attempt: &str) -> bool {
+        let is_cancelling = |run: &Running| run.state == RunState::Cancelling;
+        let was = self.running.get(attempt).is_some_and(is_cancelling);
+        if was {
+            self.running.remove(attempt);
+        }
+        was
+    }
+
     /// Notes that the endpoint paused the attempt.
     pub fn paused(&mut self, attempt: &str) {
         if let Some(running) = self.running.get_mut(attempt)
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -114,6 +114,7 @@
             } => self.answered(now, &attempt, tokens, answer),
             AgentEvent::Broken { attempt, sent } => self.broken(now, &attempt, sent, &mut actions),
             AgentEvent::Paused { attempt } => self.paused(&attempt),
+            AgentEvent::Cancelled { attempt } => self.cancelled(&attempt),
             AgentEvent::EntryGone { attempt } => self.entry_gone(&attempt, &mut actions),
             AgentEvent::Probed { endpoint, probe } => {
                 self.probed(now, &endpoint, probe, &mut actions);
--- a/src/agent/core/tests/delivery.rs
+++ b/src/agent/core/tests/delivery.rs
@@ -15,6 +15,55 @@
     assert_eq!(bench.settle("a1"), state);
 }
 
+#[test]
+fn a_cancelled_attempt_gives_its_place_back_once() {
+    let mut bench = Bench::new();
+    bench.send("chat");
+    bench.send("chat");
+    let gone = AgentEvent::EntryGone {
+        attempt: "a1".into(),
+    };
+    assert_eq!(brief(&bench.handle(gone)), "cancel a1");
+    assert_eq!(bench.send("chat"), "", "it runs until the endpoint says so");
+    let left = AgentEvent::Cancelled {
+        attempt: "a1".into(),
+    };
+    assert_eq!(brief(&bench.handle(left.clone())), "+a3");
+    assert_eq!(bench.send("chat"), "");
+    assert_eq!(brief(&bench.handle(left)), "");
+}
+
+#[test]
+fn an_attempt_that_runs_is_not_cancelled_by_a_stray_report() {
+    let mut bench = Bench::new();
+    bench.send("chat");
+    bench.send("chat");
+    let stray = AgentEvent::Cancelled {
+        attempt: "a2".into(),
+    };
+    assert_eq!(brief(&bench.handle(stray)), "");
+    assert_eq!(bench.send("chat"), "");
+}
+
+#[test]
+fn a_cancelled_suspect_is_not_held_to_have_crashed() {
+    let mut bench = Bench::new();
+    let mut offer = bench.offer("chat");
+    offer.suspect = true;
+    offer.fingerprint = "f1".into();
+    bench.send_offer(offer);
+    let attempt: AttemptId = "a1".into();
+    bench.handle(AgentEvent::EntryGone {
+        attempt: attempt.clone(),
+    });
+    let sent = true;
+    bench.handle(AgentEvent::Broken { attempt, sent });
+    bench.send("chat");
+    let mut again = bench.offer("chat");
+    again.fingerprint = "f1".into();
+    assert_eq!(bench.send_offer(again), "+a3");
+}
+
 #[rstest]
 #[case::not_sent(false, "-2004 a1", SettleState::Fenced)]
 #[case::sent(true, "-3001 a1", SettleState::Unknown)]
--- a/src/agent/core/tests/mod.rs
+++ b/src/agent/core/tests/mod.rs
@@ -257,7 +257,7 @@
                 Some(format!("-{} {attempt}", code.number()))
             }
             AgentAction::Replay { attempt, .. } => Some(format!("={attempt}")),
-            AgentAction::Cancel { attempt } => Some(format!("cancel {attempt}")),
+            AgentAction::Cancel { attempt, .. } => Some(format!("cancel {attempt}")),
             AgentAction::Pause { attempt } => Some(format!("pause {attempt}")),
             AgentAction::Resume { attempt } => Some(format!("resume {attempt}")),
             AgentAction::Fetch { version, .. } => Some(format!("fetch {version}")),
--- a/src/agent/core/work.rs
+++ b/src/agent/core/work.rs
@@ -8,7 +8,7 @@
 use crate::telemetry::Event;
 use crate::types::{AttemptId, InstanceId};
 
-use super::gate::{GateStep, Ticket};
+use super::gate::{GateStep, RunState, Ticket};
 use super::{AgentAction, AgentCore, EndpointProbe, Offer};
 
 impl AgentCore {
@@ -110,7 +110,9 @@
             self.refuse(now, attempt, Code::NoEndpoint, keyed, actions);
             return;
         }
-        if let Some(instance) = instance {
+        if let Some(instance) = instance
+            && running.state != RunState::Cancelling
+        {
             self.note_break(now, instance, &running.ticket);
         }
         self.ledger.lost(attempt);
@@ -139,13 +141,24 @@
             return;
         }
         if gate.withdraw(attempt) {
-            let attempt = attempt.clone();
-            actions.push(AgentAction::Cancel { attempt });
+            actions.push(AgentAction::Cancel {
+                endpoint: gate.cfg().id.clone(),
+                attempt: attempt.clone(),
+            });
         } else if !gate.running().contains_key(attempt) {
             self.attempts.remove(attempt);
         }
     }
 
+    /// A cancelled attempt gives its place back.
+    pub(super) fn cancelled(&mut self, attempt: &AttemptId) {
+        if let Some(gate) = self.gate_of(attempt)
+            && gate.cancelled(attempt)
+        {
+            self.attempts.remove(attempt);
+        }
+    }
+
     pub(super) fn probed(
         &mut self,
         now: Instant,
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::runtime::Handle;
 
 use crate::clients::{EndpointAdmin, HttpClient, HttpEndpoint, JobState};
-use crate::settings::EndpointSettings;
+use crate::settings::{EndpointKind, EndpointSettings};
 use crate::types::{AttemptId, Digest, EndpointId, Generation};
 use crate::weights::{Wanted, WeightsService};
 
@@ -14,6 +15,9 @@
 use super::core::gate::ORDER_LIFE;
 use super::core::{AgentAction, AgentEvent};
 
+/// Pause before a cancellation is repeated that was lost or found nothing.
+const CANCEL_RETRY: Duration = Duration::from_millis(100);
+
 /// Starts calls on the traffic threads and reports how they end.
 #[derive(Clone)]
 pub(super) struct Orders {
@@ -31,7 +35,6 @@
 
 #[derive(Clone, Copy)]
 enum JobOrder {
-    Cancel,
     Pause,
     Resume,
 }
@@ -40,7 +43,7 @@
     /// Carries out an order; other actions are none.
     pub(super) fn carry_out(&self, action: AgentAction) {
         match action {
-            AgentAction::Cancel { attempt } => self.job(attempt, JobOrder::Cancel),
+            AgentAction::Cancel { endpoint, attempt } => self.cancel(&endpoint, attempt),
             AgentAction::Pause { attempt } => self.job(attempt, JobOrder::Pause),
             AgentAction::Resume { attempt } => self.job(attempt, JobOrder::Resume),
             AgentAction::Fetch {
@@ -74,7 +77,6 @@
             self.runtime.spawn(async move {
                 // A lost order shows in the attempt's own stream.
                 let state = match order {
-                    JobOrder::Cancel => engine.cancel(&attempt).await,
                     JobOrder::Pause => engine.pause(&attempt).await,
                     JobOrder::Resume => engine.resume(&attempt).await,
                 };
@@ -85,6 +87,32 @@
         }
     }
 
+    /// Cancels an attempt whose stream is closed, and reports when it has left the endpoint.
+    fn cancel(&self, endpoint: &str, attempt: AttemptId) {
+        let model = self.endpoints.iter().find(|e| &*e.name == endpoint);
+        let model = model.filter(|e| e.kind == EndpointKind::Model);
+        let Some(model) = model else {
+            // A plain service is told by the closed connection alone.
+            return self.reports.event(AgentEvent::Cancelled { attempt });
+        };
+        let engine = HttpEndpoint::new(model.address, self.http.clone());
+        let reports = self.reports.clone();
+        self.runtime.spawn(async move {
+            // The request may arrive after the first cancellation, so one miss proves nothing.
+            let mut missed = false;
+            while !reports.is_closed() {
+                match engine.cancel(&attempt).await {
+                    Ok(JobState::Cancelled | JobState::Done) => break,
+                    Ok(JobState::Unknown) if missed => break,
+                    Ok(JobState::Unknown) => missed = true,
+                    Ok(JobState::Running | JobState::Paused) | Err(_) => {}
+                }
+                tokio::time::sleep(CANCEL_RETRY).await;
+            }
+            reports.event(AgentEvent::Cancelled { attempt });
+        });
+    }
+
     fn load(&self, endpoint: EndpointId, version: Digest, fence: Generation) {
         let Some(addr) = self.addr(&endpoint) else {
             return;
--- a/tests/contract_entry.rs
+++ b/tests/contract_entry.rs
@@ -215,6 +215,34 @@
     assert!(outcome.answer().is_some(), "{outcome:?}");
 }
 
+/// More than an endpoint bears when it is cold, so that one place too few shows.
+const LEAVING_CALLERS: u64 = 6;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_leave_a_stream_take_no_places_with_them() {
+    let (site, addr) = site().await;
+    let engine = &site.models[0].engine;
+    let body =
+        r#"{"model":"lm","messages":[{"content":"hi"}],"max_tokens":10000000,"stream":true}"#;
+    for left in 1..=LEAVING_CALLERS {
+        let mut stream = TcpStream::connect(addr).await.unwrap();
+        let request = chat_with(HEAD, body);
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let answered = tokio::time::timeout(READY_LIMIT, stream.read_u8()).await;
+        assert!(answered.is_ok_and(|read| read.is_ok()), "caller {left}");
+        drop(stream);
+        let cancelled = async {
+            while engine.counters().cancelled < left {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let is_cancelled = tokio::time::timeout(READY_LIMIT, cancelled).await.is_ok();
+        assert!(is_cancelled, "caller {left}");
+    }
+    let outcome = Caller::new().chat(addr, &Chat::new("still there?")).await;
+    assert!(outcome.answer().is_some(), "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_plain_answer_is_whole_and_names_its_version() {
     let (site, addr) = site().await;
--- a/tests/fuzz/world/agents.rs
+++ b/tests/fuzz/world/agents.rs
@@ -74,7 +74,7 @@
                 self.oracle_answered_by_replay(n, &attempt);
                 self.answer_entry(n, attempt, AttemptEnd::Answered, Some(answer));
             }
-            AgentAction::Cancel { attempt } => self.send_soon(Message::Cancel(n, attempt)),
+            AgentAction::Cancel { attempt, .. } => self.send_soon(Message::Cancel(n, attempt)),
             AgentAction::Pause { attempt } => self.send_soon(Message::Pause(n, attempt)),
             AgentAction::Resume { attempt } => self.resume(n, attempt),
             AgentAction::Fetch { version, .. } => {
--- a/tests/fuzz/world/endpoints.rs
+++ b/tests/fuzz/world/endpoints.rs
@@ -98,14 +98,9 @@
 
     pub(super) fn cancel(&mut self, n: usize, attempt: AttemptId) {
         let endpoint = &mut self.agents[n].endpoint;
-        let known = endpoint.running.remove(&attempt).is_some();
-        if known || endpoint.paused.remove(&attempt).is_some() {
-            let event = AgentEvent::Broken {
-                attempt,
-                sent: true,
-            };
-            self.agent_soon(n, event);
-        }
+        endpoint.running.remove(&attempt);
+        endpoint.paused.remove(&attempt);
+        self.agent_soon(n, AgentEvent::Cancelled { attempt });
     }
 
     pub(super) fn pause(&mut self, n: usize, attempt: AttemptId) {
