Agents count what they do, entries count attempts by endpoint and end

Cause: the agent's registry had no instrument that the platform's agent used, so a scrape of it was empty; an entry's attempts showed in the log alone.

Now a histogram of operations (endpoint reports, chunks from the origin and from peers, staging, orders, each done or failed) at agents, and the counter of attempts at entries. The driver of the weights tells its owner how each fetch of a chunk ended.

--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -16,7 +16,7 @@
 };
 use crate::http::{AnswerBody, BodyLimits, full, read_body};
 use crate::log_fields;
-use crate::telemetry::{Event, Metrics, RequestResult};
+use crate::telemetry::{AttemptResult, Event, Metrics, RequestResult};
 use crate::types::Refusal;
 
 use super::answer::{Opened, Outgoing, open, read_whole};
@@ -290,7 +290,7 @@
                 Err(end) => end,
             };
             let end = timed(end, carried.deadline);
-            self.log_end(&carried, &lease, end);
+            self.note_end(&carried, &lease, end);
             let step = self.core().ended(Instant::now(), ticket.id, end);
             self.pump();
             let answer = match (step, end) {
@@ -367,7 +367,10 @@
         self.inner.metrics.request(&carried.route.name, result);
     }
 
-    pub(super) fn log_end(&self, carried: &Carried, lease: &Lease, end: End) {
+    /// Logs and counts the end of an attempt.
+    pub(super) fn note_end(&self, carried: &Carried, lease: &Lease, end: End) {
+        let result = AttemptResult::from(end);
+        self.inner.metrics.attempt(&lease.endpoint, result);
         let event = match end {
             End::Answered => Event::AttemptAnswered,
             _ => Event::AttemptFailed,
@@ -427,6 +430,22 @@
     }
 }
 
+impl From<End> for AttemptResult {
+    fn from(end: End) -> Self {
+        match end {
+            End::Answered => Self::Answered,
+            End::Failed => Self::Failed,
+            End::NotRun { is_full: true } => Self::Refused(Code::EndpointFull),
+            End::NotRun { is_full: false } => Self::Refused(Code::EndpointLeaving),
+            End::NotSent => Self::NotSent,
+            End::Broken => Self::Broken,
+            End::Silent => Self::Silent,
+            End::CallerGone => Self::CallerGone,
+            End::TimedOut => Self::TimedOut,
+        }
+    }
+}
+
 /// An attempt that ends when the time for the answer is over has timed out.
 pub(super) fn timed(end: End, deadline: Instant) -> End {
     match end {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -144,7 +144,7 @@
         loop {
             let end = self.pass_on(&mut source, next.take(), &tx).await;
             let end = timed(end, self.carried.deadline);
-            relay.log_end(&self.carried, &self.lease, end);
+            relay.note_end(&self.carried, &self.lease, end);
             let step = relay.core().ended(Instant::now(), self.ticket.id, end);
             relay.pump();
             match (end, step) {
@@ -259,7 +259,7 @@
                 Ok(_) => End::Failed,
                 Err(end) => timed(end, self.carried.deadline),
             };
-            relay.log_end(&self.carried, &self.lease, end);
+            relay.note_end(&self.carried, &self.lease, end);
             let step = relay.core().ended(Instant::now(), self.ticket.id, end);
             relay.pump();
             if step != Step::Wait {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -30,7 +30,7 @@
     CallerGone,
 }
 
-/// End of an attempt, as counted by an agent.
+/// End of an attempt, as counted by an agent, or by an entry that calls endpoints itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptResult {
     /// The endpoint gave the whole answer.
@@ -41,6 +41,43 @@
     Broken,
     /// The entry went away.
     EntryGone,
+    /// The endpoint's whole answer says that it failed.
+    Failed,
+    /// No connection to the endpoint was made.
+    NotSent,
+    /// Nothing came from the endpoint for too long.
+    Silent,
+    /// The time for the answer ran out.
+    TimedOut,
+    /// The caller went away.
+    CallerGone,
+}
+
+/// Work of a process besides requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Operation {
+    /// Read the report of the endpoint beside the agent.
+    EndpointReport,
+    /// Put a version into the endpoint's staging.
+    Stage,
+    /// Check the staging and order the endpoint to load it.
+    Order,
+    /// Fetch a chunk from the origin.
+    OriginChunk,
+    /// Fetch a chunk from another host.
+    PeerChunk,
+}
+
+impl Operation {
+    fn name(self) -> &'static str {
+        match self {
+            Self::EndpointReport => "endpoint report",
+            Self::Stage => "stage",
+            Self::Order => "order",
+            Self::OriginChunk => "origin chunk",
+            Self::PeerChunk => "peer chunk",
+        }
+    }
 }
 
 /// Instruments of one process; clones share them.
@@ -58,6 +95,7 @@
     attempts: Counter<u64>,
     first_byte: Histogram<f64>,
     in_flight: UpDownCounter<i64>,
+    operations: Histogram<f64>,
 }
 
 impl Metrics {
@@ -93,6 +131,12 @@
                 .i64_up_down_counter("in_flight")
                 .with_description("Requests in progress")
                 .build(),
+            operations: meter
+                .f64_histogram("operations")
+                .with_description("Time that operations took")
+                .with_unit("s")
+                .with_boundaries(SECONDS.to_vec())
+                .build(),
             registry,
             _provider: provider,
         };
@@ -125,6 +169,11 @@
             AttemptResult::Refused(code) => ("refused", code.number()),
             AttemptResult::Broken => ("broken", 0),
             AttemptResult::EntryGone => ("entry gone", 0),
+            AttemptResult::Failed => ("failed", 0),
+            AttemptResult::NotSent => ("not sent", 0),
+            AttemptResult::Silent => ("silent", 0),
+            AttemptResult::TimedOut => ("timed out", 0),
+            AttemptResult::CallerGone => ("caller gone", 0),
         };
         let labels = [
             KeyValue::new("endpoint", endpoint.to_owned()),
@@ -140,6 +189,15 @@
         self.inner.first_byte.record(elapsed.as_secs_f64(), &labels);
     }
 
+    /// Records an operation that took `elapsed`; `is_done` when it succeeded.
+    pub fn operation(&self, operation: Operation, is_done: bool, elapsed: Duration) {
+        let labels = [
+            KeyValue::new("operation", operation.name()),
+            KeyValue::new("result", if is_done { "done" } else { "failed" }),
+        ];
+        self.inner.operations.record(elapsed.as_secs_f64(), &labels);
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn in_flight(&self) -> InFlight {
         self.inner.in_flight.add(1, &[]);
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -11,4 +11,4 @@
 pub use bounded::{LineRate, start_bounded_logs};
 pub use events::Event;
 pub use logs::{LogError, start_logs};
-pub use metrics::{AttemptResult, InFlight, Metrics, RequestResult};
+pub use metrics::{AttemptResult, InFlight, Metrics, Operation, RequestResult};
--- a/src/weights/driver.rs
+++ b/src/weights/driver.rs
@@ -48,6 +48,8 @@
     /// Bytes of a fetched manifest.
     manifest: Option<Bytes>,
     announced_bytes: u64,
+    /// Time that the fetch of a chunk took.
+    took: Option<Duration>,
 }
 
 /// Owner of the decision logic.
@@ -132,6 +134,13 @@
     fn done(&mut self, done: Done) {
         self.running.remove(&(done.version.clone(), done.work));
         self.announced_bytes += done.announced_bytes;
+        if let (Some(took), WeightsEvent::Chunk { source, result, .. }) = (done.took, &done.event) {
+            self.notify(WeightsNotice::Fetched {
+                from_origin: matches!(source, Source::Origin(_)),
+                is_whole: result.is_ok(),
+                took,
+            });
+        }
         if let Some(bytes) = done.manifest {
             self.manifests.insert(done.version, bytes);
         }
@@ -243,6 +252,7 @@
                 event,
                 manifest,
                 announced_bytes: 0,
+                took: None,
             }
         };
         self.start(version, Work::Manifest, task);
@@ -276,6 +286,7 @@
                 },
                 manifest: None,
                 announced_bytes: 0,
+                took: None,
             }
         };
         self.start(version, Work::Scan, task);
@@ -299,7 +310,9 @@
             if let Some(start_at) = start_at {
                 tokio::time::sleep_until(start_at.into()).await;
             }
+            let sent = Instant::now();
             let fetched = client.chunk(&wanted, index, &source, addr, size).await;
+            let took = sent.elapsed();
             let (result, have) = match fetched {
                 Ok(arrived) if !manifest.is_chunk(index, &arrived.bytes) => {
                     (Err(FetchError::Corrupt), arrived.have)
@@ -323,6 +336,7 @@
                 event,
                 manifest: None,
                 announced_bytes: 0,
+                took: Some(took),
             }
         };
         self.start(version, work, task);
@@ -348,6 +362,7 @@
                 event,
                 manifest: None,
                 announced_bytes,
+                took: None,
             }
         };
         self.start(version, work, task);
--- a/src/weights/service.rs
+++ b/src/weights/service.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::{Semaphore, mpsc};
@@ -64,6 +65,15 @@
         /// Share in thousandths.
         permille: u32,
     },
+    /// The fetch of a chunk has ended.
+    Fetched {
+        /// True when it was asked of an origin, false when of another host.
+        from_origin: bool,
+        /// True when the chunk arrived and is what the manifest says.
+        is_whole: bool,
+        /// Time since the request was sent.
+        took: Duration,
+    },
 }
 
 /// Size of the service's state.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,5 +4,6 @@
 
 mod faults;
 mod life;
+mod metrics;
 mod site;
 mod weights;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -233,6 +233,16 @@
         }
     }
 
+    /// Metrics of the entry.
+    pub async fn entry_metrics(&self) -> String {
+        scrape(ip(self.network, 1)).await
+    }
+
+    /// Metrics of an agent.
+    pub async fn agent_metrics(&self, n: usize) -> String {
+        scrape(self.engines[n].addr().ip()).await
+    }
+
     /// Waits until something holds.
     pub async fn until(&self, holds: impl Fn(&Self) -> bool) {
         let start = tokio::time::Instant::now();
@@ -269,6 +279,12 @@
     }
 }
 
+async fn scrape(ip: IpAddr) -> String {
+    let req = request("GET", "/metrics", "scrape");
+    let answer = send(SocketAddr::new(ip, INNER + 1), req).await.unwrap();
+    String::from_utf8(answer.body.to_vec()).unwrap()
+}
+
 fn ip(network: u8, host: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, network, 0, host))
 }
