One module for each pattern of load in the request core

What the core does about a burst, a hot key, retry abuse, callers that leave, the loss of a zone, a cold return and a push was spread over four files. Each is a module of dispatch::patterns now, and Tactics takes one out, so that its effect can be shown.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -18,19 +18,9 @@
 use super::desired::{Customer, Desired, Route};
 use super::endpoint::{Endpoint, EndpointLoad, Listed};
 use super::fleet::Fleet;
+use super::patterns::{Returns, Tactics, come_back, come_back_later, hold};
 use super::work::{CallerRequest, Lease, TicketId, Work};
 
-/// Part of the goal for which a request may wait for a place before it is refused.
-const HOLD: f64 = 0.125;
-/// The same for a caller that was refused before and gets no other turn.
-const HOLD_RETURNED: f64 = 0.5;
-/// Shorter patience than usual by this much tells a caller that has come back.
-const RETURN_MARGIN: Duration = Duration::from_millis(15);
-/// Bounds of the advice when to come back after an overload.
-const COME_BACK: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(1_900));
-/// Bounds of the advice while nothing can serve the request.
-const COME_BACK_LATER: (Duration, Duration) =
-    (Duration::from_millis(1_200), Duration::from_millis(2_000));
 /// Entries that are assumed to share the fleet until agents tell how many do.
 const USUAL_ENTRIES: u32 = 4;
 
@@ -47,6 +37,8 @@
     pub cold: (f64, f64),
     /// Time after which an older version than the newest named one begins nothing.
     pub version_grace: Duration,
+    /// Patterns of load that are answered.
+    pub tactics: Tactics,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -148,8 +140,7 @@
     budgets: HashMap<TargetId, RetryWindow>,
     quarantine: Quarantine,
     breaks: VecDeque<Break>,
-    /// Longest patience seen on each route; callers that come back have less.
-    patience: HashMap<Arc<str>, Duration>,
+    returns: Returns,
     entries: u32,
 }
 
@@ -158,16 +149,16 @@
     pub fn new(cfg: DispatchConfig) -> Self {
         Self {
             rng: SmallRng::seed_from_u64(cfg.seed),
+            fleet: Fleet::new(cfg.tactics),
             cfg,
             desired: None,
-            fleet: Fleet::default(),
             works: HashMap::new(),
             queue: BTreeSet::new(),
             next: 0,
             budgets: HashMap::new(),
             quarantine: Quarantine::default(),
             breaks: VecDeque::new(),
-            patience: HashMap::new(),
+            returns: Returns::default(),
             entries: USUAL_ENTRIES,
         }
     }
@@ -292,16 +283,13 @@
             return Err(self.later(Code::Quarantined));
         }
         let target = self.target(&route);
-        let usual = self.patience.entry(route.name.clone()).or_default();
         let patience = req.patience.unwrap_or(route.timeout);
-        *usual = (*usual).max(patience);
-        let spent = *usual - patience;
-        let returned = spent > RETURN_MARGIN;
-        let hold = match returned {
-            true => HOLD_RETURNED,
-            false => HOLD,
-        };
-        let asked = now.checked_sub(spent).unwrap_or(now);
+        let asking_for = self.returns.asking_for(&route.name, patience);
+        let asking_for = asking_for.filter(|_| self.cfg.tactics.retry_abuse);
+        let returned = asking_for.is_some();
+        let asked = now
+            .checked_sub(asking_for.unwrap_or_default())
+            .unwrap_or(now);
         let work = Work {
             target: target.clone(),
             customer,
@@ -312,7 +300,7 @@
             deadline: now + patience.min(route.timeout),
             asked,
             returned,
-            hold_until: now + route.goal.mul_f64(hold),
+            hold_until: now + hold(route.goal, returned),
             tried: Vec::new(),
             attempts: Attempts::default(),
             version: None,
@@ -380,11 +368,11 @@
     }
 
     fn soon(&mut self, code: Code) -> Refusal {
-        Refusal::new(code).after(self.rng.random_range(COME_BACK.0..COME_BACK.1))
+        Refusal::new(code).after(come_back(&mut self.rng))
     }
 
     fn later(&mut self, code: Code) -> Refusal {
-        Refusal::new(code).after(self.rng.random_range(COME_BACK_LATER.0..COME_BACK_LATER.1))
+        Refusal::new(code).after(come_back_later(&mut self.rng))
     }
 
     /// Figures of the state.
@@ -394,11 +382,11 @@
             target: e.listed.target.clone(),
             zone: e.listed.zone.clone(),
             in_system: e.in_system(now, self.entries),
-            own: e.own,
+            own: e.occupancy.own(),
             load_age_ms: e.load_age(now).map(|age| age.as_millis() as u64),
             version: e.version(None),
             is_leaving: e.listed.is_leaving,
-            failing: e.failing(),
+            failing: e.health.failing(),
         };
         Snapshot {
             desired: self.desired.as_ref().map_or(0, |desired| desired.version),
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -6,10 +6,11 @@
 use crate::codes::Code;
 use crate::delivery::{AttemptRules, Standing};
 use crate::dispatch::desired::Repeat;
+use crate::dispatch::patterns::hold;
 use crate::dispatch::work::{End, Running, TicketId};
 use crate::types::{InstanceId, Refusal};
 
-use super::{Break, Dispatcher, HOLD_RETURNED, Step, digest};
+use super::{Break, Dispatcher, Step, digest};
 
 /// Time for which a broken stream may wait for a place to go on.
 const RESUME_HOLD: Duration = Duration::from_millis(500);
@@ -77,21 +78,22 @@
         let Some(endpoint) = self.fleet.get_mut(&running.endpoint) else {
             return;
         };
-        endpoint.left(prompt, running.started);
+        let by_caller = matches!(end, End::CallerGone);
+        endpoint.occupancy.left(prompt, running.started, by_caller);
         let incarnation = endpoint.listed.incarnation;
         match end {
             End::Answered => {
-                endpoint.succeeded();
+                endpoint.health.succeeded();
                 endpoint.worked(now.saturating_duration_since(running.since));
             }
-            End::NotRun { is_full: true } => endpoint.was_full(now),
+            End::NotRun { is_full: true } => endpoint.health.was_full(now),
             End::NotRun { is_full: false } | End::CallerGone | End::TimedOut | End::Failed => {}
             End::NotSent => {
-                endpoint.failed(now);
+                endpoint.health.failed(now);
                 self.crashed(now, &running.endpoint, incarnation);
             }
             End::Broken => {
-                endpoint.failed(now);
+                endpoint.health.failed(now);
                 self.breaks.push_back(Break {
                     at: now,
                     endpoint: running.endpoint.clone(),
@@ -102,7 +104,7 @@
                     self.breaks.pop_front();
                 }
             }
-            End::Silent => endpoint.failed(now),
+            End::Silent => endpoint.health.failed(now),
         }
         self.fleet.sweep();
     }
@@ -127,7 +129,7 @@
             work.waiting = true;
             work.hold_until = match work.version {
                 Some(_) => now + RESUME_HOLD,
-                None => now + work.route.goal.mul_f64(HOLD_RETURNED),
+                None => now + hold(work.route.goal, true),
             };
             self.queue.insert((false, work.asked, ticket));
             return Step::Wait;
--- a/src/dispatch/dispatcher/place.rs
+++ b/src/dispatch/dispatcher/place.rs
@@ -2,28 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use rand::seq::IndexedRandom;
-
 use crate::codes::Code;
 use crate::dispatch::endpoint::Endpoint;
 use crate::dispatch::fleet::Ask;
+use crate::dispatch::patterns::{Wait, few, is_worth_sending};
 use crate::dispatch::work::{Lease, Running, TicketId};
 use crate::types::{EndpointId, Refusal};
 
 use super::{Dispatcher, Grounds, Placing};
 
-/// Part of the goal that a prediction may take, for what it does not see.
-const GOAL_USED: f64 = 0.85;
-/// Predicted wait up to which a broken stream goes on elsewhere; its caller leaves after two
-/// seconds without an event.
-const RESUME_WAIT: Duration = Duration::from_millis(1_200);
-/// Part of the goal that the prediction for a request that is late already may take: it must not
-/// make others late, whose service counts for more.
-const LATE_USED: f64 = 0.7;
-/// Load below which a request is sent whatever the prediction says.
-const IDLE_LOAD: f64 = 0.5;
-/// Endpoints that are compared for one request; few, so that entries do not all pick the same.
-const COMPARED: usize = 5;
 /// Cost of leaving the region, in time; bytes between regions are dear.
 const REGION_COST: Duration = Duration::from_millis(12);
 /// Cost of leaving the zone, in time.
@@ -55,31 +42,34 @@
             fitting: fitting.len(),
             ..Grounds::default()
         };
-        let compared: Vec<&&Endpoint> = fitting.choose_multiple(&mut self.rng, COMPARED).collect();
+        let compared = match self.cfg.tactics.hot_key {
+            true => few(&fitting, &mut self.rng),
+            false => fitting,
+        };
         let goal = work.route.goal;
         let best = compared
             .into_iter()
             .map(|e| {
                 let predicted = e.predict(now, engine, work.prompt, self.entries);
-                (predicted, self.cost(e, predicted, goal), *e)
+                (predicted, self.cost(e, predicted, goal), e)
             })
             .min_by_key(|(_, cost, _)| *cost);
         let exhausted = now >= work.hold_until || now >= work.deadline;
         let Some((predicted, _, endpoint)) = best else {
             return exhausted.then(|| self.give_up(now, ticket, Code::NoEndpoint, grounds));
         };
-        let left = work.deadline.saturating_duration_since(now);
-        let on_time = work.asked + goal.mul_f64(GOAL_USED);
-        let is_resumed = work.version.is_some();
-        let room = match on_time.checked_duration_since(now) {
-            Some(room) if !work.returned && work.tried.is_empty() => room,
-            _ if is_resumed => RESUME_WAIT.min(left),
-            _ => goal.mul_f64(LATE_USED).min(left),
+        let wait = Wait {
+            asked: work.asked,
+            goal,
+            deadline: work.deadline,
+            is_resumed: work.version.is_some(),
+            is_again: work.returned || !work.tried.is_empty(),
         };
+        let room = wait.room(now);
         grounds.best = Some(predicted);
         grounds.room = Some(room);
         let load = endpoint.load(now, self.entries);
-        if predicted > room && load >= IDLE_LOAD {
+        if self.cfg.tactics.burst && !is_worth_sending(predicted, room, load) {
             return exhausted
                 .then(|| self.give_up(now, ticket, Code::DeadlineUnreachable, grounds));
         }
@@ -97,7 +87,7 @@
             e if e.listed.zone != self.cfg.zone => ZONE_COST,
             _ => Duration::ZERO,
         };
-        predicted + far + goal.mul_f64(endpoint.failing())
+        predicted + far + goal.mul_f64(endpoint.health.failing())
     }
 
     fn cold_admits(&mut self, now: Instant, id: &str, rate: f64) -> bool {
@@ -107,6 +97,7 @@
             return false;
         };
         let is_cold = endpoint.cold_until.is_some_and(|until| now < until);
+        let is_cold = is_cold && self.cfg.tactics.cold_return;
         !is_cold || rate <= 0.0 || endpoint.cold.admits(now, rate * factor + addend, entries)
     }
 
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -6,17 +6,11 @@
 
 use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
 
-use super::cold::ColdBound;
 use super::estimate::EngineModel;
+use super::patterns::{ColdBound, Health, Occupancy, Tactics};
 
 /// Age beyond which a load report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
-/// First pause after an endpoint failed; doubles with each further failure in a row.
-const PAUSE_BASE: Duration = Duration::from_millis(150);
-/// Longest pause after failures; about the time that a crashed endpoint takes to come back.
-const PAUSE_MAX: Duration = Duration::from_millis(2_400);
-/// Pause after an endpoint said that it is full: two load reports.
-const FULL_PAUSE: Duration = Duration::from_millis(80);
 /// Weight of the newest sample in moving averages.
 const NEWEST: f64 = 0.15;
 /// Bounds of the learned factor between predicted and observed time to the first event.
@@ -80,25 +74,17 @@
     pub(super) cold_until: Option<Instant>,
     pub(super) cold: ColdBound,
     report: Option<(Instant, EndpointLoad)>,
-    /// Requests sent and ended since the last report.
-    since_report: i64,
-    /// Requests of this entry that are there.
-    pub(super) own: u32,
-    /// Prompt tokens of own requests that have not started.
-    unread: f64,
-    failures: u32,
-    pub(super) paused_until: Option<Instant>,
+    pub(super) occupancy: Occupancy,
+    pub(super) health: Health,
     /// Observed over predicted time to the first event.
     bias: f64,
-    /// Share of attempts that failed lately.
-    failing: f64,
     /// Mean work time of a plain service in seconds.
     work: f64,
 }
 
 impl Endpoint {
     /// An endpoint that was listed for the first time.
-    pub fn new(now: Instant, listed: Listed) -> Self {
+    pub fn new(now: Instant, listed: Listed, tactics: Tactics) -> Self {
         let mut endpoint = Self {
             listed,
             gone: false,
@@ -106,13 +92,9 @@
             cold_until: None,
             cold: ColdBound::default(),
             report: None,
-            since_report: 0,
-            own: 0,
-            unread: 0.0,
-            failures: 0,
-            paused_until: None,
+            occupancy: Occupancy::new(tactics.departures),
+            health: Health::new(tactics.zone_loss),
             bias: 1.0,
-            failing: 0.0,
             work: UNMEASURED_WORK.as_secs_f64(),
         };
         endpoint.note_cold(now);
@@ -145,11 +127,9 @@
 
     fn restarted(&mut self) {
         self.report = None;
-        self.since_report = 0;
-        self.failures = 0;
-        self.paused_until = None;
+        self.occupancy.reported();
+        self.health.restarted();
         self.bias = 1.0;
-        self.failing = 0.0;
     }
 
     /// Takes in a load report of the agent beside it.
@@ -163,7 +143,7 @@
         }
         self.listed.models.clone_from(&load.models);
         self.report = Some((now, load));
-        self.since_report = 0;
+        self.occupancy.reported();
     }
 
     /// Age of the last load report, unless it is too old to be used.
@@ -181,11 +161,8 @@
     /// Requests that are at the endpoint as far as this entry, one of `entries`, knows.
     pub fn in_system(&self, now: Instant, entries: u32) -> u32 {
         match self.fresh(now) {
-            Some(load) => {
-                let seen = i64::from(load.running + load.waiting) + self.since_report;
-                u32::try_from(seen.max(i64::from(self.own))).unwrap_or(u32::MAX)
-            }
-            None => self.own.saturating_mul(entries.max(1)),
+            Some(load) => self.occupancy.with_report(load.running + load.waiting),
+            None => self.occupancy.without_report(entries),
         }
     }
 
@@ -222,7 +199,7 @@
             Some(engine) => {
                 let pace = self.fresh(now).map_or(1.0, |load| load.pace.max(0.1));
                 engine
-                    .first_event(in_system, self.unread, f64::from(prompt))
+                    .first_event(in_system, self.occupancy.unread(), f64::from(prompt))
                     .mul_f64(pace)
             }
             None => {
@@ -240,15 +217,8 @@
         f64::from(self.in_system(now, entries)) / f64::from(self.listed.places.max(1))
     }
 
-    /// Share of attempts that failed lately.
-    pub fn failing(&self) -> f64 {
-        self.failing
-    }
-
     pub(super) fn sent(&mut self, now: Instant, prompt: u32) {
-        self.own += 1;
-        self.since_report += 1;
-        self.unread += f64::from(prompt);
+        self.occupancy.sent(prompt);
         if self.cold_until.is_some_and(|until| now < until) {
             self.cold.sent(now);
         }
@@ -256,45 +226,14 @@
 
     /// The first event of an own request came `took` after it was sent.
     pub(super) fn started(&mut self, prompt: u32, took: Duration, predicted: Duration) {
-        self.unread = (self.unread - f64::from(prompt)).max(0.0);
-        self.failures = 0;
+        self.occupancy.started(prompt);
+        self.health.started();
         let clean = predicted.as_secs_f64() / self.bias;
         let ratio = took.as_secs_f64() / clean.max(0.001);
         self.bias = (self.bias + (ratio - self.bias) * NEWEST).clamp(BIAS.0, BIAS.1);
     }
 
-    /// An own request has left the endpoint.
-    pub(super) fn left(&mut self, prompt: u32, started: bool) {
-        self.own = self.own.saturating_sub(1);
-        self.since_report -= 1;
-        if !started {
-            self.unread = (self.unread - f64::from(prompt)).max(0.0);
-        }
-        if self.own == 0 {
-            self.unread = 0.0;
-        }
-    }
-
     pub(super) fn worked(&mut self, took: Duration) {
         self.work += (took.as_secs_f64() - self.work) * NEWEST;
     }
-
-    pub(super) fn succeeded(&mut self) {
-        self.failures = 0;
-        self.failing -= self.failing * NEWEST;
-    }
-
-    /// An attempt failed in a way that speaks against the endpoint.
-    pub(super) fn failed(&mut self, now: Instant) {
-        self.failing += (1.0 - self.failing) * NEWEST;
-        self.failures += 1;
-        let pause = PAUSE_BASE * (1 << self.failures.min(5).saturating_sub(1));
-        self.paused_until = Some(now + pause.min(PAUSE_MAX));
-    }
-
-    /// The endpoint said that it has no room.
-    pub(super) fn was_full(&mut self, now: Instant) {
-        self.failing += (1.0 - self.failing) * NEWEST;
-        self.paused_until = self.paused_until.max(Some(now + FULL_PAUSE));
-    }
 }
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -9,10 +9,7 @@
 
 use super::endpoint::{Endpoint, EndpointLoad, Listed};
 use super::estimate::EngineModel;
-
-/// Time by which a request may outlast the work of an engine that is about to change its version;
-/// estimates of answers are often off by more.
-const OUTLAST: Duration = Duration::from_millis(400);
+use super::patterns::{Tactics, takes_until_change};
 
 /// Time for which an endpoint whose lease ran out still gets work: entries of endpoints that live
 /// are back within two seconds.
@@ -21,6 +18,7 @@
 /// The endpoints that an entry knows, and what operators said about zones and versions.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
+    tactics: Tactics,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     evacuated: BTreeSet<ZoneId>,
     /// Versions that were named for each model, with the time; `None` when that was before this
@@ -50,13 +48,22 @@
 }
 
 impl Fleet {
+    /// A fleet without endpoints.
+    pub fn new(tactics: Tactics) -> Self {
+        Self {
+            tactics,
+            ..Self::default()
+        }
+    }
+
     /// Takes in one entry of the list; true when it is new or its process is another.
     pub fn list(&mut self, now: Instant, listed: Listed) -> bool {
         match self.endpoints.get_mut(&listed.id) {
             Some(endpoint) => endpoint.list(now, listed),
             None => {
                 let id = listed.id.clone();
-                self.endpoints.insert(id, Endpoint::new(now, listed));
+                let endpoint = Endpoint::new(now, listed, self.tactics);
+                self.endpoints.insert(id, endpoint);
                 true
             }
         }
@@ -79,7 +86,8 @@
 
     /// Drops what left the list and has no request of this entry.
     pub fn sweep(&mut self) {
-        self.endpoints.retain(|_, e| !e.gone || e.own > 0);
+        self.endpoints
+            .retain(|_, e| !e.gone || e.occupancy.own() > 0);
     }
 
     /// All endpoints on the list.
@@ -167,15 +175,15 @@
                 && allows(ask.route_regions, &e.listed.region)
                 && allows(ask.customer_regions, &e.listed.region)
                 && !ask.tried.contains(&e.listed.id)
-                && e.paused_until.is_none_or(|until| now >= until)
+                && !e.health.is_paused(now)
                 && ask.engine.is_none_or(|engine| {
-                    self.has_version(now, e, ask, grace) && ends_in_time(now, e, engine, ask)
+                    self.has_version(now, e, ask, grace) && self.ends_in_time(now, e, engine, ask)
                 })
         })
     }
 
     fn has_version(&self, now: Instant, endpoint: &Endpoint, ask: Ask, grace: Duration) -> bool {
-        if endpoint.is_switching(now) {
+        if self.tactics.push && endpoint.is_switching(now) {
             return false;
         }
         let model = ask
@@ -187,12 +195,17 @@
         ask.version.is_none_or(|wanted| wanted == version)
             && version >= self.oldest_version(now, model, grace)
     }
-}
 
-/// False when the request would hold up an engine that is about to change its version.
-fn ends_in_time(now: Instant, endpoint: &Endpoint, engine: &EngineModel, ask: Ask) -> bool {
-    endpoint.switch_at(now).is_none_or(|at| {
+    /// False when the request would hold up an engine that is about to change its version.
+    fn ends_in_time(
+        &self,
+        now: Instant,
+        endpoint: &Endpoint,
+        engine: &EngineModel,
+        ask: Ask,
+    ) -> bool {
         let answer = ask.answer_tokens.map_or(engine.usual_answer, f64::from);
-        now + engine.run(answer) <= at + OUTLAST
-    })
+        let change_at = endpoint.switch_at(now).filter(|_| self.tactics.push);
+        takes_until_change(now, change_at, engine.run(answer))
+    }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,20 +3,20 @@
 //! [`Dispatcher`] is sans-IO: time, requests, reports and ends of attempts go in, placements come
 //! out. The shell that owns the sockets is [`crate::relay`].
 
-mod cold;
 mod desired;
 mod dispatcher;
 mod endpoint;
 mod estimate;
 mod fleet;
+mod patterns;
 #[cfg(test)]
 mod tests;
 mod work;
 
-pub use cold::ColdBound;
 pub use desired::{CallerLimits, Customer, Desired, Repeat, Route, Target};
 pub use dispatcher::{DispatchConfig, Dispatcher, EndpointView, Grounds, Placing, Snapshot, Step};
 pub use endpoint::{Endpoint, EndpointLoad, Listed};
 pub use estimate::EngineModel;
 pub use fleet::Fleet;
+pub use patterns::{ColdBound, Health, Occupancy, Tactics};
 pub use work::{CallerRequest, End, Lease, TicketId};
--- a/src/dispatch/cold.rs
+++ b/src/dispatch/patterns/cold_return.rs
@@ -1,4 +1,5 @@
-//! Bound on the requests that a cold endpoint gets in a second.
+//! A cold return: endpoints that come back together are cold and get a bounded number of requests in
+//! a second, shared by all entries.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/src/dispatch/patterns/hot_key.rs
@@ -0,0 +1,18 @@
+//! A hot key, or any rush of like requests: entries that all see the same best endpoint would all
+//! choose it. Each compares a few endpoints drawn at random instead.
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+
+use crate::dispatch::Endpoint;
+
+/// Endpoints that are compared for one request.
+const COMPARED: usize = 5;
+
+/// The endpoints to compare, of those that fit.
+pub(in crate::dispatch) fn few<'a>(
+    fitting: &[&'a Endpoint],
+    rng: &mut SmallRng,
+) -> Vec<&'a Endpoint> {
+    fitting.choose_multiple(rng, COMPARED).copied().collect()
+}
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -141,6 +141,7 @@
         },
         cold: (1.0, 0.0),
         version_grace: ms(7_000),
+        tactics: Tactics::default(),
         seed: 7,
     })
 }
