--- a/tests/patterns.rs
+++ b/tests/patterns.rs
@@ -24,8 +24,9 @@
 /// `least` is what the answer to the pattern must bring.
 #[rstest]
 #[case::burst(Pattern::Burst, |t: &Tally| t.worth, 0.2)]
-#[case::retry_abuse(Pattern::RetryAbuse, |t: &Tally| t.worth, 0.01)]
-#[case::departures(Pattern::Departures, |t: &Tally| t.worth, 0.01)]
+#[case::hot_key(Pattern::HotKey, |t: &Tally| t.worth, 0.01)]
+#[case::retry_abuse(Pattern::RetryAbuse, |t: &Tally| t.worth, 0.02)]
+#[case::departures(Pattern::Departures, |t: &Tally| t.worth, 0.02)]
 #[case::zone_loss(Pattern::ZoneLoss, |t: &Tally| t.worth, 0.02)]
 #[case::cold_return(Pattern::ColdReturn, |t: &Tally| -f64::from(t.cold_breaks), 1.0)]
 #[case::push(Pattern::Push, |t: &Tally| -t.share(t.lost), 0.02)]
