--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -105,6 +105,7 @@
                     Ok(JobState::Cancelled | JobState::Done) => break,
                     Ok(JobState::Unknown) if missed => break,
                     Ok(JobState::Unknown) => missed = true,
+                    // A lost call is repeated; the probes log an endpoint that does not answer.
                     Ok(JobState::Running | JobState::Paused) | Err(_) => {}
                 }
                 tokio::time::sleep(CANCEL_RETRY).await;
