--- a/tests/contract_entry.rs
+++ b/tests/contract_entry.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use common::{Caller, Chat, ServiceCall, Site};
+use limpetloom_fakes::engine::Engine;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -19,6 +20,20 @@
 const CHAT: &str = r#"{"model":"lm","messages":[{"content":"hi"}],"max_tokens":2}"#;
 const HEAD: &str = "x-limpetloom-class: chat\r\nx-limpetloom-customer: customer-1\r\n";
 
+/// A stream that its caller does not read to the end.
+const ENDLESS_CHAT: &str =
+    r#"{"model":"lm","messages":[{"content":"hi"}],"max_tokens":10000000,"stream":true}"#;
+
+/// Waits until the engine has cancelled `count` requests; false when it does not in time.
+async fn has_cancelled(engine: &Engine, count: u64) -> bool {
+    let cancelled = async {
+        while engine.counters().cancelled < count {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(READY_LIMIT, cancelled).await.is_ok()
+}
+
 async fn site() -> (Site, SocketAddr) {
     let site = Site::builder()
         .zones(1)
@@ -196,20 +211,12 @@
 async fn a_caller_that_does_not_read_is_cut_and_its_work_is_cancelled() {
     let (site, addr) = site().await;
     let engine = &site.models[0].engine;
-    let body =
-        r#"{"model":"lm","messages":[{"content":"hi"}],"max_tokens":10000000,"stream":true}"#;
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(4096).unwrap();
     let mut stream = socket.connect(addr).await.unwrap();
-    let request = chat_with(HEAD, body);
+    let request = chat_with(HEAD, ENDLESS_CHAT);
     stream.write_all(request.as_bytes()).await.unwrap();
-    let cancelled = async {
-        while engine.counters().cancelled == 0 {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let is_cancelled = tokio::time::timeout(READY_LIMIT, cancelled).await.is_ok();
-    assert!(is_cancelled);
+    assert!(has_cancelled(engine, 1).await);
     assert_eq!(engine.in_flight(), 0);
     let outcome = Caller::new().chat(addr, &Chat::new("still there?")).await;
     assert!(outcome.answer().is_some(), "{outcome:?}");
@@ -222,22 +229,14 @@
 async fn callers_that_leave_a_stream_take_no_places_with_them() {
     let (site, addr) = site().await;
     let engine = &site.models[0].engine;
-    let body =
-        r#"{"model":"lm","messages":[{"content":"hi"}],"max_tokens":10000000,"stream":true}"#;
     for left in 1..=LEAVING_CALLERS {
         let mut stream = TcpStream::connect(addr).await.unwrap();
-        let request = chat_with(HEAD, body);
+        let request = chat_with(HEAD, ENDLESS_CHAT);
         stream.write_all(request.as_bytes()).await.unwrap();
         let answered = tokio::time::timeout(READY_LIMIT, stream.read_u8()).await;
         assert!(answered.is_ok_and(|read| read.is_ok()), "caller {left}");
         drop(stream);
-        let cancelled = async {
-            while engine.counters().cancelled < left {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        let is_cancelled = tokio::time::timeout(READY_LIMIT, cancelled).await.is_ok();
-        assert!(is_cancelled, "caller {left}");
+        assert!(has_cancelled(engine, left).await, "caller {left}");
     }
     let outcome = Caller::new().chat(addr, &Chat::new("still there?")).await;
     assert!(outcome.answer().is_some(), "{outcome:?}");
