The request core says configuration, as the rest of the project does

dispatch called what operators declare by the word of the platform's pages, where the product says configuration everywhere else. Type, module, methods, comments and the text of event 204 are renamed; the key of the state dump stays.

--- a/examples/patterns/sim/fleet.rs
+++ b/examples/patterns/sim/fleet.rs
@@ -7,8 +7,8 @@
 
 use limpetloom::delivery::RetryLimit;
 use limpetloom::dispatch::{
-    CallerLimits, Desired, DispatchConfig, Dispatcher, EndpointLoad, EngineModel, Listed, Repeat,
-    Route, Tactics, Target,
+    CallerLimits, Configuration, DispatchConfig, Dispatcher, EndpointLoad, EngineModel, Listed,
+    Repeat, Route, Tactics, Target,
 };
 
 use super::Load;
@@ -78,7 +78,7 @@
         tactics,
         seed,
     });
-    core.set_desired(Arc::new(desired(load.cold_rate)));
+    core.set_configuration(Arc::new(configuration(load.cold_rate)));
     core.set_entries(load.entries as u32);
     core.evacuate(BTreeSet::new());
     for engine in 0..load.engines {
@@ -120,7 +120,7 @@
     }
 }
 
-fn desired(cold_rate: f64) -> Desired {
+fn configuration(cold_rate: f64) -> Configuration {
     let routes = classes().map(|class| Route {
         name: class.name.into(),
         host: "site".into(),
@@ -148,5 +148,5 @@
         header_time: Duration::from_secs(3),
         idle_time: Duration::from_secs(15),
     };
-    Desired::new(1, routes.to_vec(), None, vec![target], limits)
+    Configuration::new(1, routes.to_vec(), None, vec![target], limits)
 }
--- a/src/dispatch/desired.rs
+++ b/src/dispatch/configuration.rs
@@ -91,7 +91,7 @@
 
 /// What operators want in full.
 #[derive(Clone, Debug)]
-pub struct Desired {
+pub struct Configuration {
     /// Version; grows with each change.
     pub version: u64,
     /// Routes of each host name, longest prefix first.
@@ -105,8 +105,8 @@
     pub limits: CallerLimits,
 }
 
-impl Desired {
-    /// Puts a desired state together.
+impl Configuration {
+    /// Puts a configuration together.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -15,7 +15,7 @@
 use crate::delivery::{Attempts, Quarantine, RetryLimit, RetryWindow, Standing};
 use crate::types::{EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
 
-use super::desired::{Customer, Desired, Route};
+use super::configuration::{Configuration, Customer, Route};
 use super::endpoint::{Endpoint, EndpointLoad, Listed};
 use super::fleet::Fleet;
 use super::patterns::{Returns, Tactics, come_back, come_back_later, hold};
@@ -55,8 +55,8 @@
 /// What a refusal was decided by.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Grounds {
-    /// Version of the desired state.
-    pub desired: u64,
+    /// Version of the configuration.
+    pub configuration: u64,
     /// Endpoints that could have run the request, whatever their load.
     pub fitting: usize,
     /// Earliest predicted start among those that were compared.
@@ -81,8 +81,9 @@
 /// Figures of the state, for dumps and metrics.
 #[derive(Clone, Debug, Default, serde::Serialize)]
 pub struct Snapshot {
-    /// Version of the desired state; 0 before the first.
-    pub desired: u64,
+    /// Version of the configuration; 0 before the first.
+    #[serde(rename = "desired")]
+    pub configuration: u64,
     /// Entries that share the fleet.
     pub entries: u32,
     /// Requests under way.
@@ -131,7 +132,7 @@
 pub struct Dispatcher {
     cfg: DispatchConfig,
     rng: SmallRng,
-    desired: Option<Arc<Desired>>,
+    configuration: Option<Arc<Configuration>>,
     fleet: Fleet,
     works: HashMap<TicketId, Work>,
     /// Requests that wait for a place, those that can still be on time first, then by age.
@@ -153,7 +154,7 @@
             rng: SmallRng::seed_from_u64(cfg.seed),
             fleet: Fleet::new(cfg.tactics),
             cfg,
-            desired: None,
+            configuration: None,
             works: HashMap::new(),
             queue: BTreeSet::new(),
             next: 0,
@@ -165,21 +166,21 @@
         }
     }
 
-    /// Takes in a desired state; false when one as new is in force already.
-    pub fn set_desired(&mut self, desired: Arc<Desired>) -> bool {
+    /// Takes in a configuration; false when one as new is in force already.
+    pub fn set_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
         let newer = self
-            .desired
+            .configuration
             .as_ref()
-            .is_none_or(|old| old.version < desired.version);
+            .is_none_or(|old| old.version < configuration.version);
         if newer {
-            self.desired = Some(desired);
+            self.configuration = Some(configuration);
         }
         newer
     }
 
-    /// The desired state in force.
-    pub fn desired(&self) -> Option<&Arc<Desired>> {
-        self.desired.as_ref()
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
     }
 
     /// The endpoints.
@@ -272,14 +273,14 @@
     ///
     /// The refusal when it may not run at all.
     pub fn admit(&mut self, now: Instant, req: &CallerRequest) -> Result<TicketId, Refusal> {
-        let Some(desired) = self.desired.clone() else {
+        let Some(configuration) = self.configuration.clone() else {
             return Err(self.later(Code::NoConfiguration));
         };
-        let route = desired
+        let route = configuration
             .route(&req.host, &req.path)
             .ok_or_else(|| Refusal::new(Code::UnknownRoute))?
             .clone();
-        let customer = customer(&desired, &route, req)?;
+        let customer = customer(&configuration, &route, req)?;
         let fingerprint = digest(req.fingerprint);
         if self.quarantine.standing(&fingerprint) == Standing::Quarantined {
             return Err(self.later(Code::Quarantined));
@@ -389,7 +390,10 @@
             failing: e.health.failing(),
         };
         Snapshot {
-            desired: self.desired.as_ref().map_or(0, |desired| desired.version),
+            configuration: self
+                .configuration
+                .as_ref()
+                .map_or(0, |configuration| configuration.version),
             entries: self.entries,
             requests: self.works.len(),
             waiting: self.queue.len(),
@@ -400,14 +404,17 @@
 }
 
 fn customer(
-    desired: &Desired,
+    configuration: &Configuration,
     route: &Route,
     req: &CallerRequest,
 ) -> Result<Option<Arc<Customer>>, Refusal> {
-    let held = req.key.as_deref().and_then(|key| desired.customer(key));
+    let held = req
+        .key
+        .as_deref()
+        .and_then(|key| configuration.customer(key));
     match held {
         Some(customer) => Ok(Some(customer.clone())),
-        None if route.anonymous || !desired.has_customers => Ok(None),
+        None if route.anonymous || !configuration.has_customers => Ok(None),
         None => Err(Refusal::new(Code::KeyNotHeld)),
     }
 }
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -5,7 +5,7 @@
 
 use crate::codes::Code;
 use crate::delivery::{AttemptRules, Standing};
-use crate::dispatch::desired::Repeat;
+use crate::dispatch::configuration::Repeat;
 use crate::dispatch::patterns::hold;
 use crate::dispatch::work::{End, Running, TicketId};
 use crate::types::{InstanceId, Refusal};
--- a/src/dispatch/dispatcher/place.rs
+++ b/src/dispatch/dispatcher/place.rs
@@ -20,8 +20,8 @@
     /// Places a request that waits, or refuses it when it waits in vain; `None` to wait on.
     pub(super) fn place(&mut self, now: Instant, ticket: TicketId) -> Option<Placing> {
         let work = self.works.get(&ticket)?;
-        let desired = self.desired.as_ref()?;
-        let target = desired.targets.get(&work.target);
+        let configuration = self.configuration.as_ref()?;
+        let target = configuration.targets.get(&work.target);
         let engine = target.and_then(|target| target.engine.as_ref());
         let ask = Ask {
             target: &work.target,
@@ -38,7 +38,7 @@
             .fitting(now, ask, self.cfg.version_grace)
             .collect();
         let mut grounds = Grounds {
-            desired: desired.version,
+            configuration: configuration.version,
             fitting: fitting.len(),
             ..Grounds::default()
         };
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,7 +3,7 @@
 //! [`Dispatcher`] is sans-IO: time, requests, reports and ends of attempts go in, placements come
 //! out. The shell that owns the sockets is [`crate::relay`].
 
-mod desired;
+mod configuration;
 mod dispatcher;
 mod endpoint;
 mod estimate;
@@ -13,7 +13,7 @@
 mod tests;
 mod work;
 
-pub use desired::{CallerLimits, Customer, Desired, Repeat, Route, Target};
+pub use configuration::{CallerLimits, Configuration, Customer, Repeat, Route, Target};
 pub use dispatcher::{DispatchConfig, Dispatcher, EndpointView, Grounds, Placing, Snapshot, Step};
 pub use endpoint::{Endpoint, EndpointLoad, Listed};
 pub use estimate::EngineModel;
--- a/src/dispatch/tests/admission.rs
+++ b/src/dispatch/tests/admission.rs
@@ -17,9 +17,9 @@
 #[test]
 fn an_older_desired_state_takes_nothing_back() {
     let mut core = core(Instant::now());
-    assert!(core.set_desired(Arc::new(desired(5, routes()))));
-    assert!(!core.set_desired(Arc::new(desired(4, Vec::new()))));
-    assert_eq!(core.desired().unwrap().version, 5);
+    assert!(core.set_configuration(Arc::new(configuration(5, routes()))));
+    assert!(!core.set_configuration(Arc::new(configuration(4, Vec::new()))));
+    assert_eq!(core.configuration().unwrap().version, 5);
 }
 
 #[rstest]
@@ -44,15 +44,15 @@
     let now = Instant::now();
     let mut core = core(now);
     assert!(core.admit(now, &request("chat")).is_ok());
-    let mut without = desired(2, routes());
-    without = Desired::new(
+    let mut without = configuration(2, routes());
+    without = Configuration::new(
         2,
         routes(),
         Some(Vec::new()),
         without.targets.values().map(|t| Target::clone(t)).collect(),
         without.limits,
     );
-    core.set_desired(Arc::new(without));
+    core.set_configuration(Arc::new(without));
     assert!(core.admit(now, &request("chat")).is_err());
 }
 
@@ -63,12 +63,16 @@
     deep.name = "deep".into();
     deep.prefix = "/chat/deep/".into();
     all.push(deep);
-    let desired = desired(1, all);
-    let name = |path: &str| desired.route("site.example", path).map(|r| r.name.clone());
+    let configuration = configuration(1, all);
+    let name = |path: &str| {
+        configuration
+            .route("site.example", path)
+            .map(|r| r.name.clone())
+    };
     assert_eq!(name("/chat/deep/x").as_deref(), Some("deep"));
     assert_eq!(name("/chat/x").as_deref(), Some("chat"));
     assert_eq!(name("/chatter"), None);
-    assert!(desired.route("other.example", "/chat/x").is_none());
+    assert!(configuration.route("other.example", "/chat/x").is_none());
 }
 
 #[rstest]
@@ -82,7 +86,7 @@
         if by_route {
             let mut all = routes();
             all[0].regions = vec!["south".into()];
-            core.set_desired(Arc::new(desired(2, all)));
+            core.set_configuration(Arc::new(configuration(2, all)));
         }
         let key = match by_customer {
             true => "key-2",
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -45,7 +45,7 @@
     }
 }
 
-pub fn desired(version: u64, routes: Vec<Route>) -> Desired {
+pub fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
     let customer = |name: &str, regions: Vec<Arc<str>>| Customer {
         id: name.into(),
         priority: None,
@@ -70,7 +70,7 @@
         header_time: ms(3_000),
         idle_time: ms(15_000),
     };
-    Desired::new(
+    Configuration::new(
         version,
         routes,
         Some(customers),
@@ -149,7 +149,7 @@
 /// A core that knows engines 1 and 2 in the north, 3 in the south, and desks 11 and 12.
 pub fn core(now: Instant) -> Dispatcher {
     let mut core = empty();
-    core.set_desired(Arc::new(desired(1, routes())));
+    core.set_configuration(Arc::new(configuration(1, routes())));
     for (id, host, region) in [("e1", 1, "north"), ("e2", 2, "north"), ("e3", 3, "south")] {
         core.list(now, listed(id, "engines", host, region));
     }
--- a/src/dispatch/tests/fuzz.rs
+++ b/src/dispatch/tests/fuzz.rs
@@ -78,7 +78,7 @@
     LeavesUntold,
     EvacuationsUntold,
     VersionsUntold,
-    /// Desired states are told without the rule that older ones are dropped.
+    /// Configurations are told without the rule that older ones are dropped.
     OlderStates,
 }
 
@@ -104,7 +104,7 @@
     /// Version of each engine, as its last report said.
     versions: [u64; 3],
     named: BTreeMap<u64, Instant>,
-    desired: u64,
+    configuration: u64,
     /// Requests and repeats of the desk and of the engines.
     counts: [(u32, u32); 2],
 }
@@ -124,7 +124,7 @@
             evacuated: false,
             versions: [1; 3],
             named: BTreeMap::new(),
-            desired: 1,
+            configuration: 1,
             counts: [(0, 0); 2],
         }
         .joined()
@@ -190,17 +190,25 @@
                 }
             }
             Op::Declare(version) => {
-                if self.planted == Planted::OlderStates && *version < self.desired {
-                    let older = Arc::new(desired(*version, routes()));
+                if self.planted == Planted::OlderStates && *version < self.configuration {
+                    let older = Arc::new(configuration(*version, routes()));
                     // A core that starts again from a stale copy.
                     self.core = core(self.now);
-                    self.core.set_desired(older);
+                    self.core.set_configuration(older);
                 } else {
-                    self.core.set_desired(Arc::new(desired(*version, routes())));
+                    self.core
+                        .set_configuration(Arc::new(configuration(*version, routes())));
                 }
-                self.desired = self.desired.max(*version);
-                let in_force = self.core.desired().map(|desired| desired.version);
-                prop_assert_eq!(in_force, Some(self.desired), "an older state is in force");
+                self.configuration = self.configuration.max(*version);
+                let in_force = self
+                    .core
+                    .configuration()
+                    .map(|configuration| configuration.version);
+                prop_assert_eq!(
+                    in_force,
+                    Some(self.configuration),
+                    "an older state is in force"
+                );
             }
         }
         self.pump()
--- a/src/dispatch/tests/overload.rs
+++ b/src/dispatch/tests/overload.rs
@@ -24,7 +24,7 @@
     assert_eq!(core.wake(), Some(now + ms(200)));
     match next(&mut core, now + ms(200), ticket) {
         Some(Placing::Refuse(refusal, grounds)) => {
-            assert_eq!((grounds.desired, grounds.fitting), (1, 3));
+            assert_eq!((grounds.configuration, grounds.fitting), (1, 3));
             assert!(grounds.best > grounds.room);
             assert_eq!(refusal.code, Code::DeadlineUnreachable);
             assert!(refusal.retry_after.is_some());
--- a/src/dispatch/work.rs
+++ b/src/dispatch/work.rs
@@ -7,7 +7,7 @@
 use crate::delivery::Attempts;
 use crate::types::{CustomerId, EndpointId, TargetId};
 
-use super::desired::{Customer, Route};
+use super::configuration::{Customer, Route};
 
 /// Number of a request within this process.
 pub type TicketId = u64;
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -26,7 +26,7 @@
 /// Silence before the first event after which a stream is tried elsewhere, as a multiple of the
 /// goal; callers leave after about six goals.
 const SILENT_GOALS: f64 = 4.5;
-/// Bounds on a body until a desired state is known.
+/// Bounds on a body until a configuration is known.
 const FIRST_LIMITS: BodyLimits = BodyLimits {
     bytes: 4 << 20,
     timeout: Duration::from_secs(3),
@@ -175,9 +175,9 @@
         };
         let limits = self
             .core()
-            .desired()
-            .map_or(FIRST_LIMITS, |desired| BodyLimits {
-                bytes: desired.limits.body_bytes,
+            .configuration()
+            .map_or(FIRST_LIMITS, |configuration| BodyLimits {
+                bytes: configuration.limits.body_bytes,
                 timeout: FIRST_LIMITS.timeout,
             });
         let name = caller.req.name.clone();
@@ -396,9 +396,12 @@
         route: &str,
         refusal: &Refusal,
     ) -> Response<AnswerBody> {
-        let desired = self.core().desired().map_or(0, |desired| desired.version);
+        let configuration = self
+            .core()
+            .configuration()
+            .map_or(0, |configuration| configuration.version);
         let grounds = Grounds {
-            desired,
+            configuration,
             ..Grounds::default()
         };
         self.refuse_for(arrived, name, route, refusal, grounds)
@@ -421,7 +424,7 @@
             code: refusal.code.number(),
             not_run: refusal.code.run_state() == RunState::NotRun,
             retry_after_ms: refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
-            config: grounds.desired,
+            config: grounds.configuration,
             fitting: grounds.fitting,
             best_ms: grounds.best.map_or(-1, |best| best.as_millis() as i64),
             room_ms: grounds.room.map_or(-1, |room| room.as_millis() as i64),
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -23,7 +23,7 @@
     StoreBack = 202,
     /// process is isolated and refuses new work
     Isolated = 203,
-    /// a desired state can not be read and is set aside
+    /// a configuration can not be read and is set aside
     ConfigRefused = 204,
     /// the zones that get no work changed
     ZonesEvacuated = 205,
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -92,7 +92,7 @@
         site
     }
 
-    /// Starts everything, with the first desired state in force, and waits until engines serve.
+    /// Starts everything, with the first configuration in force, and waits until engines serve.
     pub async fn serving(network: u8, engines: u8) -> Self {
         let mut site = Self::start(network, engines);
         site.declare(1, &["key-1"]);
@@ -118,7 +118,7 @@
         }
     }
 
-    /// Writes a desired state.
+    /// Writes a configuration.
     pub fn declare(&self, version: u64, keys: &[&str]) {
         let route = |name: &str, kind: &str, service: &str| {
             json!({
