Log callers that leave before their answer starts, and chunks that arrive slowly

Needed for the incident on GONE: a caller that left before the first event ended its handler without a line, and chunk times were only in histograms over the life of a process, so that a late departure, a full link and an endpoint that ignores a close could not be told apart.

Event 406 names the endpoint and the age of the running attempt, its number and the time since the request came; such requests and attempts are counted as "caller gone".

--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -7,7 +7,7 @@
 use crate::delivery::{AttemptRules, QuarantineStatus};
 use crate::dispatch::configuration::Repeat;
 use crate::dispatch::patterns::max_queue_time;
-use crate::dispatch::request::{AttemptOutcome, RunningAttempt, TicketId};
+use crate::dispatch::request::{AttemptOutcome, Departure, RunningAttempt, TicketId};
 use crate::types::{InstanceId, Refusal};
 
 use super::{BrokenAttempt, Dispatcher, NextStep, digest};
@@ -177,11 +177,10 @@
         }
     }
 
-    /// Removes a request; a running attempt ends with [`AttemptOutcome::CallerGone`].
-    pub fn finish(&mut self, now: Instant, ticket: TicketId) {
-        let Some(request) = self.requests.remove(&ticket) else {
-            return;
-        };
+    /// Removes a request; a running attempt ends with [`AttemptOutcome::CallerGone`]. Returns `None`
+    /// when the request has ended before.
+    pub fn finish(&mut self, now: Instant, ticket: TicketId) -> Option<Departure> {
+        let request = self.requests.remove(&ticket)?;
         if request.is_waiting {
             // A request that waits again after a failed attempt is queued with `false`.
             self.queue
@@ -189,15 +188,24 @@
             self.queue
                 .remove(&(false, request.first_attempt_at, ticket));
         }
-        if let Some(running) = request.running {
+        if let Some(running) = &request.running {
             self.record_outcome(
                 now,
-                &running,
+                running,
                 request.prompt_tokens,
                 request.fingerprint,
                 AttemptOutcome::CallerGone,
             );
         }
+        Some(Departure {
+            attempts: request.attempts.sent,
+            running: request.running.map(|running| {
+                (
+                    running.endpoint,
+                    now.saturating_duration_since(running.since),
+                )
+            }),
+        })
     }
 
     /// Handles the crash of an endpoint incarnation: requests whose attempts broke there within
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -21,4 +21,4 @@
 pub use estimate::EngineModel;
 pub use fleet::Fleet;
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
-pub use request::{Assignment, AttemptOutcome, CallerRequest, TicketId};
+pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, TicketId};
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -59,6 +59,16 @@
     TimedOut,
 }
 
+/// State of a request whose caller left before it ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Departure {
+    /// Number of attempts sent.
+    pub attempts: u32,
+    /// Endpoint of the running attempt and the time since it was assigned; `None` while the request
+    /// was waiting for an endpoint.
+    pub running: Option<(EndpointId, Duration)>,
+}
+
 /// Endpoint chosen for one attempt of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Assignment {
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -12,8 +12,8 @@
 
 use crate::codes::{Code, RunState};
 use crate::dispatch::{
-    Assignment, AttemptOutcome, CallerRequest, Decision, DecisionInputs, Dispatcher, NextStep,
-    Route, TicketId,
+    Assignment, AttemptOutcome, CallerRequest, Decision, DecisionInputs, Departure, Dispatcher,
+    NextStep, Route, TicketId,
 };
 use crate::http::{AnswerBody, BodyLimits, full, read_body};
 use crate::log_fields;
@@ -80,21 +80,47 @@
     pub caller_deadline: Instant,
 }
 
-/// Removes a request from the core when dropped, also when its handler is cancelled.
+/// Removes a request from the core when dropped, also when its handler is cancelled because the
+/// caller left.
 pub(super) struct Ticket<D: Dialect> {
     pub relay: Relay<D>,
     pub id: TicketId,
+    pub request_id: Arc<str>,
+    pub route: Arc<Route>,
+    pub arrived: Instant,
 }
 
 impl<D: Dialect> Drop for Ticket<D> {
     fn drop(&mut self) {
-        let now = Instant::now();
-        self.relay.core().finish(now, self.id);
+        let departure = self.relay.core().finish(Instant::now(), self.id);
+        if let Some(departure) = departure {
+            self.record_departure(&departure);
+        }
         self.relay.lock_pending().remove(&self.id);
         self.relay.dispatch_waiting();
     }
 }
 
+impl<D: Dialect> Ticket<D> {
+    /// Logs and counts a caller that left before its answer started.
+    fn record_departure(&self, departure: &Departure) {
+        let metrics = &self.relay.inner.metrics;
+        metrics.count_request(&self.route.name, RequestResult::CallerGone);
+        let running = departure.running.as_ref();
+        if let Some((endpoint, _)) = running {
+            metrics.count_attempt(endpoint, AttemptResult::CallerGone);
+        }
+        log_fields!(Event::CallerLeft, {
+            request: &*self.request_id,
+            route: &*self.route.name,
+            endpoint: running.map_or("", |(endpoint, _)| endpoint),
+            attempt: departure.attempts,
+            attempt_ms: running.map_or(-1, |(_, since)| since.as_millis() as i64),
+            took_ms: self.arrived.elapsed().as_millis() as u64
+        });
+    }
+}
+
 impl<D: Dialect> Relay<D> {
     /// Creates a relay that drives `core`.
     pub fn new(dialect: D, core: Dispatcher, metrics: Metrics) -> Self {
@@ -221,6 +247,9 @@
         let ticket = Ticket {
             relay: self.clone(),
             id,
+            request_id: req.request_id.clone(),
+            route: route.clone(),
+            arrived,
         };
         let caller_deadline = req.timeout.map_or(deadline, |timeout| arrived + timeout);
         let admitted = AdmittedRequest {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -177,11 +177,13 @@
     /// Counts and logs a stream that ends early. The caller sees an incomplete body, because its
     /// sender is dropped without being finished.
     fn abort(&self, outcome: AttemptOutcome) {
+        let relay = &self.ticket.relay;
+        relay.core().finish(Instant::now(), self.ticket.id);
         let result = match outcome {
             AttemptOutcome::CallerGone => RequestResult::CallerGone,
             _ => RequestResult::Refused(crate::Code::AnswerBroken),
         };
-        self.ticket.relay.count_result(&self.admitted, result);
+        relay.count_result(&self.admitted, result);
         log_fields!(Event::StreamCut, {
             request: &*self.admitted.caller.request_id,
             endpoint: &*self.assignment.endpoint,
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -45,6 +45,8 @@
     LinesLeftOut = 404,
     /// the first event of an answer was forwarded to the caller
     StreamStarted = 405,
+    /// the caller left before its answer started
+    CallerLeft = 406,
     /// endpoint changed state
     EndpointState = 500,
     /// endpoint restarted
@@ -77,6 +79,8 @@
     StagedSpoilt = 607,
     /// the download of a version progressed
     VersionProgress = 608,
+    /// a chunk took long to arrive
+    ChunkSlow = 609,
 }
 impl Event {
     /// Level at which the event is logged.
@@ -103,6 +107,7 @@
             Self::StreamCut => log::Level::Warn,
             Self::LinesLeftOut => log::Level::Warn,
             Self::StreamStarted => log::Level::Info,
+            Self::CallerLeft => log::Level::Info,
             Self::EndpointState => log::Level::Info,
             Self::EndpointRestarted => log::Level::Warn,
             Self::RequestSuspected => log::Level::Warn,
@@ -119,6 +124,7 @@
             Self::OrderFailed => log::Level::Warn,
             Self::StagedSpoilt => log::Level::Warn,
             Self::VersionProgress => log::Level::Info,
+            Self::ChunkSlow => log::Level::Info,
         }
     }
 }
--- a/src/weights/driver.rs
+++ b/src/weights/driver.rs
@@ -145,6 +145,7 @@
                 from_origin: matches!(source, Source::Origin(_)),
                 succeeded: result.is_ok(),
                 took,
+                others: self.running_chunk_fetches(),
             });
         }
         if let Some(bytes) = finished.manifest {
@@ -153,6 +154,13 @@
         self.handle(finished.event);
     }
 
+    fn running_chunk_fetches(&self) -> usize {
+        let kinds = self.running.keys().map(|(_, kind)| kind);
+        kinds
+            .filter(|kind| matches!(kind, TaskKind::Chunk(..)))
+            .count()
+    }
+
     fn handle(&mut self, event: WeightsEvent) {
         for action in self.core.handle(Instant::now(), event) {
             self.execute(action);
--- a/src/weights/service.rs
+++ b/src/weights/service.rs
@@ -73,6 +73,8 @@
         succeeded: bool,
         /// Time since the request was sent.
         took: Duration,
+        /// Fetches that run on, over all versions.
+        others: usize,
     },
 }
 
--- a/tests/platform/metrics.rs
+++ b/tests/platform/metrics.rs
@@ -1,5 +1,9 @@
 //! Metrics of the entry and the agents.
 
+use std::time::Duration;
+
+use limpetloom_fakes::site::SiteEngineFaults;
+
 use super::site::Site;
 
 /// Value of the first line that begins with the name and contains all of `labels`.
@@ -45,3 +49,32 @@
         "{text}"
     );
 }
+
+/// Guards against callers that leave without a log line and a count.
+#[tokio::test]
+async fn a_caller_that_leaves_before_its_answer_starts_is_logged_and_counted() {
+    let site = Site::start_serving(147, 1).await;
+    site.engines[0].set_faults(SiteEngineFaults {
+        silent_after: Some(0),
+        ..Default::default()
+    });
+    let call = site.call_with_id("chat", "impatient");
+    // Shorter than the time after which the entry gives up the attempt.
+    let left = tokio::time::timeout(Duration::from_millis(200), call).await;
+    assert!(left.is_err(), "the answer started");
+    let is_departure = |line: &str| line.contains("\"event\":406") && line.contains("impatient");
+    site.wait_until(|site| site.entry_log().lines().any(is_departure))
+        .await;
+    let log = site.entry_log();
+    let line = log.lines().find(|line| is_departure(line)).unwrap();
+    let fields: serde_json::Value = serde_json::from_str(line).unwrap();
+    assert_eq!(
+        (&fields["endpoint"], &fields["attempt"]),
+        (&"engine-0".into(), &1.into()),
+        "{line}"
+    );
+    let labels = ["endpoint=\"engine-0\"", "result=\"caller gone\""];
+    let text = site.entry_metrics().await;
+    let count = metric_value(&text, "attempts_total", &labels);
+    assert_eq!(count, Some(1.0), "{text}");
+}
