--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -1,5 +1,6 @@
 //! Weight distribution under faults of hosts, origin and network.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -8,6 +9,10 @@
 use crate::telemetry::Event;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Time of a chunk of 24 KiB on a link of 0.9 Mbit/s.
+const NARROW_CHUNK_TIME: Duration = Duration::from_millis(216);
+/// Time within which the cancellation of a request has to reach its endpoint.
+const MAX_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
 #[rstest]
 #[case::one_region(16, 1)]
@@ -325,3 +330,25 @@
     assert_eq!(fleet.chunk_count(0, "v2"), CHUNKS as usize);
     assert_eq!(fleet.chunk_count(0, "v3"), CHUNKS as usize);
 }
+
+/// Guards against chunks that fill a narrow link, so that requests and their cancellations reach
+/// the engine there seconds late and it works for callers that have left.
+#[rstest]
+#[case::narrow_from_the_start(0)]
+#[case::narrowed_during_the_transfer(60)]
+fn chunks_leave_room_for_requests_on_a_narrow_link(#[case] narrow_after_ms: u64) {
+    const NARROW: usize = 5;
+    let mut fleet = Fleet::with_shared_origin_download(16, 2);
+    fleet.want_everywhere(&wanted("m", "v1"));
+    fleet.run_for(Duration::from_millis(narrow_after_ms));
+    fleet.link_chunk_time = BTreeMap::from([(NARROW, NARROW_CHUNK_TIME)]);
+    // The chunks that were requested before the link became narrow are still to come.
+    fleet.run_for(Duration::from_secs(3));
+    let mut longest_wait = Duration::ZERO;
+    for _ in 0..1_500 {
+        fleet.run_for(Duration::from_millis(10));
+        longest_wait = longest_wait.max(fleet.link_wait(NARROW));
+    }
+    assert!(longest_wait <= MAX_REQUEST_WAIT, "{longest_wait:?}");
+    assert_eq!(fleet.chunk_count(NARROW, "v1"), CHUNKS as usize);
+}
--- a/src/weights/tests/fleet.rs
+++ b/src/weights/tests/fleet.rs
@@ -15,6 +15,7 @@
 const CHUNK_BYTES: u64 = 100;
 const DELAY: Duration = Duration::from_millis(10);
 const TICK: Duration = Duration::from_millis(250);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A simulated host.
 pub struct Node {
@@ -23,6 +24,8 @@
     pub have: BTreeMap<Digest, BTreeSet<u32>>,
     pub held: BTreeSet<Digest>,
     pub corrupt_chunks: u32,
+    /// Time at which the last chunk on the host's link arrives.
+    link_free_at: Instant,
 }
 
 /// All simulated hosts, the origin and the active faults.
@@ -49,6 +52,9 @@
     pub corrupting_host: Option<usize>,
     pub stalled_host: Option<usize>,
     pub is_partitioned: bool,
+    /// Time that the link of a host takes to carry one chunk to it; hosts that are not listed have
+    /// a link without a limit.
+    pub link_chunk_time: BTreeMap<usize, Duration>,
     pub logged: Vec<Event>,
 }
 
@@ -80,6 +86,7 @@
             corrupting_host: None,
             stalled_host: None,
             is_partitioned: false,
+            link_chunk_time: BTreeMap::new(),
             logged: Vec::new(),
         };
         (0..hosts).for_each(|host| fleet.start(host));
@@ -102,6 +109,7 @@
     pub fn start(&mut self, host: usize) {
         let mut cfg = WeightsConfig::new(self.peer(host), vec![self.peer(0).addr]);
         cfg.takeover_delay = Duration::from_secs(2);
+        cfg.fetch_timeout = FETCH_TIMEOUT;
         cfg.max_chunk_memory = self.max_chunk_memory;
         cfg.share_origin_download = self.share_origin_download;
         cfg.max_versions = self.max_versions;
@@ -112,6 +120,7 @@
             have: BTreeMap::new(),
             held: BTreeSet::new(),
             corrupt_chunks: 0,
+            link_free_at: self.now,
         });
         let peers = (0..self.nodes.len()).map(|host| self.peer(host)).collect();
         self.deliver(host, WeightsEvent::PeersListed(peers));
@@ -190,6 +199,14 @@
         held.flatten().collect::<BTreeSet<_>>().len()
     }
 
+    /// Time for which a packet that is sent to a host now waits behind the chunks on its link.
+    pub fn link_wait(&self, host: usize) -> Duration {
+        let node = self.nodes[host].as_ref();
+        node.map_or(Duration::ZERO, |node| {
+            node.link_free_at.saturating_duration_since(self.now)
+        })
+    }
+
     pub fn core_memory(&self, host: usize) -> usize {
         self.nodes[host]
             .as_ref()
@@ -333,16 +350,17 @@
                 self.fetch_chunk_from_peer(host, peer.parse().unwrap(), &version, index)
             }
         };
+        let (result, delay) = match result {
+            Ok(_) => self.carry_chunk(host),
+            Err(FetchError::TimedOut) => (result, FETCH_TIMEOUT),
+            Err(_) => (result, DELAY),
+        };
         if result.is_ok()
             && let Some(node) = &mut self.nodes[host]
             && let Some(chunks) = node.have.get_mut(&version)
         {
             chunks.insert(index);
         }
-        let delay = match result {
-            Err(FetchError::TimedOut) => Duration::from_secs(5),
-            _ => DELAY,
-        };
         let event = WeightsEvent::ChunkFetchDone {
             version,
             index,
@@ -353,6 +371,22 @@
         self.schedule(host, delay, event);
     }
 
+    /// Puts a chunk on the link of a host; returns the result of its fetch and the time until then.
+    /// A chunk that arrives after the timeout occupies the link all the same.
+    fn carry_chunk(&mut self, host: usize) -> (Result<Duration, FetchError>, Duration) {
+        let chunk_time = self.link_chunk_time.get(&host).copied().unwrap_or_default();
+        let sent_at = self.now + DELAY;
+        let Some(node) = &mut self.nodes[host] else {
+            return (Err(FetchError::Unreachable), DELAY);
+        };
+        node.link_free_at = node.link_free_at.max(sent_at) + chunk_time;
+        let took = node.link_free_at - self.now;
+        match took <= FETCH_TIMEOUT {
+            true => (Ok(took), took),
+            false => (Err(FetchError::TimedOut), FETCH_TIMEOUT),
+        }
+    }
+
     fn fetch_chunk_from_peer(
         &mut self,
         host: usize,
