Bound the chunks on the way to a host by what its link carries

Cause: an agent kept 8 chunks of 24 KiB on their way whatever its link carried. On a link that had fallen from 7.3 to 0.91 Mbit/s that is 1.7 s of queue and more, since chunks that reached the timeout of 2 s were fetched again. Requests to the engine there, and the closes of abandoned ones, waited in the same queue: an attempt reached the engine 2.2 s after it was sent, and its close more than 0.5 s after the caller had left. The class: a bound worked out from a declared rate, without feedback from the link.

Why the fix works: the number of fetches follows the chunk times. It grows with quick chunks and shrinks in proportion once chunks in a row take longer than 250 ms and none is quick, down to one, so a request waits behind one chunk or two. Slow senders do not shrink it, and stalled ones do not occupy it.

--- a/src/weights/core/config.rs
+++ b/src/weights/core/config.rs
@@ -8,6 +8,10 @@
 use crate::weights::peers::Peer;
 use crate::weights::staging::Staging;
 
+/// Default of [`WeightsConfig::max_link_wait`]: half of the time within which the cancellation of a
+/// request has to take effect at its endpoint.
+const MAX_LINK_WAIT: Duration = Duration::from_millis(250);
+
 /// Settings of weight transfer on one host.
 #[derive(Clone, Debug)]
 pub struct WeightsConfig {
@@ -37,6 +41,9 @@
     pub max_downloads_per_peer: usize,
     /// Maximum number of chunks downloaded from the origin at once.
     pub max_origin_downloads: usize,
+    /// Longest wait on the host's link that chunks may cause to other traffic. Fewer chunks are
+    /// fetched at once while it is exceeded, but at least one.
+    pub max_link_wait: Duration,
     /// Maximum number of chunks sent to peers at once.
     pub max_uploads: usize,
     /// Minimum time between two announcements to one peer.
@@ -74,6 +81,7 @@
             max_downloads: 12,
             max_downloads_per_peer: 3,
             max_origin_downloads: 1,
+            max_link_wait: MAX_LINK_WAIT,
             max_uploads: 4,
             announce_interval: Duration::from_millis(500),
             takeover_delay: Duration::from_secs(5),
--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -118,7 +118,7 @@
         version: &Digest,
         out: &mut Vec<WeightsAction>,
     ) {
-        while self.origin_downloads < self.cfg.max_origin_downloads {
+        while self.origin_downloads < self.cfg.max_origin_downloads && self.link_admits_fetch(now) {
             let Some(transfer) = self.transfers.get_mut(version).filter(|t| t.is_ready()) else {
                 return;
             };
@@ -137,10 +137,21 @@
                 started_at: now,
                 uses_origin_slot: true,
             };
-            self.start_fetch(version, index, fetch, addr, out);
+            self.start_fetch(now, version, index, fetch, addr, out);
         }
     }
 
+    /// Returns whether the host's link has room for another chunk.
+    fn link_admits_fetch(&self, now: Instant) -> bool {
+        let started = self.running_fetches().map(|fetch| fetch.started_at);
+        self.window.admits(now, started)
+    }
+
+    fn running_fetches(&self) -> impl Iterator<Item = &ActiveFetch> {
+        let transfers = self.transfers.values();
+        transfers.flat_map(|transfer| transfer.in_flight.values().flatten())
+    }
+
     /// Selects a missing chunk that no fast peer holds and that this host may download now, by its
     /// rank for the chunk.
     fn next_origin_chunk(
@@ -208,7 +219,7 @@
             now,
             max_fetches_per_peer: self.cfg.max_downloads_per_peer,
         };
-        while self.downloads < self.cfg.max_downloads {
+        while self.downloads < self.cfg.max_downloads && self.link_admits_fetch(now) {
             let Some(transfer) = self.transfers.get(version).filter(|t| t.is_ready()) else {
                 return;
             };
@@ -239,7 +250,7 @@
             started_at: now,
             uses_origin_slot: false,
         };
-        self.start_fetch(version, index, fetch, addr, out);
+        self.start_fetch(now, version, index, fetch, addr, out);
     }
 
     /// Fetches from other regions the chunks that this host owns within its region, and those whose
@@ -262,7 +273,7 @@
             return;
         }
         self.announce_to_remote_peers(now, version, out);
-        while self.downloads < self.cfg.max_downloads {
+        while self.downloads < self.cfg.max_downloads && self.link_admits_fetch(now) {
             let Some((index, host, addr)) = self.next_cross_region_chunk(now, version) else {
                 return;
             };
@@ -305,15 +316,18 @@
 
     fn start_fetch(
         &mut self,
+        now: Instant,
         version: &Digest,
         index: u32,
         fetch: ActiveFetch,
         addr: SocketAddr,
         out: &mut Vec<WeightsAction>,
     ) {
+        let running = self.running_fetches().count();
         let Some(transfer) = self.transfers.get_mut(version) else {
             return;
         };
+        self.window.fetch_started(now, running);
         let source = fetch.source.clone();
         transfer.in_flight.entry(index).or_default().push(fetch);
         out.push(WeightsAction::FetchChunk {
@@ -337,6 +351,11 @@
             .and_then(|transfer| transfer.end_fetch(finished.index, &finished.source));
         let Some(fetch) = fetch else { return };
         self.release_download_slot(&fetch);
+        match finished.result {
+            Ok(took) => self.window.chunk_arrived(now, fetch.started_at, took),
+            Err(FetchError::TimedOut) => self.window.fetch_timed_out(now, self.cfg.fetch_timeout),
+            Err(_) => {}
+        }
         if let (Source::Peer(host), Some(have)) = (&finished.source, finished.have)
             && let Some(transfer) = self.transfers.get_mut(version)
         {
--- a/src/weights/core/mod.rs
+++ b/src/weights/core/mod.rs
@@ -9,6 +9,7 @@
 mod announcements;
 mod chunk_selection;
 mod config;
+pub(super) mod download_window;
 mod event;
 mod fetch;
 mod peer_stats;
@@ -30,6 +31,7 @@
 pub use event::{Have, Source, WantedVersion, WeightsEvent};
 
 use chunk_selection::StatsByHost;
+use download_window::DownloadWindow;
 use peer_stats::PeerStats;
 use transfer::Transfer;
 
@@ -49,6 +51,8 @@
     downloads: usize,
     /// Running fetches that use a download slot for origins.
     origin_downloads: usize,
+    /// Bound on the running fetches of both kinds, by what the host's link carries.
+    window: DownloadWindow,
 }
 
 impl WeightsCore {
@@ -56,6 +60,10 @@
     pub fn new(cfg: WeightsConfig, seed: u64) -> Self {
         Self {
             listed_hosts: vec![cfg.own.clone()],
+            window: DownloadWindow::new(
+                cfg.max_downloads + cfg.max_origin_downloads,
+                cfg.max_link_wait,
+            ),
             cfg,
             rng: SmallRng::seed_from_u64(seed),
             peer_stats: StatsByHost::new(),
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -5,14 +5,10 @@
 
 use rstest::rstest;
 
-use super::fleet::{CHUNKS, Fleet, wanted};
+use super::fleet::{CHUNKS, Fleet, MAX_REQUEST_WAIT, NARROW_CHUNK_TIME, wanted};
 use crate::telemetry::Event;
 
 const SECOND: Duration = Duration::from_secs(1);
-/// Time of a chunk of 24 KiB on a link of 0.9 Mbit/s.
-const NARROW_CHUNK_TIME: Duration = Duration::from_millis(216);
-/// Time within which the cancellation of a request has to reach its endpoint.
-const MAX_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
 #[rstest]
 #[case::one_region(16, 1)]
@@ -343,12 +339,8 @@
     fleet.run_for(Duration::from_millis(narrow_after_ms));
     fleet.link_chunk_time = BTreeMap::from([(NARROW, NARROW_CHUNK_TIME)]);
     // The chunks that were requested before the link became narrow are still to come.
-    fleet.run_for(Duration::from_secs(3));
-    let mut longest_wait = Duration::ZERO;
-    for _ in 0..1_500 {
-        fleet.run_for(Duration::from_millis(10));
-        longest_wait = longest_wait.max(fleet.link_wait(NARROW));
-    }
+    fleet.run_for(3 * SECOND);
+    let longest_wait = fleet.longest_link_wait(NARROW, 15 * SECOND);
     assert!(longest_wait <= MAX_REQUEST_WAIT, "{longest_wait:?}");
     assert_eq!(fleet.chunk_count(NARROW, "v1"), CHUNKS as usize);
 }
--- a/src/weights/tests/fleet.rs
+++ b/src/weights/tests/fleet.rs
@@ -15,6 +15,10 @@
 const CHUNK_BYTES: u64 = 100;
 const DELAY: Duration = Duration::from_millis(10);
 const TICK: Duration = Duration::from_millis(250);
+/// Time of a chunk of 24 KiB on a link of 0.9 Mbit/s.
+pub const NARROW_CHUNK_TIME: Duration = Duration::from_millis(216);
+/// Time within which the cancellation of a request has to reach its endpoint.
+pub const MAX_REQUEST_WAIT: Duration = Duration::from_millis(500);
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A simulated host.
@@ -38,6 +42,8 @@
     max_chunk_memory: u64,
     /// Versions kept at most by hosts that are started afterwards.
     pub max_versions: usize,
+    /// Longest wait on a link that hosts that are started afterwards allow their chunks to cause.
+    pub max_link_wait: Duration,
     /// True when all regions share one download from the origin.
     pub share_origin_download: bool,
     pub origin_up: bool,
@@ -78,6 +84,7 @@
             max_chunk_memory: u64::MAX,
             share_origin_download: false,
             max_versions: usize::MAX,
+            max_link_wait: MAX_REQUEST_WAIT / 2,
             origin_up: true,
             origin_manifest_changed: false,
             origin_chunks: 0,
@@ -110,6 +117,7 @@
         let mut cfg = WeightsConfig::new(self.peer(host), vec![self.peer(0).addr]);
         cfg.takeover_delay = Duration::from_secs(2);
         cfg.fetch_timeout = FETCH_TIMEOUT;
+        cfg.max_link_wait = self.max_link_wait;
         cfg.max_chunk_memory = self.max_chunk_memory;
         cfg.share_origin_download = self.share_origin_download;
         cfg.max_versions = self.max_versions;
@@ -199,8 +207,19 @@
         held.flatten().collect::<BTreeSet<_>>().len()
     }
 
+    /// Runs for a time; returns the longest wait of a packet to a host meanwhile.
+    pub fn longest_link_wait(&mut self, host: usize, time: Duration) -> Duration {
+        let end = self.now + time;
+        let mut longest = Duration::ZERO;
+        while self.now < end {
+            self.run_for(DELAY);
+            longest = longest.max(self.link_wait(host));
+        }
+        longest
+    }
+
     /// Time for which a packet that is sent to a host now waits behind the chunks on its link.
-    pub fn link_wait(&self, host: usize) -> Duration {
+    fn link_wait(&self, host: usize) -> Duration {
         let node = self.nodes[host].as_ref();
         node.map_or(Duration::ZERO, |node| {
             node.link_free_at.saturating_duration_since(self.now)
--- a/src/weights/tests/fuzz.rs
+++ b/src/weights/tests/fuzz.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::{TestCaseError, TestError, TestRunner};
 use rstest::rstest;
 
-use super::fleet::{CHUNKS, Fleet, wanted};
+use super::fleet::{CHUNKS, Fleet, MAX_REQUEST_WAIT, NARROW_CHUNK_TIME, wanted};
 
 /// Random histories per test case.
 const CASES: u32 = 48;
@@ -21,6 +21,8 @@
     Partition(bool),
     Stall(Option<usize>),
     Corrupt(Option<usize>),
+    /// The link of a host becomes narrow, or is no longer.
+    Narrow(usize, bool),
     WantVersion(u8),
 }
 
@@ -33,7 +35,8 @@
         1 => any::<bool>().prop_map(Op::Origin),
         1 => any::<bool>().prop_map(Op::Partition),
         1 => proptest::option::of(host.clone()).prop_map(Op::Stall),
-        1 => proptest::option::of(host).prop_map(Op::Corrupt),
+        1 => proptest::option::of(host.clone()).prop_map(Op::Corrupt),
+        1 => (host, any::<bool>()).prop_map(|(host, narrow)| Op::Narrow(host, narrow)),
         2 => (1u8..5).prop_map(Op::WantVersion),
     ]
 }
@@ -46,6 +49,8 @@
     OriginStaysDown,
     /// Hosts that are started do not receive the wanted version.
     RestartsNotInformed,
+    /// Hosts fetch as many chunks on a narrow link as on any other.
+    ChunksFillLinks,
 }
 
 struct History {
@@ -60,6 +65,10 @@
             true => Fleet::with_shared_origin_download(HOSTS, 3),
             false => Fleet::new(HOSTS, 3),
         };
+        if injected == InjectedFault::ChunksFillLinks {
+            fleet.max_link_wait = Duration::from_secs(60);
+            (0..HOSTS).for_each(|host| fleet.start(host));
+        }
         fleet.want_everywhere(&wanted("m", "v1"));
         Self {
             fleet,
@@ -92,6 +101,12 @@
             Op::Partition(active) => self.fleet.is_partitioned = active,
             Op::Stall(host) => self.fleet.stalled_host = host,
             Op::Corrupt(host) => self.fleet.corrupting_host = host,
+            Op::Narrow(host, true) => {
+                self.fleet.link_chunk_time.insert(host, NARROW_CHUNK_TIME);
+            }
+            Op::Narrow(host, false) => {
+                self.fleet.link_chunk_time.remove(&host);
+            }
             Op::WantVersion(version) if version > self.newest => {
                 self.newest = version;
                 let wanted = wanted("m", &self.newest_version());
@@ -105,13 +120,21 @@
         }
     }
 
-    /// Ends all faults, then checks that every host gets all chunks of the newest version.
+    /// Ends all faults but narrow links, then checks that every host gets all chunks of the newest
+    /// version, and that packets to hosts on narrow links do not wait long behind them.
     fn end_faults_and_check(&mut self) -> Result<(), TestCaseError> {
         self.fleet.origin_up = self.injected != InjectedFault::OriginStaysDown;
         self.fleet.is_partitioned = false;
         self.fleet.stalled_host = None;
         self.fleet.corrupting_host = None;
         (0..HOSTS).for_each(|host| self.start(host));
+        // Chunks that were requested before a link became narrow may still be on it.
+        self.fleet.run_for(Duration::from_secs(4));
+        let narrow: Vec<usize> = self.fleet.link_chunk_time.keys().copied().collect();
+        for host in narrow {
+            let wait = self.fleet.longest_link_wait(host, Duration::from_secs(1));
+            prop_assert!(wait <= MAX_REQUEST_WAIT, "a packet waited {:?}", wait);
+        }
         let version = self.newest_version();
         let held = self.fleet.run_until_held(&version);
         prop_assert!(held.is_some(), "not every host holds {}", version);
@@ -152,6 +175,7 @@
 #[rstest]
 #[case::origin_stays_down(InjectedFault::OriginStaysDown)]
 #[case::restarts_not_informed(InjectedFault::RestartsNotInformed)]
+#[case::chunks_fill_links(InjectedFault::ChunksFillLinks)]
 fn an_injected_fault_is_detected(#[case] injected: InjectedFault) {
     assert!(run_random_histories(true, injected).is_err());
 }
