Fetch one more chunk on a silent link only after twice the last chunk's time

The silence now has to last twice as long as the last chunk took. The table of the test had no such case; the new one, slow_chunk, expects 1.2 s where the code admitted a fetch after 0.5.

--- a/src/weights/core/download_window.rs
+++ b/src/weights/core/download_window.rs
@@ -6,8 +6,8 @@
 const INITIAL_SIZE: usize = 2;
 /// Slow chunks in a row that reduce the size.
 const SLOW_RUN: u32 = 2;
-/// Multiple of the longest wait after which a link without arrivals is taken to be idle: the running
-/// fetches wait at their senders.
+/// Multiple of the longest wait, or of the last chunk's time if that is longer, after which a link
+/// without arrivals is taken to be idle: the running fetches wait at their senders.
 const SILENCE_FACTOR: u32 = 2;
 
 /// Limits the chunks that are on their way to this host, so that requests to the engine beside it do
@@ -27,6 +27,8 @@
     slow_run: Option<(u32, Duration)>,
     /// Latest start of a fetch whose chunk has arrived.
     arrived_start: Option<Instant>,
+    /// Time of the last chunk that arrived.
+    last_took: Duration,
     /// Time of the last start, arrival or timeout of a fetch.
     last_event_at: Option<Instant>,
 }
@@ -42,6 +44,7 @@
             size: INITIAL_SIZE.min(max_size),
             slow_run: None,
             arrived_start: None,
+            last_took: Duration::ZERO,
             last_event_at: None,
         }
     }
@@ -57,7 +60,8 @@
                 .is_some_and(|arrived| started_at + self.max_wait < arrived)
         };
         let counted = running.filter(|started_at| !is_overtaken(*started_at));
-        counted.count() < self.size || self.quiet_time(now) >= self.max_wait * SILENCE_FACTOR
+        let silence = self.max_wait.max(self.last_took) * SILENCE_FACTOR;
+        counted.count() < self.size || self.quiet_time(now) >= silence
     }
 
     /// Records the start of a fetch while `running` others run. After a pause what was measured is
@@ -77,6 +81,7 @@
     /// Records that the chunk of a fetch has arrived.
     pub fn chunk_arrived(&mut self, now: Instant, started_at: Instant, took: Duration) {
         self.last_event_at = Some(now);
+        self.last_took = took;
         self.arrived_start = self.arrived_start.max(Some(started_at));
         if took > self.max_wait {
             self.record_slow_chunk(took);
--- a/src/weights/tests/download_window.rs
+++ b/src/weights/tests/download_window.rs
@@ -67,14 +67,23 @@
     assert_eq!(admitted(&window, now, &[start, start]), 2);
 }
 
-#[test]
-fn one_more_fetch_is_admitted_after_each_half_second_without_arrivals() {
-    let mut window = DownloadWindow::new(MAX_SIZE, MAX_WAIT);
+#[rstest]
+#[case::nothing_measured(0, 500)]
+#[case::quick_chunk(27, 500)]
+#[case::slow_chunk(600, 1_200)]
+fn one_more_fetch_is_admitted_at_a_time_while_nothing_arrives(
+    #[case] last_ms: u64,
+    #[case] silence_ms: u64,
+) {
+    let mut window = DownloadWindow::new(2, MAX_WAIT);
     let start = Instant::now();
+    if last_ms > 0 {
+        window.chunk_arrived(start, start, millis(last_ms));
+    }
     window.fetch_started(start, 0);
     window.fetch_started(start, 1);
-    assert!(!window.admits(start + millis(499), [start; 2].into_iter()));
-    let now = start + millis(500);
+    assert!(!window.admits(start + millis(silence_ms - 1), [start; 2].into_iter()));
+    let now = start + millis(silence_ms);
     assert!(window.admits(now, [start; 2].into_iter()));
     window.fetch_started(now, 2);
     assert!(!window.admits(now, [start, start, now].into_iter()));
