Fixed seeds for the random tests of the core modules

The seed is fixed now; LIMPETLOOM_FUZZ_SEED and LIMPETLOOM_FUZZ_CASES override it and the number of cases, as for the fuzzing of the whole product.

--- a/src/dispatch/tests/fuzz.rs
+++ b/src/dispatch/tests/fuzz.rs
@@ -14,6 +14,7 @@
 use super::fixture::*;
 use crate::codes::RunState;
 use crate::dispatch::*;
+use crate::fuzz_config::fuzz_config;
 
 /// Number of generated sequences per run.
 const CASES: u32 = 256;
@@ -378,12 +379,7 @@
 }
 
 fn run_sequences(fault: InjectedFault) -> Result<(), TestError<Vec<Op>>> {
-    let config = ProptestConfig {
-        cases: CASES,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let mut runner = TestRunner::new(config);
+    let mut runner = TestRunner::new(fuzz_config(CASES));
     runner.run(&proptest::collection::vec(op(), 1..250), |ops| {
         let mut world = World::new(fault);
         ops.iter().try_for_each(|op| world.run(op))?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod delivery;
 pub mod dispatch;
 pub mod entry;
+#[cfg(test)]
+mod fuzz_config;
 pub mod heartbeat;
 pub mod http;
 pub mod membership;
--- a/src/weights/tests/fuzz.rs
+++ b/src/weights/tests/fuzz.rs
@@ -6,6 +6,8 @@
 use proptest::test_runner::{TestCaseError, TestError, TestRunner};
 use rstest::rstest;
 
+use crate::fuzz_config::fuzz_config;
+
 use super::fleet::{CHUNKS, Fleet, MAX_REQUEST_WAIT, NARROW_CHUNK_TIME, wanted};
 
 /// Random histories per test case.
@@ -150,10 +152,8 @@
     injected: InjectedFault,
 ) -> Result<(), TestError<Vec<Op>>> {
     let config = ProptestConfig {
-        cases: CASES,
-        failure_persistence: None,
         max_shrink_iters: 0,
-        ..ProptestConfig::default()
+        ..fuzz_config(CASES)
     };
     let mut runner = TestRunner::new(config);
     runner.run(&proptest::collection::vec(op(), 1..40), |ops| {
