--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -10,10 +10,10 @@
 use hyper::{HeaderMap, Request, Response};
 use tokio::sync::{Notify, oneshot};
 
-use crate::codes::{Code, RunState};
+use crate::codes::Code;
 use crate::dispatch::{
-    Assignment, AttemptOutcome, CallerRequest, Decision, DecisionInputs, Departure, Dispatcher,
-    NextStep, Route, TicketId,
+    Assignment, AttemptOutcome, CallerRequest, Decision, DecisionInputs, Dispatcher, NextStep,
+    Route, TicketId,
 };
 use crate::http::{AnswerBody, BodyLimits, full, read_body};
 use crate::log_fields;
@@ -23,6 +23,7 @@
 use super::answer::{OpenedAnswer, OutgoingRequest, read_full_body, send_attempt};
 use super::dialect::{Dialect, RequestHead, ResumePoint};
 use super::stream;
+use super::ticket::Ticket;
 
 /// Time without the start of an answer after which another endpoint is tried, as a multiple of the
 /// route's start goal. Callers disconnect after about six times the goal.
@@ -80,47 +81,6 @@
     pub caller_deadline: Instant,
 }
 
-/// Removes a request from the core when dropped, also when its handler is cancelled because the
-/// caller left.
-pub(super) struct Ticket<D: Dialect> {
-    pub relay: Relay<D>,
-    pub id: TicketId,
-    pub request_id: Arc<str>,
-    pub route: Arc<Route>,
-    pub arrived: Instant,
-}
-
-impl<D: Dialect> Drop for Ticket<D> {
-    fn drop(&mut self) {
-        let departure = self.relay.core().finish(Instant::now(), self.id);
-        if let Some(departure) = departure {
-            self.record_departure(&departure);
-        }
-        self.relay.lock_pending().remove(&self.id);
-        self.relay.dispatch_waiting();
-    }
-}
-
-impl<D: Dialect> Ticket<D> {
-    /// Logs and counts a caller that left before its answer started.
-    fn record_departure(&self, departure: &Departure) {
-        let metrics = &self.relay.inner.metrics;
-        metrics.count_request(&self.route.name, RequestResult::CallerGone);
-        let running = departure.running.as_ref();
-        if let Some((endpoint, _)) = running {
-            metrics.count_attempt(endpoint, AttemptResult::CallerGone);
-        }
-        log_fields!(Event::CallerLeft, {
-            request: &*self.request_id,
-            route: &*self.route.name,
-            endpoint: running.map_or("", |(endpoint, _)| endpoint),
-            attempt: departure.attempts,
-            attempt_ms: running.map_or(-1, |(_, since)| since.as_millis() as i64),
-            took_ms: self.arrived.elapsed().as_millis() as u64
-        });
-    }
-}
-
 impl<D: Dialect> Relay<D> {
     /// Creates a relay that drives `core`.
     pub fn new(dialect: D, core: Dispatcher, metrics: Metrics) -> Self {
@@ -156,6 +116,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Discards the decision on a request that has ended.
+    pub(super) fn discard_decision(&self, id: TicketId) {
+        self.lock_pending().remove(&id);
+    }
+
     /// Lets the core decide on waiting requests and delivers the decisions to the requests' tasks.
     pub fn dispatch_waiting(&self) {
         let decisions = self.core().dispatch_waiting(Instant::now());
@@ -457,52 +422,6 @@
             took_ms: admitted.arrived.elapsed().as_millis() as u64
         });
     }
-
-    /// Answers with a refusal for which the core gave no decision inputs.
-    pub(super) fn refuse(
-        &self,
-        arrived: Instant,
-        request_id: Option<&Arc<str>>,
-        route: &str,
-        refusal: &Refusal,
-    ) -> Response<AnswerBody> {
-        let configuration = self
-            .core()
-            .configuration()
-            .map_or(0, |configuration| configuration.version);
-        let inputs = DecisionInputs {
-            configuration,
-            ..DecisionInputs::default()
-        };
-        self.refuse_with_inputs(arrived, request_id, route, refusal, inputs)
-    }
-
-    /// Answers with a refusal and logs the inputs of the decision.
-    fn refuse_with_inputs(
-        &self,
-        arrived: Instant,
-        request_id: Option<&Arc<str>>,
-        route: &str,
-        refusal: &Refusal,
-        inputs: DecisionInputs,
-    ) -> Response<AnswerBody> {
-        let result = RequestResult::Refused(refusal.code);
-        self.inner.metrics.count_request(route, result);
-        log_fields!(Event::RequestRefused, {
-            request: request_id.map_or("", |id| id),
-            route: route,
-            code: refusal.code.number(),
-            not_run: refusal.code.run_state() == RunState::NotRun,
-            retry_after_ms: refusal.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
-            config: inputs.configuration,
-            fitting: inputs.eligible,
-            best_ms: inputs.predicted_start.map_or(-1, |start| start.as_millis() as i64),
-            room_ms: inputs.start_budget.map_or(-1, |budget| budget.as_millis() as i64),
-            asking_for_ms: inputs.since_first_attempt.as_millis() as u64,
-            held_ms: arrived.elapsed().as_millis() as u64
-        });
-        self.inner.dialect.refusal_response(request_id, refusal)
-    }
 }
 
 impl From<AttemptOutcome> for AttemptResult {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,9 +8,11 @@
 mod dialect;
 mod events;
 mod handle;
+mod refusal;
 mod stream;
 #[cfg(test)]
 mod tests;
+mod ticket;
 
 pub use dialect::{AnswerHead, Dialect, RequestHead, ResumePoint};
 pub use events::{EventSplitter, StreamEvent};
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,7 +14,8 @@
 use super::answer::OpenedAnswer;
 use super::dialect::{Dialect, ResumePoint};
 use super::events::{EventSplitter, StreamEvent};
-use super::handle::{AdmittedRequest, Relay, Ticket, apply_deadline, next_data};
+use super::handle::{AdmittedRequest, Relay, apply_deadline, next_data};
+use super::ticket::Ticket;
 
 /// Time without an event after which a stream is continued elsewhere, as a multiple of the route's
 /// goal for the gap between events. Callers disconnect after eight times the goal.
--- a/src/weights/core/mod.rs
+++ b/src/weights/core/mod.rs
@@ -12,6 +12,7 @@
 pub(super) mod download_window;
 mod event;
 mod fetch;
+mod manifest_fetch;
 mod peer_stats;
 mod transfer;
 mod versions;
