Log when fewer chunks are fetched at once

The window decides how fast a version arrives, so each reduction gets a line (event 610) with the sizes before and after and the fetch that caused it; the test of a narrow link looks for it.

--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -81,6 +81,8 @@
     VersionProgress = 608,
     /// a chunk took long to arrive
     ChunkSlow = 609,
+    /// fewer chunks are fetched at once, since chunks arrive slowly
+    DownloadsReduced = 610,
 }
 impl Event {
     /// Level at which the event is logged.
@@ -125,6 +127,7 @@
             Self::StagedSpoilt => log::Level::Warn,
             Self::VersionProgress => log::Level::Info,
             Self::ChunkSlow => log::Level::Info,
+            Self::DownloadsReduced => log::Level::Info,
         }
     }
 }
--- a/src/weights/core/download_window.rs
+++ b/src/weights/core/download_window.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Number of chunks that may be on their way.
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
     /// Returns whether another fetch may start, given the start times of the running ones.
     ///
     /// One that was overtaken by a chunk requested much later waits at its sender and not on this
--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -271,11 +271,7 @@
             .and_then(|transfer| transfer.end_fetch(finished.index, &finished.source));
         let Some(fetch) = fetch else { return };
         self.release_download_slot(&fetch);
-        match finished.result {
-            Ok(took) => self.window.chunk_arrived(now, fetch.started_at, took),
-            Err(FetchError::TimedOut) => self.window.fetch_timed_out(now, self.cfg.fetch_timeout),
-            Err(_) => {}
-        }
+        self.adapt_window(now, &fetch, finished.result, out);
         if let (Source::Peer(host), Some(have)) = (&finished.source, finished.have)
             && let Some(transfer) = self.transfers.get_mut(version)
         {
@@ -310,6 +306,33 @@
         }
     }
 
+    /// Adapts the number of fetches to the time of an ended one.
+    fn adapt_window(
+        &mut self,
+        now: Instant,
+        fetch: &ActiveFetch,
+        result: Result<Duration, FetchError>,
+        out: &mut Vec<WeightsAction>,
+    ) {
+        let before = self.window.size();
+        match result {
+            Ok(took) => self.window.chunk_arrived(now, fetch.started_at, took),
+            Err(FetchError::TimedOut) => self.window.fetch_timed_out(now, self.cfg.fetch_timeout),
+            // These say nothing about the link.
+            Err(_) => return,
+        }
+        let after = self.window.size();
+        if after < before {
+            out.push(WeightsAction::Log {
+                event: Event::DownloadsReduced,
+                detail: format!(
+                    "{before} to {after}, after {result:?} from {:?}",
+                    fetch.source
+                ),
+            });
+        }
+    }
+
     /// Records the chunks that were found in the engine's staging area.
     pub(super) fn staging_scanned(
         &mut self,
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -342,5 +342,6 @@
     fleet.run_for(3 * SECOND);
     let longest_wait = fleet.longest_link_wait(NARROW, 15 * SECOND);
     assert!(longest_wait <= MAX_REQUEST_WAIT, "{longest_wait:?}");
+    assert!(fleet.logged.contains(&Event::DownloadsReduced));
     assert_eq!(fleet.chunk_count(NARROW, "v1"), CHUNKS as usize);
 }
