Log the age at which an entry dates a wanted version, and the version an attempt is sent to

Event 207 carries the three, once for each version and again when the time moves by 100 ms or more; events 401 and 402 carry the weight version of the endpoint. No decision changes.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -129,6 +129,7 @@
             since_first_attempt: now.saturating_duration_since(request.first_attempt_at),
             in_system: endpoint.in_system(now, entries),
             load_age: endpoint.load_age(now),
+            version: endpoint.version(request.model.as_deref()),
         };
         endpoint.sent(now, request.prompt_tokens);
         request.is_waiting = false;
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -17,7 +17,7 @@
 
 use super::configuration::{Configuration, Customer, Route};
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
-use super::fleet::Fleet;
+use super::fleet::{Fleet, VersionUpdate};
 use super::patterns::{
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
@@ -183,6 +183,11 @@
         newer
     }
 
+    /// Time after a version became the wanted one from which older ones start no request.
+    pub fn version_grace(&self) -> Duration {
+        self.cfg.version_grace
+    }
+
     /// Configuration in force.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
         self.configuration.as_ref()
@@ -229,13 +234,12 @@
     }
 
     /// Records that a version has been the wanted one of a model since `since`, if that is known.
-    /// Returns true when it is the newest.
     pub fn set_wanted_version(
         &mut self,
         model: &str,
         version: u64,
         since: Option<Instant>,
-    ) -> bool {
+    ) -> VersionUpdate {
         self.fleet.set_wanted_version(model, version, since)
     }
 
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -15,6 +15,21 @@
 /// endpoints are back on the list within two seconds.
 const LEASE_GRACE: Duration = Duration::from_millis(1_700);
 
+/// Least change of the time since which a version is wanted that is reported; reports of that time
+/// differ by their delays on the network.
+const MIN_REPORTED_MOVE: Duration = Duration::from_millis(100);
+
+/// Effect of [`Fleet::set_wanted_version`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct VersionUpdate {
+    /// True when the version is newer than all wanted ones before.
+    pub is_newest: bool,
+    /// Time since which the version is taken to be wanted; `None` when that is not known.
+    pub since: Option<Instant>,
+    /// True when `since` was set for the first time or has changed noticeably.
+    pub is_dated: bool,
+}
+
 /// Endpoints known to an entry, with evacuated zones and wanted weight versions.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -129,21 +144,32 @@
     }
 
     /// Records that a version has been the wanted one of a model since `since`, if that is known.
-    /// Returns true when it is the newest.
     pub fn set_wanted_version(
         &mut self,
         model: &str,
         version: u64,
         since: Option<Instant>,
-    ) -> bool {
+    ) -> VersionUpdate {
         let versions = self.wanted_versions.entry(model.into()).or_default();
         let is_newest = versions
             .keys()
             .next_back()
             .is_none_or(|last| *last < version);
+        let is_new = !versions.contains_key(&version);
         let recorded = versions.entry(version).or_default();
-        *recorded = (*recorded).max(since);
-        is_newest
+        let before = *recorded;
+        *recorded = before.max(since);
+        let is_moved = match (before, *recorded) {
+            (Some(before), Some(after)) => {
+                before.max(after) - before.min(after) >= MIN_REPORTED_MOVE
+            }
+            (before, after) => before != after,
+        };
+        VersionUpdate {
+            is_newest,
+            since: *recorded,
+            is_dated: is_new || is_moved,
+        }
     }
 
     /// Newest wanted version of each model, with the time since which it is wanted.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -19,6 +19,6 @@
 };
 pub use endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 pub use estimate::EngineModel;
-pub use fleet::Fleet;
+pub use fleet::{Fleet, VersionUpdate};
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
 pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, TicketId};
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -90,6 +90,8 @@
     pub in_system: u32,
     /// Age of the endpoint's last load report; `None` when there is no recent one.
     pub load_age: Option<Duration>,
+    /// Weight version that the endpoint is believed to serve; `None` for a plain service.
+    pub version: Option<u64>,
 }
 
 /// State of an admitted request.
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -419,6 +419,7 @@
             asking_for_ms: assignment.since_first_attempt.as_millis() as u64,
             in_system: assignment.in_system,
             load_age_ms: assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
+            version: assignment.version.map_or(-1, |version| version as i64),
             took_ms: admitted.arrived.elapsed().as_millis() as u64
         });
     }
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -29,6 +29,8 @@
     ZonesEvacuated = 205,
     /// a version of a model was declared
     VersionNamed = 206,
+    /// the time since which a version is wanted was learned or has changed
+    VersionDated = 207,
     /// control connection lost
     PeerLost = 300,
     /// control connection is up
@@ -101,6 +103,7 @@
             Self::ConfigRefused => log::Level::Error,
             Self::ZonesEvacuated => log::Level::Info,
             Self::VersionNamed => log::Level::Info,
+            Self::VersionDated => log::Level::Info,
             Self::PeerLost => log::Level::Warn,
             Self::PeerBack => log::Level::Info,
             Self::RequestRefused => log::Level::Info,
