--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -7,3 +7,4 @@
 mod fixture;
 mod fuzz;
 mod overload;
+mod versions;
--- a/src/heartbeat/tests.rs
+++ b/src/heartbeat/tests.rs
@@ -78,3 +78,20 @@
     let heartbeat = heartbeat(3, vec![(1, 2)]);
     assert_eq!(decode(&encode(&heartbeat)), Some(heartbeat));
 }
+
+// Guards against an engine that keeps an older version too long because its agent read the first
+// plan late, or from an entry that had heard of the version late.
+#[test]
+fn a_plan_with_an_earlier_naming_time_corrects_the_deadline() {
+    let now = Instant::now();
+    let mut state = PlanState::default();
+    state.apply_plan(now, plan(5, 2, 0));
+    let later = now + Duration::from_secs(1);
+    // Another entry has known the version for five seconds.
+    assert!(state.apply_plan(later, plan(5, 2, 5_000)));
+    let due = now + Duration::from_secs(4);
+    assert_eq!(wanted_versions(&state), [(2, due)]);
+    // A plan that gives a later time changes nothing.
+    assert!(!state.apply_plan(later, plan(5, 2, 0)));
+    assert_eq!(wanted_versions(&state), [(2, due)]);
+}
