Date a wanted version by the earliest report on it, not by the latest

What callers saw: requests began on a version after the time until which older versions may start any (VERSION: 8,199 ms after the next one was acknowledged, bound 8,000).

Cause: each process learns since when a version is wanted from reports (a watch of the store, ages in agents' heartbeats, plans of entries). Each report is late by its way there, and by seconds where the receiver stood still: what waited in its sockets is dated by the time of reading. An entry kept the latest of these times, and an agent the first, so one late report moved the deadline for good. The latest was kept since an entry that does not know the time reported the version as overdue.

Why this works: every report errs to the late side, so the earliest is nearest to the truth, at an entry and at an agent; an unknown time is now sent as unknown instead of a made-up early one. Heartbeats change their format: entries and agents are to be updated together.

--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -37,8 +37,8 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Zones whose endpoints get no new requests.
     evacuated: BTreeSet<ZoneId>,
-    /// Versions that became the wanted version of each model, with the time since which each was
-    /// wanted; `None` when that is before this process started and not known.
+    /// Versions that became the wanted version of each model, with the earliest time since which a
+    /// report says that each is wanted; `None` while there is no report on that.
     wanted_versions: BTreeMap<Arc<str>, BTreeMap<u64, Option<Instant>>>,
 }
 
@@ -143,7 +143,8 @@
         self.evacuated = zones;
     }
 
-    /// Records that a version has been the wanted one of a model since `since`, if that is known.
+    /// Records a report that a version has been the wanted one of a model since `since`, if that is
+    /// known. The earliest report applies.
     pub fn set_wanted_version(
         &mut self,
         model: &str,
@@ -158,7 +159,12 @@
         let is_new = !versions.contains_key(&version);
         let recorded = versions.entry(version).or_default();
         let before = *recorded;
-        *recorded = before.max(since);
+        // Every report is late by its way to this process, so the earliest one is nearest to the
+        // truth.
+        *recorded = match (before, since) {
+            (Some(before), Some(since)) => Some(before.min(since)),
+            (before, since) => before.or(since),
+        };
         let is_moved = match (before, *recorded) {
             (Some(before), Some(after)) => {
                 before.max(after) - before.min(after) >= MIN_REPORTED_MOVE
--- a/src/dispatch/tests/fuzz.rs
+++ b/src/dispatch/tests/fuzz.rs
@@ -40,6 +40,8 @@
     Evacuate(bool),
     Load(usize, u32, u64),
     SetWantedVersion(u64),
+    /// A wanted version is reported again, with a time that is later by so many milliseconds.
+    RepeatWantedVersion(u64, u16),
     Configure(u64),
 }
 
@@ -68,6 +70,7 @@
         1 => any::<bool>().prop_map(Op::Evacuate),
         3 => (0usize..3, 0u32..30, 1u64..4).prop_map(|(host, n, v)| Op::Load(host, n, v)),
         1 => (1u64..4).prop_map(Op::SetWantedVersion),
+        2 => (1u64..4, 0u16..8_000).prop_map(|(v, late)| Op::RepeatWantedVersion(v, late)),
         1 => (1u64..9).prop_map(Op::Configure),
     ]
 }
@@ -81,6 +84,8 @@
     LeavingNotApplied,
     EvacuationNotApplied,
     VersionNotApplied,
+    /// The only report on a wanted version comes late and gives the time of its arrival.
+    VersionReportedLate,
     /// Older configurations replace newer ones.
     OlderConfigurationApplied,
 }
@@ -191,12 +196,23 @@
                     .is_none_or(|v| v < version);
                 if newer {
                     self.wanted_versions.insert(*version, self.now);
-                    if self.fault != InjectedFault::VersionNotApplied {
-                        self.core
-                            .set_wanted_version(MODEL, *version, Some(self.now));
+                    let reported = match self.fault {
+                        InjectedFault::VersionNotApplied => None,
+                        InjectedFault::VersionReportedLate => Some(self.now + ms(4_000)),
+                        _ => Some(self.now),
+                    };
+                    if let Some(since) = reported {
+                        self.core.set_wanted_version(MODEL, *version, Some(since));
                     }
                 }
             }
+            Op::RepeatWantedVersion(version, late) => {
+                let named_at = self.wanted_versions.get(version);
+                if let Some(named_at) = named_at.filter(|_| self.reports_versions()) {
+                    let since = *named_at + Duration::from_millis(u64::from(*late));
+                    self.core.set_wanted_version(MODEL, *version, Some(since));
+                }
+            }
             Op::Configure(version) => {
                 if self.fault == InjectedFault::OlderConfigurationApplied
                     && *version < self.configuration
@@ -224,6 +240,13 @@
         self.dispatch_waiting()
     }
 
+    fn reports_versions(&self) -> bool {
+        !matches!(
+            self.fault,
+            InjectedFault::VersionNotApplied | InjectedFault::VersionReportedLate
+        )
+    }
+
     fn running(&self, at: usize) -> Option<TicketId> {
         let running = self
             .tickets
@@ -399,6 +422,7 @@
 #[case::leaving_not_applied(InjectedFault::LeavingNotApplied)]
 #[case::evacuation_not_applied(InjectedFault::EvacuationNotApplied)]
 #[case::version_not_applied(InjectedFault::VersionNotApplied)]
+#[case::version_reported_late(InjectedFault::VersionReportedLate)]
 #[case::older_configuration_applied(InjectedFault::OlderConfigurationApplied)]
 fn an_injected_fault_is_detected(#[case] fault: InjectedFault) {
     assert!(run_sequences(fault).is_err());
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -56,8 +56,9 @@
     pub model: Arc<str>,
     /// Newest version that the store names.
     pub version: u64,
-    /// Time since the entry learned of the version, in milliseconds.
-    pub age_ms: u64,
+    /// Time since the store named the version, in milliseconds; absent while the entry does not know
+    /// it.
+    pub age_ms: Option<u64>,
     /// Time within which the fleet has to serve the version, in milliseconds from when the store
     /// named it.
     pub within_ms: u64,
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -95,8 +95,8 @@
 #[derive(Clone, Copy, Debug)]
 struct WantedVersion {
     version: u64,
-    /// Time at which the store named the version.
-    at: Instant,
+    /// Earliest time at which the store named the version by any plan; `None` while no plan says.
+    at: Option<Instant>,
     /// Time by which earlier versions must no longer be served.
     due: Instant,
 }
@@ -133,22 +133,32 @@
         changed
     }
 
-    /// Records a wanted version; returns false when it is not newer than the known ones.
+    /// Records a wanted version. Returns false when it is not newer than the known ones and gives no
+    /// earlier time for one of them.
     fn record_wanted(&mut self, now: Instant, wanted: &WantedModel) -> bool {
-        let age = Duration::from_millis(wanted.age_ms);
+        let age = wanted.age_ms.map(Duration::from_millis);
         let within = Duration::from_millis(wanted.within_ms);
+        let report = WantedVersion {
+            version: wanted.version,
+            at: age.map(|age| now.checked_sub(age).unwrap_or(now)),
+            // A version that is wanted since an unknown time counts as due.
+            due: age.map_or(now, |age| now + within.saturating_sub(age)),
+        };
         let versions = self.wanted.entry(wanted.model.clone()).or_default();
-        if versions
-            .last()
-            .is_some_and(|last| last.version >= wanted.version)
-        {
+        if let Some(known) = versions.iter_mut().find(|v| v.version == report.version) {
+            let is_earlier = match (known.at, report.at) {
+                (Some(known), Some(reported)) => reported < known,
+                (known, reported) => known.is_none() && reported.is_some(),
+            };
+            if is_earlier {
+                *known = report;
+            }
+            return is_earlier;
+        }
+        if versions.last().is_some_and(|v| v.version > report.version) {
             return false;
         }
-        versions.push(WantedVersion {
-            version: wanted.version,
-            at: now.checked_sub(age).unwrap_or(now),
-            due: now + within.saturating_sub(age),
-        });
+        versions.push(report);
         let excess = versions.len().saturating_sub(WANTED_MAX);
         versions.drain(..excess);
         true
@@ -164,13 +174,16 @@
         })
     }
 
-    /// Ages of the wanted versions, for entries that started after the store named them.
+    /// Ages of the wanted versions, as far as they are known, for entries that heard of a version
+    /// later than this agent.
     pub fn version_ages(&self, now: Instant) -> Vec<VersionAge> {
         let ages = self.wanted.iter().flat_map(|(model, versions)| {
-            versions.iter().map(|wanted| VersionAge {
-                model: model.clone(),
-                version: wanted.version,
-                age_ms: now.saturating_duration_since(wanted.at).as_millis() as u64,
+            versions.iter().filter_map(|wanted| {
+                Some(VersionAge {
+                    model: model.clone(),
+                    version: wanted.version,
+                    age_ms: now.saturating_duration_since(wanted.at?).as_millis() as u64,
+                })
             })
         });
         ages.collect()
--- a/src/heartbeat/tests.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -1,3 +1,5 @@
+mod version_times;
+
 use std::time::{Duration, Instant};
 
 use super::*;
@@ -17,7 +19,7 @@
         wanted: vec![WantedModel {
             model: "m".into(),
             version,
-            age_ms,
+            age_ms: Some(age_ms),
             within_ms: 8_000,
             layers: 16,
         }],
