--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -29,6 +29,8 @@
     history: Vec<(u64, String, bool, Value)>,
     /// Revision up to which the history was dropped; 0 for never.
     compacted_to: u64,
+    /// Time for which changes are kept; `None` for ever.
+    history_time: Option<Duration>,
     /// Calls of all kinds so far.
     calls: u64,
 }
@@ -91,6 +93,12 @@
         state.history.clear();
     }
 
+    /// Sets for how long changes are kept. A watch that has waited longer is answered with status 410
+    /// at the next change.
+    pub fn set_history_time(&self, time: Duration) {
+        lock(&self.state).history_time = Some(time);
+    }
+
     /// Number of calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
@@ -139,11 +147,17 @@
     }
     let since = query_number(&req, "watch");
     let wait = Duration::from_millis(query_number(&req, "waitMs"));
+    let started_at = tokio::time::Instant::now();
     let next_changes = async {
         loop {
             changed.borrow_and_update();
-            if let Some(changes) = changes_since(&lock(&state), &kind, since) {
-                return changes;
+            let (changes, history_time) = {
+                let state = lock(&state);
+                (changes_since(&state, &kind, since), state.history_time)
+            };
+            if let Some(changes) = changes {
+                let is_gone = history_time.is_some_and(|time| started_at.elapsed() > time);
+                return changes.filter(|_| !is_gone);
             }
             if changed.changed().await.is_err() {
                 return None;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -30,6 +30,8 @@
 pub const STREAM_EVENTS: u64 = 12;
 /// Number of chunks in each version of the weights.
 pub const CHUNKS_PER_VERSION: u64 = 8;
+/// Time for which the store says that it keeps changes.
+pub const HISTORY_TIME: Duration = Duration::from_secs(1);
 /// Longest wait for a condition before the test fails.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
@@ -201,7 +203,8 @@
             "zone": "zone-a", "region": "north", "zones": {"zone-a": "north"},
             "listen": listen, "portRange": [INTERNAL_PORT, INTERNAL_PORT + 15],
             "limits": {"linkMbps": 100.0}, "app": engine.map(|addr| addr.to_string()),
-            "platform": {"address": self.store.addr().to_string()},
+            "platform": {"address": self.store.addr().to_string(),
+                         "historyS": HISTORY_TIME.as_secs_f64()},
             "bounds": {"drainMs": 2_000, "graceS": 8, "version_ms": 2_500},
         });
         let path = self.folder.join(format!("{role}-{ip}.json"));
@@ -224,6 +227,17 @@
         fs::read_to_string(self.folder.join(name)).unwrap()
     }
 
+    /// Lines of the entry's log with the number of an event.
+    pub fn entry_events(&self, number: u64) -> Vec<Value> {
+        let log = self.entry_log();
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines
+            .filter(|line: &Value| line["event"] == number)
+            .collect()
+    }
+
     /// Sends the entry a signal, given as an option of `kill` such as `-TERM`.
     pub async fn signal_entry(&self, signal: &str) {
         let id = self.entry.as_ref().and_then(Child::id).unwrap().to_string();
--- a/tests/platform/weights.rs
+++ b/tests/platform/weights.rs
@@ -1,9 +1,10 @@
 //! Distribution of weights from the origin to every engine.
 
 use limpetloom_fakes::site::piece;
+use rstest::rstest;
 use serde_json::json;
 
-use super::site::{CHUNKS_PER_VERSION, Site};
+use super::site::{CHUNKS_PER_VERSION, HISTORY_TIME, Site};
 
 /// True when every engine has all chunks of the version, uncorrupted, in its staging area.
 fn is_staged_everywhere(site: &Site, version: u64) -> bool {
@@ -59,3 +60,33 @@
         .await;
     assert_eq!(site.origin.pieces_sent(), sent);
 }
+
+// Guards against a fleet that starts no request until its engines have a new version, because the
+// store's history did not reach back to the start of the watch and the naming time was lost.
+#[rstest]
+#[case::waited_longer_than_the_history(144, false)]
+#[case::history_dropped_early(145, true)]
+#[tokio::test]
+async fn a_version_that_a_watch_could_not_deliver_leaves_time_to_older_ones(
+    #[case] network: u8,
+    #[case] drops_history: bool,
+) {
+    let site = Site::start_serving(network, 1).await;
+    site.store.set_history_time(HISTORY_TIME);
+    tokio::time::sleep(HISTORY_TIME * 2).await;
+    let version = json!({"model": "m0", "version": 2});
+    if drops_history {
+        site.store.put("other", "any", json!({}));
+        site.store.compact_history();
+    }
+    site.store.put("versions", "m0", version);
+    site.wait_until(|site| !site.entry_events(207).is_empty())
+        .await;
+    let dated = site.entry_events(207);
+    assert_eq!(dated[0]["version"], 2);
+    assert!(
+        dated[0]["older_until_ms"].as_i64() > Some(0),
+        "{:?}",
+        dated[0]
+    );
+}
