--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::codes::Code;
 use crate::delivery::{Attempts, Quarantine, QuarantineStatus, RetryLimit, RetryWindow};
-use crate::types::{EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
+use crate::types::{ChangeTime, EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
 
 use super::configuration::{Configuration, Customer, Route};
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
@@ -233,14 +233,14 @@
         self.fleet.set_evacuated_zones(zones);
     }
 
-    /// Records that a version has been the wanted one of a model since `since`, if that is known.
+    /// Records a report on the time at which a version became the wanted one of a model.
     pub fn set_wanted_version(
         &mut self,
         model: &str,
         version: u64,
-        since: Option<Instant>,
+        named: ChangeTime,
     ) -> VersionUpdate {
-        self.fleet.set_wanted_version(model, version, since)
+        self.fleet.set_wanted_version(model, version, named)
     }
 
     /// Applies a load report from the agent of a host. Returns false when no endpoint is listed
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
+use crate::types::{ChangeTime, EndpointId, RegionId, TargetId, ZoneId};
 
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::estimate::EngineModel;
@@ -24,9 +24,9 @@
 pub struct VersionUpdate {
     /// True when the version is newer than all wanted ones before.
     pub is_newest: bool,
-    /// Time since which the version is taken to be wanted; `None` when that is not known.
-    pub since: Option<Instant>,
-    /// True when `since` was set for the first time or has changed noticeably.
+    /// Time at which the version became the wanted one.
+    pub named: ChangeTime,
+    /// True when `named` was set for the first time or has changed noticeably.
     pub is_dated: bool,
 }
 
@@ -37,9 +37,8 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Zones whose endpoints get no new requests.
     evacuated: BTreeSet<ZoneId>,
-    /// Versions that became the wanted version of each model, with the earliest time since which a
-    /// report says that each is wanted; `None` while there is no report on that.
-    wanted_versions: BTreeMap<Arc<str>, BTreeMap<u64, Option<Instant>>>,
+    /// Versions that became the wanted version of each model, with the time at which each did.
+    wanted_versions: BTreeMap<Arc<str>, BTreeMap<u64, ChangeTime>>,
 }
 
 /// Constraints of a request on its endpoint.
@@ -143,29 +142,22 @@
         self.evacuated = zones;
     }
 
-    /// Records a report that a version has been the wanted one of a model since `since`, if that is
-    /// known. The earliest report applies.
+    /// Records a report on the time at which a version became the wanted one of a model.
     pub fn set_wanted_version(
         &mut self,
         model: &str,
         version: u64,
-        since: Option<Instant>,
+        named: ChangeTime,
     ) -> VersionUpdate {
         let versions = self.wanted_versions.entry(model.into()).or_default();
         let is_newest = versions
             .keys()
             .next_back()
             .is_none_or(|last| *last < version);
-        let is_new = !versions.contains_key(&version);
-        let recorded = versions.entry(version).or_default();
-        let before = *recorded;
-        // Every report is late by its way to this process, so the earliest one is nearest to the
-        // truth.
-        *recorded = match (before, since) {
-            (Some(before), Some(since)) => Some(before.min(since)),
-            (before, since) => before.or(since),
-        };
-        let is_moved = match (before, *recorded) {
+        let before = versions.get(&version).copied();
+        let refined = before.unwrap_or_default().refined(named);
+        versions.insert(version, refined);
+        let is_moved = match (before.and_then(ChangeTime::earliest), refined.earliest()) {
             (Some(before), Some(after)) => {
                 before.max(after) - before.min(after) >= MIN_REPORTED_MOVE
             }
@@ -173,29 +165,29 @@
         };
         VersionUpdate {
             is_newest,
-            since: *recorded,
-            is_dated: is_new || is_moved,
+            named: refined,
+            is_dated: before.is_none() || is_moved,
         }
     }
 
-    /// Newest wanted version of each model, with the time since which it is wanted.
-    pub fn newest_versions(&self) -> impl Iterator<Item = (&str, u64, Option<Instant>)> {
+    /// Newest wanted version of each model, with the time at which it became that.
+    pub fn newest_versions(&self) -> impl Iterator<Item = (&str, u64, ChangeTime)> {
         self.wanted_versions.iter().filter_map(|(model, versions)| {
-            let (version, since) = versions.last_key_value()?;
-            Some((&**model, *version, *since))
+            let (version, named) = versions.last_key_value()?;
+            Some((&**model, *version, *named))
         })
     }
 
     /// Oldest version of a model that may start a request: older ones are excluded `grace` after a
-    /// newer one became the wanted version. A version wanted since an unknown time counts as past
-    /// `grace`.
+    /// newer one may have become the wanted version. A version wanted since an unknown time counts
+    /// as past `grace`.
     pub fn oldest_allowed_version(&self, now: Instant, model: &str, grace: Duration) -> u64 {
         let due = self.wanted_versions.get(model).into_iter().flatten();
-        let is_due = |since: Option<Instant>| {
-            let age = since.map(|since| now.saturating_duration_since(since));
+        let is_due = |named: ChangeTime| {
+            let age = named.earliest().map(|at| now.saturating_duration_since(at));
             age.is_none_or(|age| age >= grace)
         };
-        due.filter(|(_, since)| is_due(**since))
+        due.filter(|(_, named)| is_due(**named))
             .map(|(version, _)| *version)
             .max()
             .unwrap_or(0)
--- a/src/dispatch/tests/endpoint_state.rs
+++ b/src/dispatch/tests/endpoint_state.rs
@@ -7,6 +7,7 @@
 
 use super::fixture::*;
 use crate::dispatch::*;
+use crate::types::ChangeTime;
 
 /// Endpoints that 40 requests of the route are sent to.
 fn chosen_endpoints(core: &mut Dispatcher, now: Instant, route: &str) -> BTreeSet<String> {
@@ -100,7 +101,7 @@
     let mut newer = load(0);
     newer.models = vec![(MODEL.into(), 2)];
     core.update_load(now, ip(3), newer.clone());
-    core.set_wanted_version(MODEL, 2, Some(now));
+    core.set_wanted_version(MODEL, 2, ChangeTime::At(now));
     assert!(chosen_endpoints(&mut core, now + ms(6_900), "chat").contains("e1"));
     core.update_load(now + ms(7_000), ip(3), newer);
     assert_eq!(
@@ -113,11 +114,11 @@
 fn a_version_wanted_since_before_the_start_counts_as_overdue_until_its_time_is_known() {
     let now = Instant::now();
     let mut core = core(now);
-    core.set_wanted_version(MODEL, 3, None);
+    core.set_wanted_version(MODEL, 3, ChangeTime::Unknown);
     assert!(chosen_endpoints(&mut core, now, "chat").is_empty());
     // Agents report that version 2 is overdue and version 3 is not.
-    core.set_wanted_version(MODEL, 2, now.checked_sub(ms(9_000)));
-    core.set_wanted_version(MODEL, 3, Some(now));
+    core.set_wanted_version(MODEL, 2, ChangeTime::At(now - ms(9_000)));
+    core.set_wanted_version(MODEL, 3, ChangeTime::At(now));
     assert!(chosen_endpoints(&mut core, now, "chat").is_empty());
     let mut second = load(0);
     second.models = vec![(MODEL.into(), 2)];
--- a/src/dispatch/tests/fuzz.rs
+++ b/src/dispatch/tests/fuzz.rs
@@ -15,6 +15,7 @@
 use crate::codes::RunState;
 use crate::dispatch::*;
 use crate::fuzz_config::fuzz_config;
+use crate::types::ChangeTime;
 
 /// Number of generated sequences per run.
 const CASES: u32 = 256;
@@ -202,7 +203,8 @@
                         _ => Some(self.now),
                     };
                     if let Some(since) = reported {
-                        self.core.set_wanted_version(MODEL, *version, Some(since));
+                        self.core
+                            .set_wanted_version(MODEL, *version, ChangeTime::At(since));
                     }
                 }
             }
@@ -210,7 +212,8 @@
                 let named_at = self.wanted_versions.get(version);
                 if let Some(named_at) = named_at.filter(|_| self.reports_versions()) {
                     let since = *named_at + Duration::from_millis(u64::from(*late));
-                    self.core.set_wanted_version(MODEL, *version, Some(since));
+                    self.core
+                        .set_wanted_version(MODEL, *version, ChangeTime::At(since));
                 }
             }
             Op::Configure(version) => {
--- a/src/dispatch/tests/versions.rs
+++ b/src/dispatch/tests/versions.rs
@@ -6,6 +6,7 @@
 
 use super::fixture::*;
 use crate::dispatch::*;
+use crate::types::ChangeTime;
 
 /// True when a request is sent to an engine that serves version 1.
 fn starts_on_version_1(core: &mut Dispatcher, now: Instant) -> bool {
@@ -29,7 +30,7 @@
     let named_at = Instant::now();
     let mut core = core(named_at);
     for since in reported_ms {
-        core.set_wanted_version(MODEL, 2, Some(named_at + ms(*since)));
+        core.set_wanted_version(MODEL, 2, ChangeTime::At(named_at + ms(*since)));
     }
     let deadline = named_at + ms(wanted_since_ms + 7_000);
     assert!(starts_on_version_1(&mut core, deadline - ms(1)));
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -14,6 +14,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::types::ChangeAge;
+
 pub use peers::{Entries, PlanState};
 
 /// Maximum size of a datagram that is sent or received, in bytes. For fleets of the usual size a
@@ -56,9 +58,8 @@
     pub model: Arc<str>,
     /// Newest version that the store names.
     pub version: u64,
-    /// Time since the store named the version, in milliseconds; absent while the entry does not know
-    /// it.
-    pub age_ms: Option<u64>,
+    /// Time since the store named the version.
+    pub age: ChangeAge,
     /// Time within which the fleet has to serve the version, in milliseconds from when the store
     /// named it.
     pub within_ms: u64,
@@ -101,8 +102,8 @@
     pub model: Arc<str>,
     /// Version that the store names for the model.
     pub version: u64,
-    /// Time since the store named the version, in milliseconds.
-    pub age_ms: u64,
+    /// Time since the store named the version.
+    pub age: ChangeAge,
 }
 
 /// State of an engine.
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::types::ChangeTime;
+
 use super::{Crash, EntryHeartbeat, Plan, VersionAge, WantedModel};
 
 /// Time after which a silent entry is removed: four heartbeats.
@@ -95,8 +97,8 @@
 #[derive(Clone, Copy, Debug)]
 struct WantedVersion {
     version: u64,
-    /// Earliest time at which the store named the version by any plan; `None` while no plan says.
-    at: Option<Instant>,
+    /// Time at which the store named the version.
+    named: ChangeTime,
     /// Time by which earlier versions must no longer be served.
     due: Instant,
 }
@@ -134,26 +136,28 @@
     }
 
     /// Records a wanted version. Returns false when it is not newer than the known ones and gives no
-    /// earlier time for one of them.
+    /// better time for one of them.
     fn record_wanted(&mut self, now: Instant, wanted: &WantedModel) -> bool {
-        let age = wanted.age_ms.map(Duration::from_millis);
+        let reported = wanted.age.time(now);
+        let versions = self.wanted.entry(wanted.model.clone()).or_default();
+        let known = versions.iter_mut().find(|v| v.version == wanted.version);
+        let named = match &known {
+            Some(known) => known.named.refined(reported),
+            None => reported,
+        };
         let within = Duration::from_millis(wanted.within_ms);
         let report = WantedVersion {
             version: wanted.version,
-            at: age.map(|age| now.checked_sub(age).unwrap_or(now)),
+            named,
             // A version that is wanted since an unknown time counts as due.
-            due: age.map_or(now, |age| now + within.saturating_sub(age)),
+            due: named.earliest().map_or(now, |at| (at + within).max(now)),
         };
-        let versions = self.wanted.entry(wanted.model.clone()).or_default();
-        if let Some(known) = versions.iter_mut().find(|v| v.version == report.version) {
-            let is_earlier = match (known.at, report.at) {
-                (Some(known), Some(reported)) => reported < known,
-                (known, reported) => known.is_none() && reported.is_some(),
-            };
-            if is_earlier {
+        if let Some(known) = known {
+            let is_refined = known.named != named;
+            if is_refined {
                 *known = report;
             }
-            return is_earlier;
+            return is_refined;
         }
         if versions.last().is_some_and(|v| v.version > report.version) {
             return false;
@@ -178,12 +182,13 @@
     /// later than this agent.
     pub fn version_ages(&self, now: Instant) -> Vec<VersionAge> {
         let ages = self.wanted.iter().flat_map(|(model, versions)| {
-            versions.iter().filter_map(|wanted| {
-                Some(VersionAge {
-                    model: model.clone(),
-                    version: wanted.version,
-                    age_ms: now.saturating_duration_since(wanted.at?).as_millis() as u64,
-                })
+            let known = versions
+                .iter()
+                .filter(|wanted| wanted.named != ChangeTime::Unknown);
+            known.map(|wanted| VersionAge {
+                model: model.clone(),
+                version: wanted.version,
+                age: wanted.named.age(now),
             })
         });
         ages.collect()
--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -19,7 +19,7 @@
         wanted: vec![WantedModel {
             model: "m".into(),
             version,
-            age_ms: Some(age_ms),
+            age: ChangeAge::Exactly(age_ms),
             within_ms: 8_000,
             layers: 16,
         }],
@@ -69,9 +69,12 @@
     let version_ages = state.version_ages(later);
     let ages: Vec<_> = version_ages
         .iter()
-        .map(|age| (age.version, age.age_ms))
+        .map(|age| (age.version, age.age))
         .collect();
-    assert_eq!(ages, [(2, 4_500), (3, 0)]);
+    assert_eq!(
+        ages,
+        [(2, ChangeAge::Exactly(4_500)), (3, ChangeAge::Exactly(0))]
+    );
 }
 
 #[test]
--- a/src/heartbeat/tests/version_times.rs
+++ b/src/heartbeat/tests/version_times.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::{Fleet, Mitigations};
 use crate::fuzz_config::fuzz_config;
 use crate::heartbeat::*;
+use crate::types::{ChangeAge, ChangeTime};
 
 /// Number of generated sequences per run.
 const CASES: u32 = 256;
@@ -60,8 +61,8 @@
     AgesNotApplied,
     /// Plans reach no agent that knows the version.
     LaterPlansNotApplied,
-    /// A version since an unknown time is reported as named the whole grace period ago.
-    UnknownReportedAsOverdue,
+    /// A bound on the time, or no knowledge of it, is reported as the time itself.
+    BoundReportedAsTime,
 }
 
 #[derive(Clone, Debug)]
@@ -140,14 +141,14 @@
         self.check()
     }
 
-    /// A restarted entry lists the versions and learns no time; its watch then is up to date.
+    /// A restarted entry lists the versions and learns no time.
     fn restart(&mut self, at: usize) {
         let slot = &mut self.slots[at];
         slot.process = new_process(at);
         slot.inbox.clear();
         slot.last_received = None;
         if let (Process::Entry(fleet), true) = (&mut slot.process, self.named_at.is_some()) {
-            fleet.set_wanted_version(MODEL, VERSION, None);
+            fleet.set_wanted_version(MODEL, VERSION, ChangeTime::Unknown);
         }
     }
 
@@ -166,14 +167,17 @@
     }
 
     fn plan(&self, fleet: &Fleet) -> Message {
-        let wanted = fleet.newest_versions().map(|(model, version, since)| {
-            let age = since.map(|since| self.now.saturating_duration_since(since));
-            let overdue = (self.fault == InjectedFault::UnknownReportedAsOverdue)
-                .then_some(GRACE.as_millis() as u64);
+        let wanted = fleet.newest_versions().map(|(model, version, named)| {
+            let age = match named.age(self.now) {
+                ChangeAge::Exactly(age_ms) => ChangeAge::Exactly(age_ms),
+                bound if self.fault != InjectedFault::BoundReportedAsTime => bound,
+                ChangeAge::AtMost(age_ms) => ChangeAge::Exactly(age_ms),
+                ChangeAge::Unknown => ChangeAge::Exactly(GRACE.as_millis() as u64),
+            };
             WantedModel {
                 model: model.into(),
                 version,
-                age_ms: age.map(|age| age.as_millis() as u64).or(overdue),
+                age,
                 within_ms: GRACE.as_millis() as u64,
                 layers: 1,
             }
@@ -252,13 +256,12 @@
 fn handle(now: Instant, fault: InjectedFault, process: &mut Process, message: &Message) {
     match (process, message) {
         (Process::Entry(fleet), Message::Named) => {
-            fleet.set_wanted_version(MODEL, VERSION, Some(now));
+            fleet.set_wanted_version(MODEL, VERSION, ChangeTime::At(now));
         }
         (Process::Entry(fleet), Message::Ages(ages)) => {
             for age in ages {
                 if fault != InjectedFault::AgesNotApplied {
-                    let since = now.checked_sub(Duration::from_millis(age.age_ms));
-                    fleet.set_wanted_version(&age.model, age.version, since);
+                    fleet.set_wanted_version(&age.model, age.version, age.age.time(now));
                 }
             }
         }
@@ -272,14 +275,15 @@
     }
 }
 
-/// Time since which the process takes the version to be wanted, if it knows that time.
+/// Time at which the version was named, if the process knows it.
 fn known_time(process: &Process, now: Instant) -> Option<Instant> {
-    match process {
+    let named = match process {
         Process::Entry(fleet) => fleet.newest_versions().next()?.2,
-        Process::Agent(state) => {
-            let ages = state.version_ages(now);
-            now.checked_sub(Duration::from_millis(ages.first()?.age_ms))
-        }
+        Process::Agent(state) => state.version_ages(now).first()?.age.time(now),
+    };
+    match named {
+        ChangeTime::At(at) => Some(at),
+        ChangeTime::After(_) | ChangeTime::Unknown => None,
     }
 }
 
@@ -303,7 +307,7 @@
 #[rstest]
 #[case::ages_not_applied(InjectedFault::AgesNotApplied)]
 #[case::later_plans_not_applied(InjectedFault::LaterPlansNotApplied)]
-#[case::unknown_reported_as_overdue(InjectedFault::UnknownReportedAsOverdue)]
+#[case::bound_reported_as_time(InjectedFault::BoundReportedAsTime)]
 fn an_injected_fault_is_detected(#[case] fault: InjectedFault) {
     assert!(run_sequences(fault).is_err());
 }
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -1,9 +1,13 @@
 //! Identifiers and values shared by several modules.
 
+mod change_time;
 mod request;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 
+pub use change_time::{ChangeAge, ChangeTime};
 pub use request::{EntryAttemptOutcome, Refusal, RequestMeta};
 
 /// Name of a host.
