Do not take for new what is read after the process stood still

What callers would see: requests that begin on a version after its deadline, when no entry ran while the next one was named; then no process knows the true time and the earliest report is late too.

Cause: the answer of a watch, and the time of the last answer of the store, are dated by when they are read. A process that was stopped, or whose host was, reads late what had waited in its sockets, and for about as long again what the sender repeats to it.

Why this works: a detector is ticked every 200 ms. A tick that comes 400 ms late or more is a stall; what is read then, and for as long after it as it lasted, is dated no earlier than the last tick before it (a bound, as for changes that a watch missed). Others that ran meanwhile still know better, and their time replaces the bound. Event 106 logs each stall. A suspended host's steady clock stands still too and shows no late tick; there only the reports of others help.

--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -15,6 +15,8 @@
     Cut = 104,
     /// settings were reloaded
     Reloaded = 105,
+    /// process stood still
+    Stalled = 106,
     /// configuration adopted
     ConfigAdopted = 200,
     /// object API does not answer
@@ -98,6 +100,7 @@
             Self::SettingsRefused => log::Level::Error,
             Self::Cut => log::Level::Warn,
             Self::Reloaded => log::Level::Info,
+            Self::Stalled => log::Level::Warn,
             Self::ConfigAdopted => log::Level::Info,
             Self::StoreLost => log::Level::Warn,
             Self::StoreBack => log::Level::Info,
--- a/src/timer/mod.rs
+++ b/src/timer/mod.rs
@@ -10,9 +10,12 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+mod stall;
 #[cfg(test)]
 mod tests;
 
+pub use stall::{STALL_TICK, StallDetector};
+
 /// Largest deviation of a jittered period, as a fraction of the period.
 const JITTER: f64 = 0.1;
 
--- a/tests/platform/weights.rs
+++ b/tests/platform/weights.rs
@@ -1,5 +1,7 @@
 //! Distribution of weights from the origin to every engine.
 
+use std::time::Duration;
+
 use limpetloom_fakes::site::piece;
 use rstest::rstest;
 use serde_json::json;
@@ -90,3 +92,21 @@
         dated[0]
     );
 }
+
+// Guards against requests on a version after its deadline because every entry stood still while the
+// next one was named, and took it for new when it went on.
+#[tokio::test]
+async fn a_version_named_while_the_entry_stood_still_is_not_taken_for_new() {
+    const PAUSE: Duration = Duration::from_secs(1);
+    let site = Site::start_serving(146, 1).await;
+    site.signal_entry("-STOP").await;
+    site.store
+        .put("versions", "m0", json!({"model": "m0", "version": 2}));
+    tokio::time::sleep(PAUSE).await;
+    site.signal_entry("-CONT").await;
+    site.wait_until(|site| !site.entry_events(207).is_empty())
+        .await;
+    let dated = &site.entry_events(207)[0];
+    let age = Duration::from_millis(dated["age_ms"].as_u64().unwrap());
+    assert!(age >= PAUSE, "{dated}");
+}
