--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -30,8 +30,8 @@
 pub const STREAM_EVENTS: u64 = 12;
 /// Number of chunks in each version of the weights.
 pub const CHUNKS_PER_VERSION: u64 = 8;
-/// Time for which the store says that it keeps changes.
-pub const HISTORY_TIME: Duration = Duration::from_secs(1);
+/// Time for which the settings say that the store keeps changes.
+const HISTORY_TIME: Duration = Duration::from_secs(5);
 /// Longest wait for a condition before the test fails.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
--- a/tests/platform/weights.rs
+++ b/tests/platform/weights.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use serde_json::json;
 
-use super::site::{CHUNKS_PER_VERSION, HISTORY_TIME, Site};
+use super::site::{CHUNKS_PER_VERSION, Site};
 
 /// True when every engine has all chunks of the version, uncorrupted, in its staging area.
 fn is_staged_everywhere(site: &Site, version: u64) -> bool {
@@ -74,8 +74,10 @@
     #[case] drops_history: bool,
 ) {
     let site = Site::start_serving(network, 1).await;
-    site.store.set_history_time(HISTORY_TIME);
-    tokio::time::sleep(HISTORY_TIME * 2).await;
+    // Longer than a watch for versions by the settings, shorter than one without a limit.
+    let history_time = Duration::from_millis(1_500);
+    site.store.set_history_time(history_time);
+    tokio::time::sleep(history_time * 2).await;
     let version = json!({"model": "m0", "version": 2});
     if drops_history {
         site.store.put("other", "any", json!({}));
@@ -86,6 +88,8 @@
         .await;
     let dated = site.entry_events(207);
     assert_eq!(dated[0]["version"], 2);
+    // A process that has run all the while knows the time when the watch delivers the version.
+    assert_eq!(dated[0]["exact"], !drops_history);
     assert!(
         dated[0]["older_until_ms"].as_i64() > Some(0),
         "{:?}",
