A version that the store named before does not become new when it is listed or written again

What callers would see: requests that begin on a version after its deadline.

Cause: since lists date the versions in them by a bound, a list after a broken watch dated also a version that had been known as overdue, and so did any other write of its object. A version of unknown time that all processes take for overdue (after all were restarted) became a few hundred milliseconds old. Introduced with the bounds; found by review.

--- a/tests/platform/weights.rs
+++ b/tests/platform/weights.rs
@@ -114,3 +114,40 @@
     let age = Duration::from_millis(dated["age_ms"].as_u64().unwrap());
     assert!(age >= PAUSE, "{dated}");
 }
+
+// Guards against requests on a version after its deadline because the newer one, known to be overdue,
+// is listed or written again and taken for new.
+#[rstest]
+#[case::listed_again(190, true)]
+#[case::written_again(191, false)]
+#[tokio::test]
+async fn a_version_known_from_before_does_not_become_new(
+    #[case] network: u8,
+    #[case] is_listed: bool,
+) {
+    let mut site = Site::start(network, 1);
+    let version = json!({"model": "m0", "version": 1});
+    site.store.put("versions", "m0", version.clone());
+    site.declare(1, &["key-1"]);
+    site.start_agents();
+    site.start_entry();
+    site.wait_until_ready().await;
+    site.wait_until_answered("chat").await;
+    if is_listed {
+        site.store.put("other", "any", json!({}));
+        site.store.compact_history();
+    }
+    site.store.put("versions", "m0", version);
+    // A change that comes after it.
+    site.store
+        .put("versions", "m1", json!({"model": "m1", "version": 3}));
+    site.wait_until(|site| site.entry_log().contains("declared: m1 3"))
+        .await;
+    let dated = site.entry_events(207);
+    let ages: Vec<_> = dated
+        .iter()
+        .filter(|line| line["model"] == "m0")
+        .map(|line| line["age_ms"].as_i64())
+        .collect();
+    assert_eq!(ages, [Some(-1)]);
+}
