After a stall, date a change by the calls that were completed since

What callers would see: after a pause of all entries, no older version starts a request once the next one is named, although that happened long after the pause.

Cause: the detector distrusted all that was read for as long after a stall as it had lasted, and dated it before the stall, whatever had been read since. With short stalls one after the other the bound fell back without end. And the time of the last answer was that of its reading less a tick, later than true for a slow store.

Why this works: an answer has the changes until its call was sent, at least, and that of a watch without changes those until its wait was over. A change that is read later was made after that; if the process did not stand still since, it is new, else it was made after that or after the start of the stall. No guess on how long messages may be repeated is needed.

--- a/src/timer/stall.rs
+++ b/src/timer/stall.rs
@@ -1,30 +1,36 @@
 //! Detects that this process stood still: it was stopped, or its host was.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::types::ChangeTime;
+use crate::types::{ChangeAge, ChangeTime};
 
 /// Period of the ticks that [`StallDetector::tick`] expects.
 pub const STALL_TICK: Duration = Duration::from_millis(200);
-/// Time between two ticks from which the process counts as having stood still: a tick that a busy
-/// process delivers late by a whole period is no stall.
+/// Time between two observations from which the process counts as having stood still: one that a
+/// busy process makes late by a whole period is no stall.
 const MIN_STALL: Duration = Duration::from_millis(400);
-/// Least time after a stall during which messages may still arrive that were sent before its end.
-const MIN_CATCH_UP: Duration = Duration::from_secs(1);
+/// Time after a stall within which the datagrams that waited meanwhile are read.
+const CATCH_UP_TIME: Duration = Duration::from_secs(1);
+/// Number of stalls that are remembered: more than happen between two calls to a store.
+const MAX_STALLS: usize = 32;
+
+/// A time for which the process stood still.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Stall {
+    /// All that was sent to the process before this was read before the stall.
+    from: Instant,
+    to: Instant,
+}
 
 /// Dates what this process reads, knowing that it may have waited while the process stood still.
-///
-/// A sender that got no acknowledgement repeats at ever longer intervals, so messages from the time of a
-/// stall may arrive for about as long after its end as it lasted.
 #[derive(Clone, Debug)]
 pub struct StallDetector {
-    last_tick: Instant,
-    /// All that was sent before this has been read.
+    last_seen: Instant,
+    /// Oldest first.
     ///
-    /// Invariant: not later than `last_tick`.
-    read_until: Instant,
-    /// Time until which messages from before the end of the last stall may arrive.
-    catching_up_until: Instant,
+    /// Invariant: at most [`MAX_STALLS`].
+    stalls: VecDeque<Stall>,
     /// Length of the last stall, until [`Self::tick`] has returned it.
     unreported: Option<Duration>,
 }
@@ -33,9 +39,8 @@
     /// Creates a detector in a process that runs.
     pub fn new(now: Instant) -> Self {
         Self {
-            last_tick: now,
-            read_until: now,
-            catching_up_until: now,
+            last_seen: now,
+            stalls: VecDeque::new(),
             unreported: None,
         }
     }
@@ -46,31 +51,40 @@
         self.unreported.take()
     }
 
-    fn observe(&mut self, now: Instant) {
-        let gap = now.saturating_duration_since(self.last_tick);
-        if gap >= MIN_STALL {
-            let catch_up = now + gap.max(MIN_CATCH_UP);
-            self.catching_up_until = self.catching_up_until.max(catch_up);
-            self.unreported = Some(gap);
-        }
-        if now >= self.catching_up_until {
-            self.read_until = self.last_tick;
+    /// Time of a change that an answer read at `now` announces, where all changes until
+    /// `covered_until` had been seen before.
+    pub fn change_time(&mut self, now: Instant, covered_until: Instant) -> ChangeTime {
+        self.observe(now);
+        let mut since = self.stalls.iter().filter(|stall| stall.to > covered_until);
+        match since.next() {
+            Some(stall) => ChangeTime::After(covered_until.max(stall.from)),
+            None => ChangeTime::At(now),
         }
-        self.last_tick = self.last_tick.max(now);
     }
 
-    /// Time until which this process has read all that was sent to it.
-    pub fn read_until(&mut self, now: Instant) -> Instant {
+    /// Time of a change whose age another process reported in a datagram that is read at `now`.
+    pub fn reported_time(&mut self, now: Instant, age: ChangeAge) -> ChangeTime {
         self.observe(now);
-        self.read_until
+        let is_recent = |stall: &&Stall| now < stall.to + CATCH_UP_TIME;
+        // A datagram that waited was sent after the start of a stall.
+        match self.stalls.iter().find(is_recent) {
+            Some(stall) => age.time(stall.from).as_bound(),
+            None => age.time(now),
+        }
     }
 
-    /// Time of a change whose announcement is read at `now` and was sent when it was made.
-    pub fn change_time(&mut self, now: Instant) -> ChangeTime {
-        let read_until = self.read_until(now);
-        match now < self.catching_up_until {
-            true => ChangeTime::After(read_until),
-            false => ChangeTime::At(now),
+    fn observe(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_seen);
+        if gap >= MIN_STALL {
+            self.stalls.push_back(Stall {
+                from: self.last_seen,
+                to: now,
+            });
+            if self.stalls.len() > MAX_STALLS {
+                self.stalls.pop_front();
+            }
+            self.unreported = Some(gap);
         }
+        self.last_seen = self.last_seen.max(now);
     }
 }
--- a/src/timer/tests.rs
+++ b/src/timer/tests.rs
@@ -44,31 +44,56 @@
     now
 }
 
+/// What is known of a change: its time, or that it came after the last change that was seen, or
+/// after the start of the stall.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Known {
+    Time,
+    AfterCovered,
+    AfterStall,
+}
+
+// The process runs for a second, stands still for `gap_ms`, and runs for another while.
 #[rstest]
-#[case::on_time(0, 0, true)]
-#[case::late_tick(390, 0, true)]
-#[case::right_after_a_stall(4_000, 0, false)]
-#[case::while_messages_catch_up(4_000, 3_600, false)]
-#[case::after_messages_caught_up(4_000, 4_600, true)]
-#[case::right_after_a_short_stall(500, 800, false)]
-#[case::after_a_short_stall(500, 1_200, true)]
-fn what_is_read_after_a_stall_is_dated_before_it(
+#[case::no_stall(0, 0, 300, Known::Time)]
+#[case::late_tick(190, 0, 300, Known::Time)]
+#[case::seen_until_the_stall(4_000, 800, 0, Known::AfterStall)]
+#[case::seen_until_long_before_the_stall(4_000, 0, 3_000, Known::AfterStall)]
+#[case::seen_until_within_the_stall(4_000, 3_000, 0, Known::AfterCovered)]
+#[case::seen_until_after_the_stall(4_000, 5_400, 600, Known::Time)]
+#[case::short_stall(500, 800, 600, Known::AfterStall)]
+fn a_change_read_after_a_stall_is_dated_no_later_than_it_may_have_been(
     #[case] gap_ms: u64,
+    #[case] covered_ms: u64,
     #[case] then_ms: u64,
-    #[case] is_exact: bool,
+    #[case] expected: Known,
 ) {
     let start = StdInstant::now();
     let mut detector = StallDetector::new(start);
     let stopped_at = run_for(&mut detector, start, 1_000);
     let resumed_at = stopped_at + Duration::from_millis(gap_ms);
-    let now = match gap_ms {
-        0 => resumed_at,
-        _ => run_for(&mut detector, resumed_at, then_ms),
+    let now = run_for(&mut detector, resumed_at, then_ms);
+    let covered_until = start + Duration::from_millis(covered_ms);
+    let expected = match expected {
+        Known::Time => ChangeTime::At(now),
+        Known::AfterCovered => ChangeTime::After(covered_until),
+        Known::AfterStall => ChangeTime::After(stopped_at),
     };
-    match detector.change_time(now) {
-        ChangeTime::At(at) => assert!(is_exact && at == now),
-        ChangeTime::After(bound) => assert!(!is_exact && bound <= stopped_at),
-        ChangeTime::Unknown => panic!("the process has run since the start"),
+    assert_eq!(detector.change_time(now, covered_until), expected);
+}
+
+#[test]
+fn repeated_stalls_do_not_date_a_change_before_the_last_one_seen() {
+    let start = StdInstant::now();
+    let mut detector = StallDetector::new(start);
+    let mut now = start;
+    for _ in 0..60 {
+        now = run_for(&mut detector, now, 400) + Duration::from_millis(500);
+    }
+    let covered_until = now - Duration::from_secs(4);
+    match detector.change_time(now, covered_until) {
+        ChangeTime::After(bound) => assert!(bound >= covered_until),
+        other => panic!("{other:?}"),
     }
 }
 
--- a/src/types/change_time.rs
+++ b/src/types/change_time.rs
@@ -30,6 +30,15 @@
         }
     }
 
+    /// The same where the time is only known to be later.
+    #[must_use]
+    pub fn as_bound(self) -> Self {
+        match self {
+            Self::Unknown => Self::Unknown,
+            Self::After(at) | Self::At(at) => Self::After(at),
+        }
+    }
+
     /// Earliest time at which the change may have been made; `None` when it is not known.
     pub fn earliest(self) -> Option<Instant> {
         match self {
