Plans carry all wanted versions, so that agents learn the time of each

What operators would see: of two versions named shortly after one another, an engine stays on the oldest up to the deadline of the second, and entries send it nothing in between.

Cause: a plan carried the newest version only. An agent that had read of the older one late was never corrected, and one that had not heard of it never learned it.

Why this works: entries send the versions that they remember (eight at most), and an agent puts one that it did not know in its place.

--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -15,6 +15,9 @@
 /// endpoints are back on the list within two seconds.
 const LEASE_GRACE: Duration = Duration::from_millis(1_700);
 
+/// Wanted versions that are remembered for a model: more than are named before the older ones of
+/// them end.
+const MAX_WANTED_VERSIONS: usize = 8;
 /// Least change of the time since which a version is wanted that is reported; reports of that time
 /// differ by their delays on the network.
 const MIN_REPORTED_MOVE: Duration = Duration::from_millis(100);
@@ -157,6 +160,9 @@
         let before = versions.get(&version).copied();
         let refined = before.unwrap_or_default().refined(named);
         versions.insert(version, refined);
+        while versions.len() > MAX_WANTED_VERSIONS {
+            versions.pop_first();
+        }
         let is_moved = match (before.and_then(ChangeTime::earliest), refined.earliest()) {
             (Some(before), Some(after)) => {
                 before.max(after) - before.min(after) >= MIN_REPORTED_MOVE
@@ -170,11 +176,11 @@
         }
     }
 
-    /// Newest wanted version of each model, with the time at which it became that.
-    pub fn newest_versions(&self) -> impl Iterator<Item = (&str, u64, ChangeTime)> {
-        self.wanted_versions.iter().filter_map(|(model, versions)| {
-            let (version, named) = versions.last_key_value()?;
-            Some((&**model, *version, *named))
+    /// Remembered wanted versions of each model, oldest first, with the time at which each became that.
+    pub fn wanted_versions(&self) -> impl Iterator<Item = (&str, u64, ChangeTime)> {
+        self.wanted_versions.iter().flat_map(|(model, versions)| {
+            let versions = versions.iter();
+            versions.map(move |(version, named)| (&**model, *version, *named))
         })
     }
 
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -43,7 +43,7 @@
 pub struct Plan {
     /// Revision of the store that the plan was made from; the plan with the highest one applies.
     pub revision: u64,
-    /// Models with their wanted versions.
+    /// Models with their wanted versions, oldest first.
     pub wanted: Vec<WantedModel>,
     /// Address of the origin that publishes the weights.
     pub origin: Option<SocketAddrV4>,
@@ -56,7 +56,7 @@
 pub struct WantedModel {
     /// Name of the model.
     pub model: Arc<str>,
-    /// Newest version that the store names.
+    /// A version that the store names, or named recently.
     pub version: u64,
     /// Time since the store named the version.
     pub age: ChangeAge,
@@ -91,7 +91,7 @@
     pub entries: u32,
     /// Crashes that entries reported to the agent, newest last.
     pub crashes: Vec<Crash>,
-    /// Ages of the wanted versions, for entries that started after the store named them.
+    /// Ages of the wanted versions, for entries that heard of one later than this agent.
     pub wanted: Vec<VersionAge>,
 }
 
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -135,8 +135,7 @@
         changed
     }
 
-    /// Records a wanted version. Returns false when it is not newer than the known ones and gives no
-    /// better time for one of them.
+    /// Records a wanted version. Returns false when that changes nothing.
     fn record_wanted(&mut self, now: Instant, wanted: &WantedModel) -> bool {
         let reported = wanted.age.time(now);
         let versions = self.wanted.entry(wanted.model.clone()).or_default();
@@ -159,10 +158,11 @@
             }
             return is_refined;
         }
-        if versions.last().is_some_and(|v| v.version > report.version) {
+        let position = versions.partition_point(|v| v.version < report.version);
+        if position == 0 && versions.len() >= WANTED_MAX {
             return false;
         }
-        versions.push(report);
+        versions.insert(position, report);
         let excess = versions.len().saturating_sub(WANTED_MAX);
         versions.drain(..excess);
         true
