Do not date a version by ages that waited while the process stood still

What callers saw is the incident's own path: after a pause an entry took a version for as young as the heartbeats said that had waited for it, until fresh ones corrected it; for good if those who knew better were restarted meanwhile. An agent did the same with plans.

Cause: only the watch of the store asked the detector; ages in datagrams were dated by the time of reading, and such a time replaced the bound that the watch had given. Found by review.

Why this works: within a second of a stall, a reported age counts from the start of the stall and as a bound; a datagram that waited was sent after it.

--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::timer::StallDetector;
 use crate::types::ChangeTime;
 
 use super::{Crash, EntryHeartbeat, Plan, VersionAge, WantedModel};
@@ -116,7 +117,7 @@
 impl PlanState {
     /// Applies a plan unless it is older than the current one; returns true when it changed the
     /// wanted versions, the origin or the agents.
-    pub fn apply_plan(&mut self, now: Instant, plan: Plan) -> bool {
+    pub fn apply_plan(&mut self, now: Instant, plan: Plan, stalls: &mut StallDetector) -> bool {
         let is_current = self
             .plan
             .as_ref()
@@ -129,15 +130,15 @@
             .as_ref()
             .is_none_or(|old| old.zones != plan.zones || old.origin != plan.origin);
         for wanted in &plan.wanted {
-            changed |= self.record_wanted(now, wanted);
+            let named = stalls.reported_time(now, wanted.age);
+            changed |= self.record_wanted(now, wanted, named);
         }
         self.plan = Some(plan);
         changed
     }
 
     /// Records a wanted version. Returns false when that changes nothing.
-    fn record_wanted(&mut self, now: Instant, wanted: &WantedModel) -> bool {
-        let reported = wanted.age.time(now);
+    fn record_wanted(&mut self, now: Instant, wanted: &WantedModel, reported: ChangeTime) -> bool {
         let versions = self.wanted.entry(wanted.model.clone()).or_default();
         let known = versions.iter_mut().find(|v| v.version == wanted.version);
         let named = match &known {
--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::dispatch::{Fleet, Mitigations};
+use crate::timer::StallDetector;
 use crate::types::ChangeTime;
 
 fn heartbeat(entry: u64, crashes: Vec<Crash>) -> EntryHeartbeat {
@@ -30,6 +31,11 @@
     }
 }
 
+/// Applies a plan in a process that has not stood still.
+fn apply(state: &mut PlanState, now: Instant, plan: Plan) -> bool {
+    state.apply_plan(now, plan, &mut StallDetector::new(now))
+}
+
 fn wanted_versions(state: &PlanState) -> Vec<(u64, Instant)> {
     state.wanted().next().unwrap().1
 }
@@ -53,10 +59,10 @@
 fn older_revisions_change_nothing_and_older_versions_stay_older() {
     let now = Instant::now();
     let mut state = PlanState::default();
-    assert!(state.apply_plan(now, plan(5, 2, 0)));
-    assert!(!state.apply_plan(now, plan(4, 3, 0)));
+    assert!(apply(&mut state, now, plan(5, 2, 0)));
+    assert!(!apply(&mut state, now, plan(4, 3, 0)));
     // An older version is remembered, and stays older.
-    assert!(state.apply_plan(now, plan(6, 1, 0)));
+    assert!(apply(&mut state, now, plan(6, 1, 0)));
     assert_eq!(wanted_versions(&state).last().unwrap().0, 2);
 }
 
@@ -64,9 +70,9 @@
 fn each_version_keeps_its_own_deadline() {
     let now = Instant::now();
     let mut state = PlanState::default();
-    state.apply_plan(now, plan(5, 2, 500));
+    apply(&mut state, now, plan(5, 2, 500));
     let later = now + Duration::from_secs(4);
-    state.apply_plan(later, plan(6, 3, 0));
+    apply(&mut state, later, plan(6, 3, 0));
     let due = |millis| now + Duration::from_millis(millis);
     assert_eq!(wanted_versions(&state), [(2, due(7_500)), (3, due(12_000))]);
     let version_ages = state.version_ages(later);
@@ -93,14 +99,14 @@
 fn a_plan_with_an_earlier_naming_time_corrects_the_deadline() {
     let now = Instant::now();
     let mut state = PlanState::default();
-    state.apply_plan(now, plan(5, 2, 0));
+    apply(&mut state, now, plan(5, 2, 0));
     let later = now + Duration::from_secs(1);
     // Another entry has known the version for five seconds.
-    assert!(state.apply_plan(later, plan(5, 2, 5_000)));
+    assert!(apply(&mut state, later, plan(5, 2, 5_000)));
     let due = now + Duration::from_secs(4);
     assert_eq!(wanted_versions(&state), [(2, due)]);
     // A plan that gives a later time changes nothing.
-    assert!(!state.apply_plan(later, plan(5, 2, 0)));
+    assert!(!apply(&mut state, later, plan(5, 2, 0)));
     assert_eq!(wanted_versions(&state), [(2, due)]);
 }
 
@@ -116,7 +122,7 @@
         fleet.set_wanted_version("m", version, ChangeTime::At(named_at));
         // The plan of each version is read four seconds late.
         let late = named_at + Duration::from_secs(4);
-        state.apply_plan(late, plan(5, version, 0));
+        apply(&mut state, late, plan(5, version, 0));
     }
     let wanted = fleet
         .wanted_versions()
@@ -129,7 +135,29 @@
         wanted: wanted.collect(),
         ..plan(5, 3, 0)
     };
-    state.apply_plan(later, whole);
+    apply(&mut state, later, whole);
     let due = |seconds| now + Duration::from_secs(seconds);
     assert_eq!(wanted_versions(&state), [(2, due(8)), (3, due(9))]);
 }
+
+// Guards against a version that counts as new since the plan or the ages on it waited while the process
+// stood still.
+#[test]
+fn ages_that_waited_during_a_stall_are_bounds_until_fresh_ones_come() {
+    let start = Instant::now();
+    let mut state = PlanState::default();
+    let mut stalls = StallDetector::new(start);
+    let woken_at = start + Duration::from_secs(4);
+    state.apply_plan(woken_at, plan(5, 2, 1), &mut stalls);
+    let due = wanted_versions(&state)[0].1;
+    assert!(due <= start + Duration::from_secs(8));
+    let ages: Vec<_> = state.version_ages(woken_at).iter().map(|v| v.age).collect();
+    assert!(matches!(ages[..], [] | [ChangeAge::AtMost(_)]));
+    let later = woken_at + Duration::from_millis(1_100);
+    for millis in [300, 600, 900, 1_100] {
+        stalls.tick(woken_at + Duration::from_millis(millis));
+    }
+    state.apply_plan(later, plan(5, 2, 5_000), &mut stalls);
+    let due = later + Duration::from_secs(3);
+    assert_eq!(wanted_versions(&state), [(2, due)]);
+}
