Of two bounds on a naming time the later one applies, and agents do not pass bounds on

What callers would see: no older version starts a request once the next one is named, since one entry had been cut off for long and only knew that the version was not older than that.

Cause: bounds were merged like times, by the earlier one, and handed on by agents. Of two times the earlier is nearer to the truth, as each is late; of two bounds the later. Found by review.

--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -179,13 +179,13 @@
         })
     }
 
-    /// Ages of the wanted versions, as far as they are known, for entries that heard of a version
-    /// later than this agent.
+    /// Ages of the wanted versions whose naming times are known, for entries that heard of one later
+    /// than this agent. Bounds are not passed on: each process on the way would make them later.
     pub fn version_ages(&self, now: Instant) -> Vec<VersionAge> {
         let ages = self.wanted.iter().flat_map(|(model, versions)| {
             let known = versions
                 .iter()
-                .filter(|wanted| wanted.named != ChangeTime::Unknown);
+                .filter(|wanted| matches!(wanted.named, ChangeTime::At(_)));
             known.map(|wanted| VersionAge {
                 model: model.clone(),
                 version: wanted.version,
--- a/src/types/change_time.rs
+++ b/src/types/change_time.rs
@@ -7,7 +7,7 @@
 /// When a change was made elsewhere, as far as this process can tell.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ChangeTime {
-    /// Nothing is known, since the change is older than this process.
+    /// Nothing is known, as for a change that is older than this process.
     #[default]
     Unknown,
     /// Later than this; the change was not yet made then.
@@ -17,14 +17,14 @@
 }
 
 impl ChangeTime {
-    /// The better of two reports on one change. A report on the time itself is better than a bound.
-    /// Every report is late by its way here, so the earlier one of a kind is nearer to the truth.
+    /// The better of two reports on one change: a time is better than a bound. Of two times the earlier
+    /// one is nearer to the truth, as each is late by its way here; of two bounds the later one.
     #[must_use]
     pub fn refined(self, other: Self) -> Self {
         match (self, other) {
             (Self::At(a), Self::At(b)) => Self::At(a.min(b)),
             (Self::At(at), _) | (_, Self::At(at)) => Self::At(at),
-            (Self::After(a), Self::After(b)) => Self::After(a.min(b)),
+            (Self::After(a), Self::After(b)) => Self::After(a.max(b)),
             (Self::After(at), Self::Unknown) | (Self::Unknown, Self::After(at)) => Self::After(at),
             (Self::Unknown, Self::Unknown) => Self::Unknown,
         }
