--- a/examples/patterns/sim/simulation/callers.rs
+++ b/examples/patterns/sim/simulation/callers.rs
@@ -83,6 +83,7 @@
             model: None,
             prompt_tokens: caller.prompt as u32,
             answer_tokens: None,
+            prompt_parts: [].into(),
             fingerprint: id as u64,
         };
         let now = self.instant();
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -18,6 +18,7 @@
 use super::configuration::{Configuration, Customer, Route};
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::fleet::Fleet;
+use super::notice::{CrashSign, Notice};
 use super::patterns::{
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
@@ -25,6 +26,8 @@
 
 /// Number of entries assumed to share the fleet until agents report it.
 const DEFAULT_ENTRY_COUNT: u32 = 4;
+/// Maximum number of notices kept for a driver that does not take them; later ones are dropped.
+const MAX_NOTICES: usize = 256;
 
 /// Settings of the dispatcher.
 #[derive(Clone, Debug)]
@@ -150,6 +153,10 @@
     broken_attempts: VecDeque<BrokenAttempt>,
     refused_callers: RefusedCallers,
     entries: u32,
+    /// Notices that the driver has not taken yet.
+    ///
+    /// Invariant: at most [`MAX_NOTICES`].
+    notices: Vec<Notice>,
 }
 
 impl Dispatcher {
@@ -168,6 +175,7 @@
             broken_attempts: VecDeque::new(),
             refused_callers: RefusedCallers::default(),
             entries: DEFAULT_ENTRY_COUNT,
+            notices: Vec::new(),
         }
     }
 
@@ -199,7 +207,7 @@
         let before = self.fleet.get(&id).map(|e| e.listed.incarnation);
         let changed = self.fleet.update_endpoint(now, listed);
         if changed && let Some(before) = before {
-            self.record_crash(now, &id, before);
+            self.record_crash(now, &id, before, CrashSign::Listing);
         }
         changed
     }
@@ -218,7 +226,7 @@
         if let Some((incarnation, false)) =
             endpoint.map(|e| (e.listed.incarnation, e.listed.is_leaving))
         {
-            self.record_crash(now, id, incarnation);
+            self.record_crash(now, id, incarnation, CrashSign::Listing);
         }
         self.fleet.remove_endpoint(id);
     }
@@ -248,7 +256,7 @@
             .find(|e| e.listed.addr.ip() == host && e.listed.incarnation < load.incarnation)
             .map(|e| (e.listed.id.clone(), e.listed.incarnation));
         if let Some((id, before)) = restarted {
-            self.record_crash(now, &id, before);
+            self.record_crash(now, &id, before, CrashSign::LoadReport);
         }
         self.fleet.update_load(now, host, load)
     }
@@ -258,6 +266,17 @@
         self.entries = entries.max(1);
     }
 
+    /// Takes the notices for the log.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    fn notify(&mut self, notice: Notice) {
+        if self.notices.len() < MAX_NOTICES {
+            self.notices.push(notice);
+        }
+    }
+
     /// Number of entries that share the fleet.
     pub fn entry_count(&self) -> u32 {
         self.entries
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -6,6 +6,7 @@
 use crate::codes::Code;
 use crate::delivery::{AttemptRules, QuarantineStatus};
 use crate::dispatch::configuration::Repeat;
+use crate::dispatch::notice::{CrashSign, Notice};
 use crate::dispatch::patterns::max_queue_time;
 use crate::dispatch::request::{AttemptOutcome, Departure, RunningAttempt, TicketId};
 use crate::types::{InstanceId, Refusal};
@@ -107,7 +108,12 @@
                 endpoint.health.failed(now);
                 // A failed connection counts as a crash: the requests whose attempts broke there
                 // shortly before are suspected.
-                self.record_crash(now, &running.endpoint, incarnation);
+                self.record_crash(
+                    now,
+                    &running.endpoint,
+                    incarnation,
+                    CrashSign::ConnectionFailed,
+                );
             }
             AttemptOutcome::Broken => {
                 endpoint.health.failed(now);
@@ -210,7 +216,14 @@
 
     /// Handles the crash of an endpoint incarnation: requests whose attempts broke there within
     /// [`CRASH_WINDOW`] are suspected to have caused it.
-    pub(super) fn record_crash(&mut self, now: Instant, id: &str, incarnation: InstanceId) {
+    pub(super) fn record_crash(
+        &mut self,
+        now: Instant,
+        id: &str,
+        incarnation: InstanceId,
+        sign: CrashSign,
+    ) {
+        let mut attempts = 0;
         let mut remaining = VecDeque::new();
         for broken in std::mem::take(&mut self.broken_attempts) {
             if now.saturating_duration_since(broken.at) > CRASH_WINDOW {
@@ -220,11 +233,20 @@
                 let fingerprint = digest(broken.fingerprint);
                 let instance = instance(id, incarnation);
                 self.quarantine.record_crash(now, &fingerprint, instance);
+                attempts += 1;
             } else {
                 remaining.push_back(broken);
             }
         }
         self.broken_attempts = remaining;
+        if attempts > 0 {
+            self.notify(Notice::EndpointCrashed {
+                endpoint: id.into(),
+                incarnation,
+                attempts,
+                sign,
+            });
+        }
     }
 }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod estimate;
 mod fleet;
+mod notice;
 mod patterns;
 mod request;
 #[cfg(test)]
@@ -20,5 +21,6 @@
 pub use endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 pub use estimate::EngineModel;
 pub use fleet::Fleet;
+pub use notice::{CrashSign, Notice};
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
 pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, TicketId};
--- /dev/null
+++ b/src/dispatch/notice.rs
@@ -0,0 +1,30 @@
+//! Notices of the dispatcher for the log.
+
+use crate::types::{EndpointId, InstanceId};
+
+/// Something that the driver logs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// An endpoint incarnation crashed while requests of this entry ran there.
+    EndpointCrashed {
+        /// Name of the endpoint.
+        endpoint: EndpointId,
+        /// Incarnation that crashed.
+        incarnation: InstanceId,
+        /// Number of this entry's attempts that broke there and are attributed to the crash.
+        attempts: usize,
+        /// How the crash was recognised.
+        sign: CrashSign,
+    },
+}
+
+/// How a crash of an endpoint was recognised.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashSign {
+    /// A connection to it could not be established.
+    ConnectionFailed,
+    /// The list of endpoints names a newer incarnation, or names it no more.
+    Listing,
+    /// The load report of its agent names a newer incarnation.
+    LoadReport,
+}
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::delivery::Attempts;
-use crate::types::{CustomerId, EndpointId, TargetId};
+use crate::types::{CustomerId, EndpointId, PromptPart, TargetId};
 
 use super::configuration::{Customer, Route};
 
@@ -31,6 +31,8 @@
     pub prompt_tokens: u32,
     /// Caller's estimate of the answer length in tokens.
     pub answer_tokens: Option<u32>,
+    /// Prompt segments that other requests may share, in their order, without the request's own.
+    pub prompt_parts: Arc<[PromptPart]>,
     /// Digest of path, customer and body; equal for retries of the same request.
     pub fingerprint: u64,
 }
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -176,6 +176,7 @@
             _ => 0,
         },
         answer_tokens: None,
+        prompt_parts: [].into(),
         fingerprint: 99,
     }
 }
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -22,6 +22,7 @@
 
 use super::answer::{OpenedAnswer, OutgoingRequest, read_full_body, send_attempt};
 use super::dialect::{Dialect, RequestHead, ResumePoint};
+use super::notice::{log_notice, prompt_parts_text};
 use super::stream;
 use super::ticket::Ticket;
 
@@ -123,7 +124,11 @@
 
     /// Lets the core decide on waiting requests and delivers the decisions to the requests' tasks.
     pub fn dispatch_waiting(&self) {
-        let decisions = self.core().dispatch_waiting(Instant::now());
+        let (decisions, notices) = {
+            let mut core = self.core();
+            (core.dispatch_waiting(Instant::now()), core.take_notices())
+        };
+        notices.iter().for_each(log_notice);
         if !decisions.is_empty() {
             let mut pending = self.lock_pending();
             for (ticket, decision) in decisions {
@@ -419,6 +424,7 @@
             asking_for_ms: assignment.since_first_attempt.as_millis() as u64,
             in_system: assignment.in_system,
             load_age_ms: assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
+            prompt_parts: prompt_parts_text(&admitted.caller.prompt_parts),
             took_ms: admitted.arrived.elapsed().as_millis() as u64
         });
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod dialect;
 mod events;
 mod handle;
+mod notice;
 mod refusal;
 mod stream;
 #[cfg(test)]
--- /dev/null
+++ b/src/relay/notice.rs
@@ -0,0 +1,29 @@
+//! Log lines for the notices of the dispatcher.
+
+use crate::dispatch::Notice;
+use crate::log_fields;
+use crate::telemetry::Event;
+use crate::types::PromptPart;
+
+/// Logs a notice.
+pub(super) fn log_notice(notice: &Notice) {
+    match notice {
+        Notice::EndpointCrashed {
+            endpoint,
+            incarnation,
+            attempts,
+            sign,
+        } => log_fields!(Event::EndpointCrashed, {
+            endpoint: &**endpoint,
+            incarnation: incarnation,
+            attempts: attempts,
+            sign: format!("{sign:?}")
+        }),
+    }
+}
+
+/// Prompt parts as they are written to the log.
+pub(super) fn prompt_parts_text(parts: &[PromptPart]) -> String {
+    let parts: Vec<_> = parts.iter().map(|part| format!("{part:x}")).collect();
+    parts.join(",")
+}
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -61,6 +61,8 @@
     EndpointListed = 505,
     /// an item of a watched list is invalid and is ignored
     EntrySetAside = 506,
+    /// endpoint crashed while requests ran there
+    EndpointCrashed = 507,
     /// version is ready
     VersionReady = 600,
     /// chunk failed verification
@@ -117,6 +119,7 @@
             Self::DuplicateAttempt => log::Level::Warn,
             Self::EndpointListed => log::Level::Info,
             Self::EntrySetAside => log::Level::Warn,
+            Self::EndpointCrashed => log::Level::Warn,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
             Self::NoRoomForVersion => log::Level::Error,
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -32,6 +32,8 @@
 pub type Generation = u64;
 /// Hexadecimal BLAKE3 digest of a manifest, of a chunk or of a request body.
 pub type Digest = Arc<str>;
+/// Identifier of a prompt segment that requests share.
+pub type PromptPart = u64;
 /// Idempotency key chosen by a caller.
 pub type Key = Arc<str>;
 /// Power in milliwatts.
