Failing tests: requests that share a crashing prompt part are refused

Callers saw engine after engine crash under requests of which no two are alike. The stand-in of an engine can crash on a prompt part now. One test sends eight such requests between sound ones that share their other parts, through the real entry and agents; the other sends one to a second entry that has seen no crash.

--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,12 +12,15 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde_json::{Value, json};
+use tokio::sync::mpsc;
 
 use crate::reply::{Body, Reply, answer, header, json as json_answer, query_number, read_body};
 use crate::server::Server;
 
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Time from a crash to the start of the next process.
+const RESTART_TIME: Duration = Duration::from_millis(300);
 /// Number of layers of the model.
 const LAYERS: u32 = 16;
 
@@ -51,6 +54,9 @@
     pub unsigned: bool,
     /// Id of the last event that streams send; after it they stall without ending.
     pub silent_after: Option<u64>,
+    /// Prompt part, as in the `prompt-prefix` header, that crashes the process when it begins to
+    /// answer a request with it; the last part of a request has no such effect.
+    pub crash_on_part: Option<String>,
 }
 
 /// A request that a back end ran.
@@ -81,13 +87,17 @@
     runs: Vec<SiteRun>,
     /// Number of load orders accepted so far.
     orders: u64,
+    /// Number of crashes so far.
+    crashes: u64,
+    /// Tells [`run_crashes`] that the process crashes.
+    crash_tx: mpsc::UnboundedSender<()>,
 }
 
 /// Running stand-in for a model engine or a plain service; dropping it stops it.
 #[derive(Debug)]
 pub struct SiteEngine {
     state: Arc<Mutex<State>>,
-    server: Server,
+    server: Arc<Server>,
     kind: SiteEngineKind,
 }
 
@@ -97,6 +107,7 @@
     /// # Errors
     /// The system's error when the address cannot be bound.
     pub fn spawn(id: &str, addr: SocketAddr, kind: SiteEngineKind) -> io::Result<Self> {
+        let (crash_tx, crash_rx) = mpsc::unbounded_channel();
         let state = Arc::new(Mutex::new(State {
             id: id.to_owned(),
             incarnation: 1_000,
@@ -105,9 +116,17 @@
             faults: SiteEngineFaults::default(),
             runs: Vec::new(),
             orders: 0,
+            crashes: 0,
+            crash_tx,
         }));
         let shared = state.clone();
         let server = Server::spawn(addr, move |req| serve(shared.clone(), kind, req))?;
+        let server = Arc::new(server);
+        tokio::spawn(run_crashes(
+            Arc::downgrade(&state),
+            Arc::downgrade(&server),
+            crash_rx,
+        ));
         Ok(Self {
             state,
             server,
@@ -148,9 +167,12 @@
     /// Simulates a restart of the process: the id stays, the incarnation changes, and no weights
     /// are loaded. Staged pieces and open connections stay.
     pub fn restart(&self) {
-        let mut state = self.lock();
-        state.incarnation += 1;
-        state.version = None;
+        self.lock().restart();
+    }
+
+    /// Number of crashes so far.
+    pub fn crashes(&self) -> u64 {
+        self.lock().crashes
     }
 
     /// Replaces the content of a staged piece by other bytes.
@@ -183,6 +205,36 @@
     }
 }
 
+impl State {
+    fn restart(&mut self) {
+        self.incarnation += 1;
+        self.version = None;
+    }
+}
+
+/// Takes the process off the network when it crashes, which closes its connections, and starts the
+/// next one.
+async fn run_crashes(
+    state: Weak<Mutex<State>>,
+    server: Weak<Server>,
+    mut crash_rx: mpsc::UnboundedReceiver<()>,
+) {
+    while crash_rx.recv().await.is_some() {
+        if let (Some(state), Some(server)) = (state.upgrade(), server.upgrade()) {
+            server.set_online(false);
+            lock(&state).crashes += 1;
+        }
+        tokio::time::sleep(RESTART_TIME).await;
+        let (Some(state), Some(server)) = (state.upgrade(), server.upgrade()) else {
+            return;
+        };
+        // Requests that arrived before the process was off the network crashed nothing more.
+        while crash_rx.try_recv().is_ok() {}
+        lock(&state).restart();
+        server.set_online(true);
+    }
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -251,11 +303,12 @@
 async fn run_request(state: &Mutex<State>, kind: SiteEngineKind, req: Request<Incoming>) -> Reply {
     let request_id = header(&req, "request-id").to_owned();
     let expected_id = header(&req, "expect-instance").to_owned();
+    let prefix = header(&req, "prompt-prefix").to_owned();
     let last_event = header(&req, "last-event-id").parse().unwrap_or(0);
     let headers = req.headers().clone();
     let path = req.uri().path_and_query()?.to_string();
     let body = read_body(req).await?;
-    let (faults, version, id) = {
+    let (mut faults, version, id) = {
         let mut state = lock(state);
         if !expected_id.is_empty() && expected_id != state.id {
             return Some(answer(StatusCode::MISDIRECTED_REQUEST, ""));
@@ -279,6 +332,12 @@
         });
         (state.faults.clone(), state.version, state.id.clone())
     };
+    let crashes = |part: &String| shared_parts(&prefix).any(|shared| shared == part);
+    if faults.crash_on_part.as_ref().is_some_and(crashes) {
+        // The answer has begun, and no event follows.
+        faults.silent_after = Some(0);
+        lock(state).crash_tx.send(()).ok()?;
+    }
     if faults.lose_answers {
         return None;
     }
@@ -303,6 +362,13 @@
     Some(answer)
 }
 
+/// Ids in a `prompt-prefix` header, without the last one, which belongs to the request itself.
+fn shared_parts(prefix: &str) -> impl Iterator<Item = &str> {
+    let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
+    let ids = shared.split(',').filter_map(|part| part.split(':').next());
+    ids.map(str::trim)
+}
+
 /// Body with the events after number `last_event`, up to number `events`.
 fn stream_body(events: u64, last_event: u64, faults: &SiteEngineFaults) -> Body {
     let (break_after, silent_after) = (faults.break_after, faults.silent_after);
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -164,13 +164,22 @@
 
     /// Starts the entry.
     pub fn start_entry(&mut self) {
-        let ip = ip(self.network, 1);
+        self.entry = Some(self.spawn_entry(ip(self.network, 1)));
+    }
+
+    /// Starts another entry, and returns the address that callers connect to. It runs until the
+    /// returned process is dropped.
+    pub fn start_other_entry(&self) -> (Child, SocketAddr) {
+        let ip = ip(self.network, 2);
+        (self.spawn_entry(ip), SocketAddr::new(ip, CALLER_PORT))
+    }
+
+    fn spawn_entry(&self, ip: IpAddr) -> Child {
         let listen = json!({
             "front": SocketAddr::new(ip, CALLER_PORT).to_string(),
             "readyAddr": SocketAddr::new(ip, READINESS_PORT).to_string(),
         });
-        let child = self.spawn_process("entry", ip, &listen, None);
-        self.entry = Some(child);
+        self.spawn_process("entry", ip, &listen, None)
     }
 
     /// Starts an agent for each engine.
@@ -302,7 +311,7 @@
     String::from_utf8(answer.body.to_vec()).unwrap()
 }
 
-/// Address of a host: 1 is the entry, 10 and 11 are the plain endpoints, and from 20 on each host
+/// Address of a host: 1 is the entry, 2 the other one, 10 and 11 are the plain endpoints, and from 20 on each host
 /// has an engine and its agent.
 fn ip(network: u8, host: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, network, 0, host))
