Refuse requests with a prompt part that crashes engines

Callers saw engine after engine crash under requests that share one part of their prompts and nothing else; sound requests came late, as up to three engines a second were lost. A crash counted against the digest of the whole request only, and no two of these requests are alike, so none was ever refused.

A crash now also counts against each shared prompt part of the attempts that it ended (`delivery::Suspects`). A part is blamed with three crashes; complete answers of requests with a part clear it; crashes that a blamed part explains do not count against the others; parts that cannot be told apart are blamed together, so that a request with only one of them still shows which it is. Parts that have been answered are blamed last, and only for crashes at three or five moments. Only the agent beside an engine that it saw alive attests a crash (`dispatch::crash_watch`): a host without power has none, and an engine that is leaving does not count. Crashes and answers of parts travel in the heartbeats, bounded to 64 records. Requests with all parts that are blamed together are refused with 2010, also while they wait; one that may have run ends with an unknown outcome. Whole answers with a 4xx status are a result of their own (Rejected), as they clear nothing.

--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -1,5 +1,5 @@
 //! Delivery guarantees: the retry budget, at-most-once execution of keyed requests, and quarantine
-//! of requests that crash endpoints.
+//! of requests and prompt parts that crash endpoints.
 
 mod attempts;
 mod budget;
@@ -7,6 +7,7 @@
 pub mod claim;
 mod ledger;
 mod quarantine;
+mod suspects;
 
 #[cfg(test)]
 mod tests;
@@ -17,6 +18,7 @@
 pub use claim::{ChosenAttempt, Claim, ClaimStep, KeyedRequest};
 pub use ledger::{Ledger, OfferDecision};
 pub use quarantine::{Quarantine, QuarantineStatus};
+pub use suspects::{BlameChange, BlamedParts, PartCrash, Suspects};
 
 use std::time::Duration;
 
--- a/src/delivery/tests/mod.rs
+++ b/src/delivery/tests/mod.rs
@@ -1,2 +1,3 @@
 mod attempts;
 mod keyed;
+mod suspects;
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::codes::Code;
+use crate::dispatch::crash_watch::EndpointProcess;
 use crate::dispatch::endpoint::Endpoint;
 use crate::dispatch::fleet::EndpointQuery;
 use crate::dispatch::patterns::{WaitingRequest, sample, should_send};
@@ -22,6 +23,19 @@
     pub(super) fn try_assign(&mut self, now: Instant, ticket: TicketId) -> Option<Decision> {
         let request = self.requests.get(&ticket)?;
         let configuration = self.configuration.as_ref()?;
+        if let Some(parts) = self.suspects.blamed_among(&request.prompt_parts).cloned() {
+            let inputs = DecisionInputs {
+                configuration: configuration.version,
+                ..DecisionInputs::default()
+            };
+            let decision = self.reject(now, ticket, Code::Quarantined, inputs);
+            return Some(match decision {
+                Decision::Refuse(refusal, inputs) => {
+                    Decision::Refuse(refusal.with_prompt_parts(parts), inputs)
+                }
+                decision => decision,
+            });
+        }
         let target = configuration.targets.get(&request.target);
         let engine = target.and_then(|target| target.engine.as_ref());
         let query = EndpointQuery {
@@ -136,6 +150,10 @@
         request.attempts.sent += 1;
         request.running = Some(RunningAttempt {
             endpoint: id.clone(),
+            process: EndpointProcess {
+                host: endpoint.listed.addr.ip(),
+                incarnation: endpoint.listed.incarnation,
+            },
             since: now,
             predicted,
             started: false,
@@ -167,7 +185,7 @@
             .final_code(code, Code::OutcomeUnknown);
         let refusal = match code {
             Code::OutcomeUnknown => Refusal::new(code),
-            Code::NoEndpoint => self.refuse_unavailable(code),
+            Code::NoEndpoint | Code::Quarantined => self.refuse_unavailable(code),
             _ => self.refuse_overload(code),
         };
         Decision::Refuse(refusal, inputs)
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! Dispatcher of an entry: admission, endpoint selection, attempts and their outcomes.
 
 mod assign;
+mod crashes;
 mod outcome;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -12,10 +13,13 @@
 use rand::{Rng, SeedableRng};
 
 use crate::codes::Code;
-use crate::delivery::{Attempts, Quarantine, QuarantineStatus, RetryLimit, RetryWindow};
+use crate::delivery::{
+    Attempts, BlamedParts, Quarantine, QuarantineStatus, RetryLimit, RetryWindow, Suspects,
+};
 use crate::types::{EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
 
 use super::configuration::{Configuration, Customer, Route};
+use super::crash_watch::{CrashWatch, EndpointProcess};
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::fleet::Fleet;
 use super::notice::{CrashSign, Notice};
@@ -100,6 +104,10 @@
     pub endpoints: Vec<EndpointView>,
     /// Number of request fingerprints that are suspected or quarantined.
     pub fingerprints: usize,
+    /// Number of prompt parts with crashes.
+    pub prompt_parts: usize,
+    /// Prompt parts that are blamed for crashes, in hexadecimal; those of one item together.
+    pub blamed_parts: Vec<Vec<String>>,
 }
 
 /// State of one endpoint in a dump.
@@ -151,6 +159,8 @@
     retry_budgets: HashMap<TargetId, RetryWindow>,
     quarantine: Quarantine,
     broken_attempts: VecDeque<BrokenAttempt>,
+    crash_watch: CrashWatch,
+    suspects: Suspects,
     refused_callers: RefusedCallers,
     entries: u32,
     /// Notices that the driver has not taken yet.
@@ -173,6 +183,8 @@
             retry_budgets: HashMap::new(),
             quarantine: Quarantine::default(),
             broken_attempts: VecDeque::new(),
+            crash_watch: CrashWatch::default(),
+            suspects: Suspects::default(),
             refused_callers: RefusedCallers::default(),
             entries: DEFAULT_ENTRY_COUNT,
             notices: Vec::new(),
@@ -204,6 +216,12 @@
     /// Adds or updates an endpoint from the list. Returns true when it is new or has restarted.
     pub fn update_endpoint(&mut self, now: Instant, listed: ListedEndpoint) -> bool {
         let id = listed.id.clone();
+        if listed.is_leaving {
+            self.crash_watch.leaving(EndpointProcess {
+                host: listed.addr.ip(),
+                incarnation: listed.incarnation,
+            });
+        }
         let before = self.fleet.get(&id).map(|e| e.listed.incarnation);
         let changed = self.fleet.update_endpoint(now, listed);
         if changed && let Some(before) = before {
@@ -282,24 +300,6 @@
         self.entries
     }
 
-    /// Request fingerprints with the endpoint incarnations that crashed while running them.
-    pub fn crashes(&self, now: Instant) -> Vec<(u64, InstanceId)> {
-        let records = self.quarantine.entries(now);
-        let pairs = records.iter().filter_map(|record| {
-            let fingerprint = u64::from_str_radix(&record.fingerprint, 16).ok()?;
-            Some(record.crashed.iter().map(move |id| (fingerprint, *id)))
-        });
-        pairs.flatten().collect()
-    }
-
-    /// Merges crashes that other entries observed.
-    pub fn merge_crashes(&mut self, now: Instant, crashes: &[(u64, InstanceId)]) {
-        for (fingerprint, instance) in crashes {
-            self.quarantine
-                .record_crash(now, &digest(*fingerprint), *instance);
-        }
-    }
-
     /// Admits a request, which then waits for an endpoint.
     ///
     /// # Errors
@@ -318,6 +318,10 @@
         if self.quarantine.status(&fingerprint) == QuarantineStatus::Quarantined {
             return Err(self.refuse_unavailable(Code::Quarantined));
         }
+        if let Some(parts) = self.suspects.blamed_among(&req.prompt_parts).cloned() {
+            let refusal = self.refuse_unavailable(Code::Quarantined);
+            return Err(refusal.with_prompt_parts(parts));
+        }
         let target = self.choose_target(&route);
         let timeout = req.timeout.unwrap_or(route.timeout);
         let first = self.refused_callers.take(now, req.fingerprint);
@@ -330,6 +334,7 @@
             model: req.model.clone(),
             prompt_tokens: req.prompt_tokens,
             answer_tokens: req.answer_tokens,
+            prompt_parts: req.prompt_parts.clone(),
             fingerprint: req.fingerprint,
             deadline: now + timeout.min(route.timeout),
             first_attempt_at,
@@ -360,6 +365,7 @@
     /// Assigns endpoints to waiting requests where possible, and refuses those that have waited too
     /// long.
     pub fn dispatch_waiting(&mut self, now: Instant) -> Vec<(TicketId, Decision)> {
+        self.settle_answers(now);
         let queue: Vec<_> = self.queue.iter().copied().collect();
         let mut decided = Vec::new();
         for key in queue {
@@ -446,6 +452,8 @@
             waiting: self.queue.len(),
             endpoints: self.fleet.endpoints().map(view).collect(),
             fingerprints: self.quarantine.len(),
+            prompt_parts: self.suspects.len(),
+            blamed_parts: self.suspects.blamed().map(hexadecimal).collect(),
         }
     }
 }
@@ -468,6 +476,10 @@
     }
 }
 
+fn hexadecimal(parts: &BlamedParts) -> Vec<String> {
+    parts.iter().map(|part| format!("{part:x}")).collect()
+}
+
 /// Fingerprint as the hexadecimal digest that [`Quarantine`] is keyed by.
 fn digest(fingerprint: u64) -> Arc<str> {
     format!("{fingerprint:016x}").into()
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -61,9 +61,11 @@
         if matches!(outcome, AttemptOutcome::NotSent) {
             request.attempts.sent -= 1;
         }
+        let parts = request.prompt_parts.clone();
         self.record_outcome(now, &running, prompt, fingerprint, outcome);
+        self.record_ended(now, &running, &parts, outcome);
         match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::CallerGone => {
+            AttemptOutcome::Answered | AttemptOutcome::Rejected | AttemptOutcome::CallerGone => {
                 self.finish(now, ticket);
                 NextStep::Finish
             }
@@ -95,7 +97,7 @@
         endpoint.occupancy.ended(prompt, running.started, by_caller);
         let incarnation = endpoint.listed.incarnation;
         match outcome {
-            AttemptOutcome::Answered => {
+            AttemptOutcome::Answered | AttemptOutcome::Rejected => {
                 endpoint.health.succeeded();
                 endpoint.record_work_time(now.saturating_duration_since(running.since));
             }
@@ -145,10 +147,11 @@
             return NextStep::Finish;
         };
         let status = self.quarantine.status(&digest(request.fingerprint));
+        let blamed = self.suspects.blamed_among(&request.prompt_parts).cloned();
         let rules = AttemptRules {
             max: request.route.max_attempts,
             is_repeatable: request.route.repeat != Repeat::Never,
-            is_harmful: status == QuarantineStatus::Quarantined,
+            is_harmful: status == QuarantineStatus::Quarantined || blamed.is_some(),
             has_time_left: now < request.deadline,
         };
         let limit = self.cfg.retry;
@@ -170,17 +173,22 @@
         let code = match outcome {
             // The endpoint's own answer is forwarded.
             AttemptOutcome::Failed => None,
+            _ if blamed.is_some() => Some(Code::Quarantined),
             AttemptOutcome::NotRun { .. } => Some(Code::EndpointFull),
             _ => Some(Code::NoEndpoint),
         };
         let code = code.map(|code| request.attempts.final_code(code, Code::OutcomeUnknown));
         self.remember_refusal(now, ticket);
         self.finish(now, ticket);
-        match code {
-            None => NextStep::Finish,
-            Some(code @ Code::OutcomeUnknown) => NextStep::Refuse(Refusal::new(code)),
-            Some(code) => NextStep::Refuse(self.refuse_overload(code)),
-        }
+        let Some(code) = code else {
+            return NextStep::Finish;
+        };
+        let refusal = match code {
+            Code::OutcomeUnknown => Refusal::new(code),
+            Code::Quarantined => self.refuse_unavailable(code),
+            code => self.refuse_overload(code),
+        };
+        NextStep::Refuse(refusal.with_prompt_parts(blamed.into_iter().flatten()))
     }
 
     /// Removes a request; a running attempt ends with [`AttemptOutcome::CallerGone`]. Returns `None`
@@ -202,6 +210,12 @@
                 request.fingerprint,
                 AttemptOutcome::CallerGone,
             );
+            self.record_ended(
+                now,
+                running,
+                &request.prompt_parts,
+                AttemptOutcome::CallerGone,
+            );
         }
         Some(Departure {
             attempts: request.attempts.sent,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! and returns decisions. The driver that owns the sockets is [`crate::relay`].
 
 mod configuration;
+mod crash_watch;
 mod dispatcher;
 mod endpoint;
 mod estimate;
@@ -15,12 +16,13 @@
 mod tests;
 
 pub use configuration::{CallerLimits, Configuration, Customer, Repeat, Route, Target};
+pub use crash_watch::{EndpointProcess, EndpointSight};
 pub use dispatcher::{
     Decision, DecisionInputs, DispatchConfig, Dispatcher, EndpointView, NextStep, Snapshot,
 };
 pub use endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 pub use estimate::EngineModel;
 pub use fleet::Fleet;
-pub use notice::{CrashSign, Notice};
+pub use notice::{BlameSource, CrashSign, Notice};
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
 pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, TicketId};
--- a/src/dispatch/notice.rs
+++ b/src/dispatch/notice.rs
@@ -1,5 +1,6 @@
 //! Notices of the dispatcher for the log.
 
+use crate::delivery::BlameChange;
 use crate::types::{EndpointId, InstanceId};
 
 /// Something that the driver logs.
@@ -16,6 +17,22 @@
         /// How the crash was recognised.
         sign: CrashSign,
     },
+    /// Prompt parts are blamed for crashes from now on, or no more.
+    BlameChanged {
+        /// The parts and their crashes.
+        change: BlameChange,
+        /// Whose observation changed it.
+        source: BlameSource,
+    },
+}
+
+/// Whose observation changed the blame.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BlameSource {
+    /// That of this entry.
+    Own,
+    /// That of another process, as heard in heartbeats.
+    Peers,
 }
 
 /// How a crash of an endpoint was recognised.
@@ -27,4 +44,6 @@
     Listing,
     /// The load report of its agent names a newer incarnation.
     LoadReport,
+    /// The agent beside it saw it alive, and then down or replaced.
+    Agent,
 }
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -8,6 +8,7 @@
 use crate::types::{CustomerId, EndpointId, PromptPart, TargetId};
 
 use super::configuration::{Customer, Route};
+use super::crash_watch::EndpointProcess;
 
 /// Identifies a request within this process.
 pub type TicketId = u64;
@@ -40,8 +41,10 @@
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
-    /// The whole answer arrived.
+    /// The whole answer arrived and reports success.
     Answered,
+    /// The whole answer arrived and reports a fault of the request.
+    Rejected,
     /// The whole answer arrived and reports a failure of the endpoint; the request counts as run.
     Failed,
     /// The endpoint reports that it has not run the request.
@@ -105,6 +108,7 @@
     pub model: Option<Arc<str>>,
     pub prompt_tokens: u32,
     pub answer_tokens: Option<u32>,
+    pub prompt_parts: Arc<[PromptPart]>,
     pub fingerprint: u64,
     /// Deadline for the whole answer.
     pub deadline: Instant,
@@ -130,6 +134,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct RunningAttempt {
     pub endpoint: EndpointId,
+    /// Process of the endpoint that it was sent to.
+    pub process: EndpointProcess,
     pub since: Instant,
     /// Predicted time to the start of the answer.
     pub predicted: Duration,
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -10,7 +10,7 @@
 
 pub const MODEL: &str = "llama";
 
-pub fn ms(millis: u64) -> Duration {
+pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
--- a/src/dispatch/tests/fuzz.rs
+++ b/src/dispatch/tests/fuzz.rs
@@ -47,6 +47,7 @@
     prop_oneof![
         4 => Just(AttemptOutcome::Answered),
         1 => Just(AttemptOutcome::Failed),
+        1 => Just(AttemptOutcome::Rejected),
         2 => Just(AttemptOutcome::NotRun { is_full: true }),
         1 => Just(AttemptOutcome::NotRun { is_full: false }),
         2 => Just(AttemptOutcome::NotSent),
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -7,3 +7,5 @@
 mod fixture;
 mod fuzz;
 mod overload;
+mod prompt_parts;
+mod prompt_parts_fuzz;
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -14,6 +14,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::delivery::PartCrash;
+
 pub use peers::{Entries, PlanState};
 
 /// Maximum size of a datagram that is sent or received, in bytes. For fleets of the usual size a
@@ -34,6 +36,8 @@
     pub plan: Option<Plan>,
     /// Crashes that the entry observed itself, newest last.
     pub crashes: Vec<Crash>,
+    /// Crashes by prompt part that the entry knows; bounded by [`crate::delivery::Suspects`].
+    pub part_crashes: Vec<PartCrash>,
 }
 
 /// Versions that the fleet has to serve, and the agents that serve them.
@@ -85,10 +89,15 @@
     pub agent_incarnation: u64,
     /// State of the engine on the agent's host; absent while it does not answer.
     pub engine: Option<EngineLoad>,
+    /// True when the engine accepts no connections, so that its process has ended.
+    pub engine_is_down: bool,
     /// Number of entries that recently sent the agent a heartbeat and accept requests.
     pub entries: u32,
     /// Crashes that entries reported to the agent, newest last.
     pub crashes: Vec<Crash>,
+    /// Crashes by prompt part that entries reported to the agent. Left out of most datagrams, which
+    /// the state of the engine makes frequent.
+    pub part_crashes: Vec<PartCrash>,
     /// Ages of the wanted versions, for entries that started after the store named them.
     pub wanted: Vec<VersionAge>,
 }
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::delivery::{PartCrash, Suspects};
+
 use super::{Crash, EntryHeartbeat, Plan, VersionAge, WantedModel};
 
 /// Time after which a silent entry is removed: four heartbeats.
@@ -28,6 +30,8 @@
     ///
     /// Invariant: at most [`CRASHES_MAX`], each once.
     crashes: Vec<Crash>,
+    /// Crashes by prompt part that entries reported.
+    suspects: Suspects,
 }
 
 impl Entries {
@@ -45,6 +49,7 @@
         }
         let excess = self.crashes.len().saturating_sub(CRASHES_MAX);
         self.crashes.drain(..excess);
+        self.suspects.merge(now, &heartbeat.part_crashes);
         let last = LastHeartbeat {
             incarnation: heartbeat.entry_incarnation,
             is_open: heartbeat.is_open,
@@ -56,6 +61,7 @@
 
     /// Removes the entries that have been silent for too long and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<SocketAddr> {
+        self.suspects.expire(now);
         let is_silent = |last: &LastHeartbeat| now.saturating_duration_since(last.at) >= ENTRY_TTL;
         let silent = self
             .last_heartbeats
@@ -85,6 +91,11 @@
     pub fn crashes(&self) -> &[Crash] {
         &self.crashes
     }
+
+    /// Crashes by prompt part to forward to the entries.
+    pub fn part_crashes(&self, now: Instant) -> Vec<PartCrash> {
+        self.suspects.shared(now)
+    }
 }
 
 /// Maximum number of wanted versions kept per model: more than the store names within the time
--- a/src/heartbeat/tests.rs
+++ b/src/heartbeat/tests.rs
@@ -1,6 +1,8 @@
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use super::*;
+use crate::delivery::Suspects;
 
 fn heartbeat(entry: u64, crashes: Vec<Crash>) -> EntryHeartbeat {
     EntryHeartbeat {
@@ -8,6 +10,7 @@
         is_open: true,
         plan: None,
         crashes,
+        part_crashes: Vec::new(),
     }
 }
 
@@ -45,6 +48,44 @@
     assert_eq!(entries.addrs(), [addrs[1]]);
 }
 
+#[test]
+fn crashes_by_prompt_part_are_joined_and_forwarded() {
+    let now = Instant::now();
+    let mut entries = Entries::default();
+    for (entry, instances) in [(1, [1, 2]), (2, [2, 3])] {
+        let mut known = Suspects::default();
+        for instance in instances {
+            known.record_crash(now, [7], instance);
+        }
+        let heartbeat = EntryHeartbeat {
+            part_crashes: known.shared(now),
+            ..heartbeat(entry, Vec::new())
+        };
+        let from = SocketAddr::from(([127, 0, 0, 1], entry as u16));
+        entries.record_heartbeat(now, from, &heartbeat);
+    }
+    let mut newcomer = Suspects::default();
+    newcomer.merge(now, &entries.part_crashes(now));
+    assert!(newcomer.blamed_among(&[7]).is_some());
+}
+
+#[test]
+fn crashes_by_prompt_part_leave_room_in_a_datagram() {
+    let now = Instant::now();
+    let mut known = Suspects::default();
+    for n in 0..400_u64 {
+        let parts = [u64::MAX - n % 40, u64::MAX / 2 - n];
+        known.record_crash(now, parts, u64::MAX - n);
+        known.record_answer(now, [u64::MAX / 2 - n / 2]);
+    }
+    let heartbeat = EntryHeartbeat {
+        part_crashes: known.shared(now + Duration::from_secs(30)),
+        ..heartbeat(1, Vec::new())
+    };
+    let size = encode(&heartbeat).len();
+    assert!(size < MAX_DATAGRAM / 3, "{size} bytes");
+}
+
 #[test]
 fn older_revisions_and_versions_change_nothing() {
     let now = Instant::now();
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -311,17 +311,13 @@
             self.dispatch_waiting();
             let answer = match (step, outcome) {
                 (NextStep::Wait, _) => continue,
-                (NextStep::Finish, AttemptOutcome::Answered | AttemptOutcome::Failed) => {
-                    last_answer.take()
-                }
+                (NextStep::Finish, outcome) if is_whole_answer(outcome) => last_answer.take(),
                 (NextStep::Finish, _) => None,
                 (NextStep::Refuse(refusal), _) => last_answer.take().or_else(|| {
                     Some(self.refuse(admitted.arrived, Some(&request_id), &route, &refusal))
                 }),
             };
-            if answer.is_some()
-                && matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed)
-            {
+            if answer.is_some() && is_whole_answer(outcome) {
                 self.count_result(&admitted, RequestResult::Answered);
                 let metrics = &self.inner.metrics;
                 metrics.record_first_byte(&admitted.route.name, admitted.arrived.elapsed());
@@ -383,9 +379,10 @@
             return Err(AttemptOutcome::Broken);
         }
         let body = read_full_body(body, admitted.deadline).await?;
-        let outcome = match head.status.is_server_error() {
-            true => AttemptOutcome::Failed,
-            false => AttemptOutcome::Answered,
+        let outcome = match head.status {
+            status if status.is_server_error() => AttemptOutcome::Failed,
+            status if status.is_client_error() => AttemptOutcome::Rejected,
+            _ => AttemptOutcome::Answered,
         };
         let mut answer = Response::new(full(body));
         *answer.status_mut() = head.status;
@@ -411,7 +408,7 @@
             .metrics
             .count_attempt(&assignment.endpoint, result);
         let event = match outcome {
-            AttemptOutcome::Answered => Event::AttemptAnswered,
+            AttemptOutcome::Answered | AttemptOutcome::Rejected => Event::AttemptAnswered,
             _ => Event::AttemptFailed,
         };
         log_fields!(event, {
@@ -424,7 +421,7 @@
             asking_for_ms: assignment.since_first_attempt.as_millis() as u64,
             in_system: assignment.in_system,
             load_age_ms: assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
-            prompt_parts: prompt_parts_text(&admitted.caller.prompt_parts),
+            prompt_parts: prompt_parts_text(&*admitted.caller.prompt_parts),
             took_ms: admitted.arrived.elapsed().as_millis() as u64
         });
     }
@@ -433,7 +430,7 @@
 impl From<AttemptOutcome> for AttemptResult {
     fn from(outcome: AttemptOutcome) -> Self {
         match outcome {
-            AttemptOutcome::Answered => Self::Answered,
+            AttemptOutcome::Answered | AttemptOutcome::Rejected => Self::Answered,
             AttemptOutcome::Failed => Self::Failed,
             AttemptOutcome::NotRun { is_full: true } => Self::Refused(Code::EndpointFull),
             AttemptOutcome::NotRun { is_full: false } => Self::Refused(Code::EndpointLeaving),
@@ -446,6 +443,14 @@
     }
 }
 
+/// True when the attempt got a whole answer, which is forwarded to the caller.
+fn is_whole_answer(outcome: AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Answered | AttemptOutcome::Rejected | AttemptOutcome::Failed
+    )
+}
+
 /// Turns [`AttemptOutcome::Silent`] into [`AttemptOutcome::TimedOut`] once `deadline` has passed.
 pub(super) fn apply_deadline(outcome: AttemptOutcome, deadline: Instant) -> AttemptOutcome {
     match outcome {
--- a/src/relay/notice.rs
+++ b/src/relay/notice.rs
@@ -19,11 +19,22 @@
             attempts: attempts,
             sign: format!("{sign:?}")
         }),
+        Notice::BlameChanged { change, source } => {
+            let event = match change.is_blamed {
+                true => Event::PromptPartBlamed,
+                false => Event::PromptPartReleased,
+            };
+            log_fields!(event, {
+                prompt_parts: prompt_parts_text(&change.parts),
+                crashes: change.crashes,
+                source: format!("{source:?}")
+            });
+        }
     }
 }
 
 /// Prompt parts as they are written to the log.
-pub(super) fn prompt_parts_text(parts: &[PromptPart]) -> String {
-    let parts: Vec<_> = parts.iter().map(|part| format!("{part:x}")).collect();
+pub(super) fn prompt_parts_text<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> String {
+    let parts: Vec<_> = parts.into_iter().map(|part| format!("{part:x}")).collect();
     parts.join(",")
 }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -14,6 +14,7 @@
 
 use super::dialect::Dialect;
 use super::handle::Relay;
+use super::notice::prompt_parts_text;
 
 impl<D: Dialect> Relay<D> {
     /// Answers with a refusal for which the core gave no decision inputs.
@@ -56,6 +57,7 @@
             fitting: inputs.eligible,
             best_ms: inputs.predicted_start.map_or(-1, |start| start.as_millis() as i64),
             room_ms: inputs.start_budget.map_or(-1, |budget| budget.as_millis() as i64),
+            prompt_parts: prompt_parts_text(&refusal.prompt_parts),
             asking_for_ms: inputs.since_first_attempt.as_millis() as u64,
             held_ms: arrived.elapsed().as_millis() as u64
         });
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -63,6 +63,10 @@
     EntrySetAside = 506,
     /// endpoint crashed while requests ran there
     EndpointCrashed = 507,
+    /// prompt parts are blamed for crashes; requests with all of them are refused
+    PromptPartBlamed = 508,
+    /// prompt parts are no longer blamed for crashes
+    PromptPartReleased = 509,
     /// version is ready
     VersionReady = 600,
     /// chunk failed verification
@@ -120,6 +124,8 @@
             Self::EndpointListed => log::Level::Info,
             Self::EntrySetAside => log::Level::Warn,
             Self::EndpointCrashed => log::Level::Warn,
+            Self::PromptPartBlamed => log::Level::Error,
+            Self::PromptPartReleased => log::Level::Warn,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
             Self::NoRoomForVersion => log::Level::Error,
--- a/src/types/request.rs
+++ b/src/types/request.rs
@@ -4,7 +4,7 @@
 
 use crate::codes::Code;
 
-use super::{ClassId, CustomerId, Digest, Key, TargetId};
+use super::{ClassId, CustomerId, Digest, Key, PromptPart, TargetId};
 
 /// Description of a caller's request, without its body.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,6 +42,8 @@
     pub code: Code,
     /// Delay after which a retry may succeed; `None` if the refusal states no delay.
     pub retry_after: Option<Duration>,
+    /// Prompt parts because of which the request is refused; empty if it is for another reason.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 impl Refusal {
@@ -50,6 +52,7 @@
         Self {
             code,
             retry_after: None,
+            prompt_parts: Vec::new(),
         }
     }
 
@@ -58,6 +61,12 @@
         self.retry_after = Some(delay);
         self
     }
+
+    /// Sets the prompt parts because of which the request is refused.
+    pub fn with_prompt_parts(mut self, parts: impl IntoIterator<Item = PromptPart>) -> Self {
+        self.prompt_parts = parts.into_iter().collect();
+        self
+    }
 }
 
 /// Outcome of an attempt that an entry sent to an agent, as the entry observed it.
