Bound the crashes of whole requests in an entry's heartbeat

An entry sent every crash of every request that it knew, so that its heartbeats could outgrow the 8,192 bytes that agents receive; they would have taken it for gone. It now sends the newest 64, which is what agents forward.

--- a/src/dispatch/dispatcher/crashes.rs
+++ b/src/dispatch/dispatcher/crashes.rs
@@ -16,6 +16,9 @@
 
 use super::{Dispatcher, digest};
 
+/// Maximum number of crashes of whole requests in a heartbeat; agents forward as many.
+const MAX_SHARED_CRASHES: usize = 64;
+
 impl Dispatcher {
     /// Applies what the agent on a host, of incarnation `agent`, says about its endpoint.
     pub fn record_sight(
@@ -38,14 +41,18 @@
         }
     }
 
-    /// Request fingerprints with the endpoint incarnations that crashed while running them.
+    /// Request fingerprints with the endpoint incarnations that crashed while running them, newest
+    /// last; at most `MAX_SHARED_CRASHES`.
     pub fn crashes(&self, now: Instant) -> Vec<(u64, InstanceId)> {
-        let records = self.quarantine.entries(now);
+        let mut records = self.quarantine.entries(now);
+        records.sort_by_key(|record| record.age_ms);
         let pairs = records.iter().filter_map(|record| {
             let fingerprint = u64::from_str_radix(&record.fingerprint, 16).ok()?;
             Some(record.crashed.iter().map(move |id| (fingerprint, *id)))
         });
-        pairs.flatten().collect()
+        let mut newest: Vec<_> = pairs.flatten().take(MAX_SHARED_CRASHES).collect();
+        newest.reverse();
+        newest
     }
 
     /// Merges crashes that other entries observed.
