--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! Dispatcher of an entry: admission, endpoint selection, attempts and their outcomes.
 
 mod assign;
+mod crashes;
 mod outcome;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -12,12 +13,16 @@
 use rand::{Rng, SeedableRng};
 
 use crate::codes::Code;
-use crate::delivery::{Attempts, Quarantine, QuarantineStatus, RetryLimit, RetryWindow};
+use crate::delivery::{
+    Attempts, BlamedParts, Quarantine, QuarantineStatus, RetryLimit, RetryWindow, Suspects,
+};
 use crate::types::{ChangeTime, EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
 
 use super::configuration::{Configuration, Customer, Route};
+use super::crash_watch::{CrashWatch, EndpointProcess};
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::fleet::{Fleet, VersionUpdate};
+use super::notice::{CrashSign, Notice};
 use super::patterns::{
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
@@ -25,6 +30,8 @@
 
 /// Number of entries assumed to share the fleet until agents report it.
 const DEFAULT_ENTRY_COUNT: u32 = 4;
+/// Maximum number of notices kept for a driver that does not take them; later ones are dropped.
+const MAX_NOTICES: usize = 256;
 
 /// Settings of the dispatcher.
 #[derive(Clone, Debug)]
@@ -97,6 +104,10 @@
     pub endpoints: Vec<EndpointView>,
     /// Number of request fingerprints that are suspected or quarantined.
     pub fingerprints: usize,
+    /// Number of prompt parts with crashes.
+    pub prompt_parts: usize,
+    /// Prompt parts that are blamed for crashes, in hexadecimal; those of one item together.
+    pub blamed_parts: Vec<Vec<String>>,
 }
 
 /// State of one endpoint in a dump.
@@ -148,8 +159,14 @@
     retry_budgets: HashMap<TargetId, RetryWindow>,
     quarantine: Quarantine,
     broken_attempts: VecDeque<BrokenAttempt>,
+    crash_watch: CrashWatch,
+    suspects: Suspects,
     refused_callers: RefusedCallers,
     entries: u32,
+    /// Notices that the driver has not taken yet.
+    ///
+    /// Invariant: at most [`MAX_NOTICES`].
+    notices: Vec<Notice>,
 }
 
 impl Dispatcher {
@@ -166,8 +183,11 @@
             retry_budgets: HashMap::new(),
             quarantine: Quarantine::default(),
             broken_attempts: VecDeque::new(),
+            crash_watch: CrashWatch::default(),
+            suspects: Suspects::default(),
             refused_callers: RefusedCallers::default(),
             entries: DEFAULT_ENTRY_COUNT,
+            notices: Vec::new(),
         }
     }
 
@@ -201,10 +221,16 @@
     /// Adds or updates an endpoint from the list. Returns true when it is new or has restarted.
     pub fn update_endpoint(&mut self, now: Instant, listed: ListedEndpoint) -> bool {
         let id = listed.id.clone();
+        if listed.is_leaving {
+            self.crash_watch.leaving(EndpointProcess {
+                host: listed.addr.ip(),
+                incarnation: listed.incarnation,
+            });
+        }
         let before = self.fleet.get(&id).map(|e| e.listed.incarnation);
         let changed = self.fleet.update_endpoint(now, listed);
         if changed && let Some(before) = before {
-            self.record_crash(now, &id, before);
+            self.record_crash(now, &id, before, CrashSign::Listing);
         }
         changed
     }
@@ -223,7 +249,7 @@
         if let Some((incarnation, false)) =
             endpoint.map(|e| (e.listed.incarnation, e.listed.is_leaving))
         {
-            self.record_crash(now, id, incarnation);
+            self.record_crash(now, id, incarnation, CrashSign::Listing);
         }
         self.fleet.remove_endpoint(id);
     }
@@ -252,7 +278,7 @@
             .find(|e| e.listed.addr.ip() == host && e.listed.incarnation < load.incarnation)
             .map(|e| (e.listed.id.clone(), e.listed.incarnation));
         if let Some((id, before)) = restarted {
-            self.record_crash(now, &id, before);
+            self.record_crash(now, &id, before, CrashSign::LoadReport);
         }
         self.fleet.update_load(now, host, load)
     }
@@ -262,27 +288,20 @@
         self.entries = entries.max(1);
     }
 
-    /// Number of entries that share the fleet.
-    pub fn entry_count(&self) -> u32 {
-        self.entries
+    /// Takes the notices for the log.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
     }
 
-    /// Request fingerprints with the endpoint incarnations that crashed while running them.
-    pub fn crashes(&self, now: Instant) -> Vec<(u64, InstanceId)> {
-        let records = self.quarantine.entries(now);
-        let pairs = records.iter().filter_map(|record| {
-            let fingerprint = u64::from_str_radix(&record.fingerprint, 16).ok()?;
-            Some(record.crashed.iter().map(move |id| (fingerprint, *id)))
-        });
-        pairs.flatten().collect()
+    fn notify(&mut self, notice: Notice) {
+        if self.notices.len() < MAX_NOTICES {
+            self.notices.push(notice);
+        }
     }
 
-    /// Merges crashes that other entries observed.
-    pub fn merge_crashes(&mut self, now: Instant, crashes: &[(u64, InstanceId)]) {
-        for (fingerprint, instance) in crashes {
-            self.quarantine
-                .record_crash(now, &digest(*fingerprint), *instance);
-        }
+    /// Number of entries that share the fleet.
+    pub fn entry_count(&self) -> u32 {
+        self.entries
     }
 
     /// Admits a request, which then waits for an endpoint.
@@ -303,6 +322,10 @@
         if self.quarantine.status(&fingerprint) == QuarantineStatus::Quarantined {
             return Err(self.refuse_unavailable(Code::Quarantined));
         }
+        if let Some(parts) = self.suspects.blamed_among(&req.prompt_parts).cloned() {
+            let refusal = self.refuse_unavailable(Code::Quarantined);
+            return Err(refusal.with_prompt_parts(parts));
+        }
         let target = self.choose_target(&route);
         let timeout = req.timeout.unwrap_or(route.timeout);
         let first = self.refused_callers.take(now, req.fingerprint);
@@ -315,6 +338,7 @@
             model: req.model.clone(),
             prompt_tokens: req.prompt_tokens,
             answer_tokens: req.answer_tokens,
+            prompt_parts: req.prompt_parts.clone(),
             fingerprint: req.fingerprint,
             deadline: now + timeout.min(route.timeout),
             first_attempt_at,
@@ -345,6 +369,7 @@
     /// Assigns endpoints to waiting requests where possible, and refuses those that have waited too
     /// long.
     pub fn dispatch_waiting(&mut self, now: Instant) -> Vec<(TicketId, Decision)> {
+        self.settle_answers(now);
         let queue: Vec<_> = self.queue.iter().copied().collect();
         let mut decided = Vec::new();
         for key in queue {
@@ -431,6 +456,8 @@
             waiting: self.queue.len(),
             endpoints: self.fleet.endpoints().map(view).collect(),
             fingerprints: self.quarantine.len(),
+            prompt_parts: self.suspects.len(),
+            blamed_parts: self.suspects.blamed().map(hexadecimal).collect(),
         }
     }
 }
@@ -453,6 +480,10 @@
     }
 }
 
+fn hexadecimal(parts: &BlamedParts) -> Vec<String> {
+    parts.iter().map(|part| format!("{part:x}")).collect()
+}
+
 /// Fingerprint as the hexadecimal digest that [`Quarantine`] is keyed by.
 fn digest(fingerprint: u64) -> Arc<str> {
     format!("{fingerprint:016x}").into()
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -10,7 +10,7 @@
 
 pub const MODEL: &str = "llama";
 
-pub fn ms(millis: u64) -> Duration {
+pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -176,6 +176,7 @@
             _ => 0,
         },
         answer_tokens: None,
+        prompt_parts: [].into(),
         fingerprint: 99,
     }
 }
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -7,4 +7,6 @@
 mod fixture;
 mod fuzz;
 mod overload;
+mod prompt_parts;
+mod prompt_parts_fuzz;
 mod versions;
--- a/src/heartbeat/tests/version_times.rs
+++ b/src/heartbeat/tests/version_times.rs
@@ -15,7 +15,7 @@
 use crate::types::{ChangeAge, ChangeTime};
 
 /// Number of generated sequences per run.
-const CASES: u32 = 256;
+const CASES: u32 = 1_024;
 const MODEL: &str = "m";
 /// Number of versions that agents remember.
 const REMEMBERED_VERSIONS: usize = 4;
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -22,6 +22,7 @@
 
 use super::answer::{OpenedAnswer, OutgoingRequest, read_full_body, send_attempt};
 use super::dialect::{Dialect, RequestHead, ResumePoint};
+use super::notice::{log_notice, prompt_parts_text};
 use super::stream;
 use super::ticket::Ticket;
 
@@ -123,7 +124,11 @@
 
     /// Lets the core decide on waiting requests and delivers the decisions to the requests' tasks.
     pub fn dispatch_waiting(&self) {
-        let decisions = self.core().dispatch_waiting(Instant::now());
+        let (decisions, notices) = {
+            let mut core = self.core();
+            (core.dispatch_waiting(Instant::now()), core.take_notices())
+        };
+        notices.iter().for_each(log_notice);
         if !decisions.is_empty() {
             let mut pending = self.lock_pending();
             for (ticket, decision) in decisions {
@@ -306,17 +311,13 @@
             self.dispatch_waiting();
             let answer = match (step, outcome) {
                 (NextStep::Wait, _) => continue,
-                (NextStep::Finish, AttemptOutcome::Answered | AttemptOutcome::Failed) => {
-                    last_answer.take()
-                }
+                (NextStep::Finish, outcome) if is_whole_answer(outcome) => last_answer.take(),
                 (NextStep::Finish, _) => None,
                 (NextStep::Refuse(refusal), _) => last_answer.take().or_else(|| {
                     Some(self.refuse(admitted.arrived, Some(&request_id), &route, &refusal))
                 }),
             };
-            if answer.is_some()
-                && matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed)
-            {
+            if answer.is_some() && is_whole_answer(outcome) {
                 self.count_result(&admitted, RequestResult::Answered);
                 let metrics = &self.inner.metrics;
                 metrics.record_first_byte(&admitted.route.name, admitted.arrived.elapsed());
@@ -378,9 +379,10 @@
             return Err(AttemptOutcome::Broken);
         }
         let body = read_full_body(body, admitted.deadline).await?;
-        let outcome = match head.status.is_server_error() {
-            true => AttemptOutcome::Failed,
-            false => AttemptOutcome::Answered,
+        let outcome = match head.status {
+            status if status.is_server_error() => AttemptOutcome::Failed,
+            status if status.is_client_error() => AttemptOutcome::Rejected,
+            _ => AttemptOutcome::Answered,
         };
         let mut answer = Response::new(full(body));
         *answer.status_mut() = head.status;
@@ -406,7 +408,7 @@
             .metrics
             .count_attempt(&assignment.endpoint, result);
         let event = match outcome {
-            AttemptOutcome::Answered => Event::AttemptAnswered,
+            AttemptOutcome::Answered | AttemptOutcome::Rejected => Event::AttemptAnswered,
             _ => Event::AttemptFailed,
         };
         log_fields!(event, {
@@ -420,6 +422,7 @@
             in_system: assignment.in_system,
             load_age_ms: assignment.load_age.map_or(-1, |age| age.as_millis() as i64),
             version: assignment.version.map_or(-1, |version| version as i64),
+            prompt_parts: prompt_parts_text(&*admitted.caller.prompt_parts),
             took_ms: admitted.arrived.elapsed().as_millis() as u64
         });
     }
@@ -428,7 +431,7 @@
 impl From<AttemptOutcome> for AttemptResult {
     fn from(outcome: AttemptOutcome) -> Self {
         match outcome {
-            AttemptOutcome::Answered => Self::Answered,
+            AttemptOutcome::Answered | AttemptOutcome::Rejected => Self::Answered,
             AttemptOutcome::Failed => Self::Failed,
             AttemptOutcome::NotRun { is_full: true } => Self::Refused(Code::EndpointFull),
             AttemptOutcome::NotRun { is_full: false } => Self::Refused(Code::EndpointLeaving),
@@ -441,6 +444,14 @@
     }
 }
 
+/// True when the attempt got a whole answer, which is forwarded to the caller.
+fn is_whole_answer(outcome: AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Answered | AttemptOutcome::Rejected | AttemptOutcome::Failed
+    )
+}
+
 /// Turns [`AttemptOutcome::Silent`] into [`AttemptOutcome::TimedOut`] once `deadline` has passed.
 pub(super) fn apply_deadline(outcome: AttemptOutcome, deadline: Instant) -> AttemptOutcome {
     match outcome {
--- /dev/null
+++ b/src/relay/notice.rs
@@ -0,0 +1,40 @@
+//! Log lines for the notices of the dispatcher.
+
+use crate::dispatch::Notice;
+use crate::log_fields;
+use crate::telemetry::Event;
+use crate::types::PromptPart;
+
+/// Logs a notice.
+pub(super) fn log_notice(notice: &Notice) {
+    match notice {
+        Notice::EndpointCrashed {
+            endpoint,
+            incarnation,
+            attempts,
+            sign,
+        } => log_fields!(Event::EndpointCrashed, {
+            endpoint: &**endpoint,
+            incarnation: incarnation,
+            attempts: attempts,
+            sign: format!("{sign:?}")
+        }),
+        Notice::BlameChanged { change, source } => {
+            let event = match change.is_blamed {
+                true => Event::PromptPartBlamed,
+                false => Event::PromptPartReleased,
+            };
+            log_fields!(event, {
+                prompt_parts: prompt_parts_text(&change.parts),
+                crashes: change.crashes,
+                source: format!("{source:?}")
+            });
+        }
+    }
+}
+
+/// Prompt parts as they are written to the log.
+pub(super) fn prompt_parts_text<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> String {
+    let parts: Vec<_> = parts.into_iter().map(|part| format!("{part:x}")).collect();
+    parts.join(",")
+}
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -67,6 +67,12 @@
     EndpointListed = 505,
     /// an item of a watched list is invalid and is ignored
     EntrySetAside = 506,
+    /// endpoint crashed while requests ran there
+    EndpointCrashed = 507,
+    /// prompt parts are blamed for crashes; requests with all of them are refused
+    PromptPartBlamed = 508,
+    /// prompt parts are no longer blamed for crashes
+    PromptPartReleased = 509,
     /// version is ready
     VersionReady = 600,
     /// chunk failed verification
@@ -126,6 +132,9 @@
             Self::DuplicateAttempt => log::Level::Warn,
             Self::EndpointListed => log::Level::Info,
             Self::EntrySetAside => log::Level::Warn,
+            Self::EndpointCrashed => log::Level::Warn,
+            Self::PromptPartBlamed => log::Level::Error,
+            Self::PromptPartReleased => log::Level::Warn,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
             Self::NoRoomForVersion => log::Level::Error,
