Failing tests: endless bytes of engines reach callers or fill the memory

The stand-in of an engine can now send answers with neither length nor chunks, which end in good order, by a reset or inside an event, and bytes without end in the head or the body; store and origin can do the latter.

--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hosts;
 pub mod objects;
 pub mod origin;
+pub mod raw;
 pub mod reply;
 pub mod server;
 pub mod service;
--- a/fakes/src/server.rs
+++ b/fakes/src/server.rs
@@ -12,8 +12,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
+use crate::raw::RawAnswer;
 use crate::reply::Reply;
 
 /// Length of the listener's queue of connections that are not yet accepted.
@@ -135,21 +136,37 @@
 {
     // Ignored: without the option, small writes are delayed but still sent.
     let _ = stream.set_nodelay(true);
+    let (raw_tx, mut raw_rx) = mpsc::channel(1);
     let service = service_fn(move |req| {
         let reply = handler(req);
+        let raw_tx = raw_tx.clone();
         async move {
-            reply.await.ok_or_else(|| {
+            let mut answer = reply.await.ok_or_else(|| {
                 io::Error::other("the handler closed the connection without an answer")
-            })
+            })?;
+            match answer.extensions_mut().remove::<RawAnswer>() {
+                None => Ok::<_, io::Error>(answer),
+                Some(raw) => {
+                    // The connection is taken from the HTTP library, which drops this future.
+                    let _ = raw_tx.send(raw).await;
+                    std::future::pending().await
+                }
+            }
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(stream), service);
     // Going offline or dropping the server closes the connection at once.
+    let raw = tokio::select! {
+        _ = is_online.changed() => return,
+        _ = &mut connection => return,
+        Some(raw) = raw_rx.recv() => raw,
+    };
+    let stream = connection.into_parts().io.into_inner();
     tokio::select! {
         _ = is_online.changed() => {}
-        _ = connection => {}
+        () = raw.send(stream) => {}
     }
 }
--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -10,14 +10,17 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 
+use crate::raw::{ConnectionEnd, Flood, RawAnswer};
 use crate::reply::{Body, Reply, answer, header, json as json_answer, query_number, read_body};
 use crate::server::Server;
 
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Length of the part of an event that a breaking stream sends; it ends before the `data` line.
+const PARTIAL_EVENT_BYTES: usize = 6;
 /// Number of layers of the model.
 const LAYERS: u32 = 16;
 
@@ -51,6 +54,13 @@
     pub unsigned: bool,
     /// Id of the last event that streams send; after it they stall without ending.
     pub silent_after: Option<u64>,
+    /// When set, answers have neither a length nor chunks and end with their connection. A reset
+    /// one has half of its body, or as many events as `break_after` says and no part of the next.
+    pub without_length: Option<ConnectionEnd>,
+    /// Bytes that callers' requests are answered with.
+    pub flood: Option<Flood>,
+    /// Bytes that the report, orders and reads from the staging area are answered with.
+    pub admin_flood: Option<Flood>,
 }
 
 /// A request that a back end ran.
@@ -81,6 +91,10 @@
     runs: Vec<SiteRun>,
     /// Number of load orders accepted so far.
     orders: u64,
+    /// Floods sent so far.
+    floods: u64,
+    /// Cloned by each flood whose connection is open.
+    open_floods: Arc<()>,
 }
 
 /// Running stand-in for a model engine or a plain service; dropping it stops it.
@@ -105,6 +119,8 @@
             faults: SiteEngineFaults::default(),
             runs: Vec::new(),
             orders: 0,
+            floods: 0,
+            open_floods: Arc::default(),
         }));
         let shared = state.clone();
         let server = Server::spawn(addr, move |req| serve(shared.clone(), kind, req))?;
@@ -178,11 +194,33 @@
         self.lock().orders
     }
 
+    /// Number of floods sent so far.
+    pub fn floods(&self) -> u64 {
+        self.lock().floods
+    }
+
+    /// Number of floods whose reader has not closed the connection.
+    pub fn open_floods(&self) -> usize {
+        Arc::strong_count(&self.lock().open_floods) - 1
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
 }
 
+impl State {
+    /// A flood in place of `answer`, counted while its connection is open.
+    fn flood<B>(&mut self, flood: Flood, answer: &Response<B>) -> Response<Body> {
+        self.floods += 1;
+        let raw = RawAnswer {
+            open: self.open_floods.clone(),
+            ..flood.replacing(answer)
+        };
+        raw.into_response()
+    }
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -196,6 +234,13 @@
 
 async fn serve(state: Arc<Mutex<State>>, kind: SiteEngineKind, req: Request<Incoming>) -> Reply {
     let path = req.uri().path().to_owned();
+    let is_admin = path.starts_with("/limpetloom/") && req.method() != Method::PUT;
+    if is_admin {
+        let mut state = lock(&state);
+        if let Some(flood) = state.faults.admin_flood {
+            return Some(state.flood(flood, &answer(StatusCode::OK, "")));
+        }
+    }
     match &*path {
         "/limpetloom/report" => Some(json_answer(&report(&lock(&state)))),
         "/limpetloom/order" => handle_order(&state, kind, req).await,
@@ -283,7 +328,7 @@
         return None;
     }
     let mut answer = match kind {
-        SiteEngineKind::Plain => answer(StatusCode::OK, format!("done by {id}")),
+        SiteEngineKind::Plain => answer(StatusCode::OK, plain_text(&id)),
         SiteEngineKind::Model { events, .. } => {
             Response::new(stream_body(events, last_event, &faults))
         }
@@ -300,9 +345,53 @@
     if let Some(version) = version {
         headers.insert("weight-versions", version.into());
     }
+    if let Some(flood) = faults.flood {
+        return Some(lock(state).flood(flood, &answer));
+    }
+    if let Some(end) = faults.without_length {
+        let body = match kind {
+            SiteEngineKind::Plain => {
+                let mut text = plain_text(&id);
+                text.truncate(match end {
+                    ConnectionEnd::Close => text.len(),
+                    ConnectionEnd::Reset => text.len() / 2,
+                });
+                text
+            }
+            SiteEngineKind::Model { events, .. } => {
+                stream_text(events, last_event, faults.break_after, end)
+            }
+        };
+        return Some(RawAnswer::without_length(&answer, body.as_bytes(), end).into_response());
+    }
     Some(answer)
 }
 
+/// Body of a plain service's answer.
+fn plain_text(id: &str) -> String {
+    format!("done by {id}")
+}
+
+fn event_text(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+/// The events after number `last_event`, up to number `events`, as far as they are sent before a
+/// break. One in good order leaves a part of the next event.
+fn stream_text(
+    events: u64,
+    last_event: u64,
+    break_after: Option<u64>,
+    end: ConnectionEnd,
+) -> String {
+    let last = break_after.unwrap_or(events).min(events);
+    let mut text: String = (last_event + 1..=last).map(event_text).collect();
+    if last < events && end == ConnectionEnd::Close {
+        text.push_str(&event_text(last + 1)[..PARTIAL_EVENT_BYTES]);
+    }
+    text
+}
+
 /// Body with the events after number `last_event`, up to number `events`.
 fn stream_body(events: u64, last_event: u64, faults: &SiteEngineFaults) -> Body {
     let (break_after, silent_after) = (faults.break_after, faults.silent_after);
@@ -314,13 +403,15 @@
         if silent_after.is_some_and(|last| id > last) {
             std::future::pending::<()>().await;
         }
-        let event = format!("id: {id}\ndata: token {id}\n\n");
+        let event = event_text(id);
         let frame = match break_after {
             Some(last) if id > last + 1 => {
                 Err(io::Error::other("injected fault: the stream breaks"))
             }
-            // The first six bytes end before the `data` line.
-            Some(last) if id > last => Ok(Frame::data(Bytes::from(event[..6].to_owned()))),
+            Some(last) if id > last => {
+                let part = event[..PARTIAL_EVENT_BYTES].to_owned();
+                Ok(Frame::data(Bytes::from(part)))
+            }
             _ => Ok(Frame::data(Bytes::from(event))),
         };
         Some((frame, id + 1))
--- a/fakes/src/site/origin.rs
+++ b/fakes/src/site/origin.rs
@@ -2,14 +2,15 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde_json::json;
 use sha2::{Digest, Sha256};
 
+use crate::raw::Flood;
 use crate::reply::{Reply, answer, json as json_answer, query_number};
 use crate::server::{ANY_PORT, Server};
 
@@ -28,6 +29,8 @@
 pub struct SiteOrigin {
     server: Server,
     sent: Arc<AtomicU64>,
+    floods: Arc<AtomicU64>,
+    flood: Arc<Mutex<Option<Flood>>>,
 }
 
 impl SiteOrigin {
@@ -37,12 +40,30 @@
     /// The system's error when no address can be bound.
     pub fn spawn(pieces: u64) -> io::Result<Self> {
         let sent = Arc::new(AtomicU64::new(0));
-        let counter = sent.clone();
+        let flood = Arc::new(Mutex::new(None::<Flood>));
+        let floods = Arc::new(AtomicU64::new(0));
+        let (counter, current_flood) = (sent.clone(), flood.clone());
+        let flood_counter = floods.clone();
         let server = Server::spawn(ANY_PORT, move |req| {
-            let counter = counter.clone();
-            async move { serve(&req, pieces, &counter) }
+            let (counter, flood_counter) = (counter.clone(), flood_counter.clone());
+            let flood = *current_flood.lock().unwrap_or_else(PoisonError::into_inner);
+            async move {
+                match flood {
+                    None => serve(&req, pieces, &counter),
+                    Some(flood) => {
+                        flood_counter.fetch_add(1, Ordering::Relaxed);
+                        let raw = flood.replacing(&answer(StatusCode::OK, ""));
+                        Some(raw.into_response())
+                    }
+                }
+            }
         })?;
-        Ok(Self { server, sent })
+        Ok(Self {
+            server,
+            sent,
+            floods,
+            flood,
+        })
     }
 
     /// Address of the origin.
@@ -50,6 +71,16 @@
         self.server.addr()
     }
 
+    /// Answers all further requests with a flood, or properly again.
+    pub fn set_flood(&self, flood: Option<Flood>) {
+        *self.flood.lock().unwrap_or_else(PoisonError::into_inner) = flood;
+    }
+
+    /// Number of floods sent so far.
+    pub fn floods(&self) -> u64 {
+        self.floods.load(Ordering::Relaxed)
+    }
+
     /// Number of pieces served so far.
     pub fn pieces_sent(&self) -> u64 {
         self.sent.load(Ordering::Relaxed)
--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
+use crate::raw::Flood;
 use crate::reply::{Reply, answer, json as json_answer, query_number, query_param};
 use crate::server::{ANY_PORT, Server};
 
@@ -31,6 +32,8 @@
     compacted_to: u64,
     /// Calls of all kinds so far.
     calls: u64,
+    /// Bytes that calls are answered with.
+    flood: Option<Flood>,
 }
 
 /// Running stand-in for the metadata store; dropping it stops it.
@@ -74,6 +77,13 @@
         self.server.set_online(online);
     }
 
+    /// Answers all further calls with a flood, or properly again. Waiting watches end.
+    pub fn set_flood(&self, flood: Option<Flood>) {
+        lock(&self.state).flood = flood;
+        self.set_online(false);
+        self.set_online(true);
+    }
+
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.change(kind, name, Some(spec));
@@ -129,7 +139,14 @@
     mut changed: watch::Receiver<u64>,
     req: Request<Incoming>,
 ) -> Reply {
-    lock(&state).calls += 1;
+    {
+        let mut state = lock(&state);
+        state.calls += 1;
+        if let Some(flood) = state.flood {
+            let raw = flood.replacing(&answer(StatusCode::OK, ""));
+            return Some(raw.into_response());
+        }
+    }
     let kind = req.uri().path().strip_prefix(OBJECTS_PATH)?.to_owned();
     if req.method() != Method::GET {
         return Some(answer(StatusCode::METHOD_NOT_ALLOWED, ""));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod answers;
 mod faults;
 mod lifecycle;
 mod metrics;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -30,6 +30,8 @@
 pub const STREAM_EVENTS: u64 = 12;
 /// Number of chunks in each version of the weights.
 pub const CHUNKS_PER_VERSION: u64 = 8;
+/// Size above which the body of an answer is not read to its end.
+const MAX_BODY_BYTES: usize = 1 << 20;
 /// Longest wait for a condition before the test fails.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
@@ -53,7 +55,7 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// False when the connection ended before the body did.
+    /// False when the connection ended before the body did, and for an oversized body.
     pub is_whole: bool,
 }
 
@@ -224,6 +226,16 @@
         fs::read_to_string(self.folder.join(name)).unwrap()
     }
 
+    /// Most memory that the entry has used at any time, in bytes.
+    pub fn entry_peak_memory(&self) -> u64 {
+        peak_memory(self.entry.as_ref().unwrap())
+    }
+
+    /// Most memory that an agent has used at any time, in bytes.
+    pub fn agent_peak_memory(&self, n: usize) -> u64 {
+        peak_memory(&self.agents[n])
+    }
+
     /// Sends the entry a signal, given as an option of `kill` such as `-TERM`.
     pub async fn signal_entry(&self, signal: &str) {
         let id = self.entry.as_ref().and_then(Child::id).unwrap().to_string();
@@ -293,6 +305,14 @@
     }
 }
 
+/// Most memory that a process has used at any time, in bytes.
+fn peak_memory(process: &Child) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.id().unwrap())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = line.unwrap().trim().strip_suffix(" kB").unwrap();
+    kilobytes.parse::<u64>().unwrap() * 1024
+}
+
 /// Fetches the metrics of the process on a host.
 async fn scrape(ip: IpAddr) -> String {
     let req = request("GET", "/metrics", "scrape");
@@ -333,6 +353,7 @@
     let is_whole = loop {
         match body.frame().await {
             None => break true,
+            Some(Ok(_)) if bytes.len() > MAX_BODY_BYTES => break false,
             Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
             Some(Err(_)) => break false,
         }
