Give up an answer after 16 interim ones, and read heads of 16 KB at most

Callers saw 504 at their deadline where 502 was due at once, and sound streams were cut after a few events while others met the fault. An engine that sends informational answers (1xx) without end was read until the deadline, since the HTTP library skips them by itself; reading them as fast as they come took the processor from other requests. A head without end was read up to 408 KB for each request.

The library reports each interim answer, and the seventeenth ends the attempt as broken, which closes the connection and lets the request go on elsewhere where it may be repeated. The buffer of a connection, which bounds head and pieces of the body, is 16 KB.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 
 use crate::dispatch::{Assignment, AttemptOutcome};
-use crate::http::connect;
+use crate::http::{MAX_ANSWER_HEAD_BYTES, connect, too_many_interim_answers};
 
 use super::dialect::{AnswerHead, Dialect};
 
@@ -51,6 +51,7 @@
         .await
         .map_err(|_| AttemptOutcome::NotSent)?;
     let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_ANSWER_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| AttemptOutcome::NotSent)?;
@@ -60,7 +61,11 @@
     *req.method_mut() = request.method.clone();
     *req.uri_mut() = request.uri.clone();
     *req.headers_mut() = headers;
-    let sent = tokio::time::timeout_at(deadline.into(), sender.try_send_request(req)).await;
+    let flooded = too_many_interim_answers(&mut req);
+    let sent = tokio::select! {
+        () = flooded => return Err(AttemptOutcome::Broken),
+        sent = tokio::time::timeout_at(deadline.into(), sender.try_send_request(req)) => sent,
+    };
     let res: Response<Incoming> = match sent {
         Err(_) => return Err(AttemptOutcome::Silent),
         Ok(Ok(res)) => res,
