Hold back events without a number until the next number or the end

The events of a stream bear numbers, but the relay also took any text that ends with an empty line for an event.

Events without a number now leave with the next numbered one, or at an end in good order, so nothing is withheld from a sound stream. More than 32 KB without a number (256 KB before) break the attempt, and the stream goes on elsewhere with nothing of them forwarded.

The two new tests of the splitter use what it did not have.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -1,11 +1,12 @@
 //! Splits server-sent event streams into whole events.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
-/// Largest event that is buffered; engines send events of less than 1 KB.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Largest part of a stream that is buffered: an unfinished event of up to 16 KB, of which engines
+/// send less than 1 KB, and the piece of a body that follows.
+const MAX_EVENT_BYTES: usize = 32 * 1024;
 
-/// One whole event of a stream.
+/// One whole event of a stream, with the events without a number in front of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StreamEvent {
     /// Bytes of the event, including the empty line that ends it.
@@ -18,8 +19,11 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
-    /// Length of the start of `buf` that contains no end of an event.
+    /// Length of the start of `buf` that contains no end of an event behind `unnumbered`.
     searched: usize,
+    /// Length of the whole events without a number at the start of `buf`. They wait for the next
+    /// number: without one they may be bytes that are no stream.
+    unnumbered: usize,
 }
 
 impl EventSplitter {
@@ -29,26 +33,50 @@
         self.buf.len() <= MAX_EVENT_BYTES
     }
 
-    /// Removes the next whole event from the buffer; `None` when no event is complete.
+    /// Removes the next whole event with a number, and those before it, from the buffer; `None` when
+    /// no such event is complete.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        // The end of an event, `\n\n` or `\n\r\n`, may begin in bytes that were searched before.
-        let from = self.searched.saturating_sub(3);
-        let end = match event_end(&self.buf[from..]) {
-            Some(end) => from + end,
-            None => {
+        loop {
+            // The end of an event, `\n\n` or `\n\r\n`, may begin in bytes that were searched before.
+            let from = self.searched.saturating_sub(3).max(self.unnumbered);
+            let Some(length) = event_end(&self.buf[from..]) else {
                 self.searched = self.buf.len();
                 return None;
+            };
+            let end = from + length;
+            match event_id(&self.buf[self.unnumbered..end]) {
+                Some(id) => {
+                    let bytes = self.take(end);
+                    return Some(StreamEvent {
+                        bytes,
+                        id: Some(id),
+                    });
+                }
+                None => {
+                    self.unnumbered = end;
+                    self.searched = end;
+                }
             }
-        };
-        self.searched = 0;
-        let bytes = self.buf.split_to(end).freeze();
-        let id = event_id(&bytes);
-        Some(StreamEvent { bytes, id })
+        }
+    }
+
+    /// Removes the events without a number that wait at the end of a stream; `None` for none.
+    pub fn take_unnumbered(&mut self) -> Option<StreamEvent> {
+        (self.unnumbered > 0).then(|| StreamEvent {
+            bytes: self.take(self.unnumbered),
+            id: None,
+        })
     }
 
     /// True when no partial event is buffered.
-    pub fn is_empty(&self) -> bool {
-        !self.buf.has_remaining()
+    pub fn is_between_events(&self) -> bool {
+        self.buf.len() == self.unnumbered
+    }
+
+    fn take(&mut self, length: usize) -> Bytes {
+        self.searched = 0;
+        self.unnumbered = 0;
+        self.buf.split_to(length).freeze()
     }
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -36,6 +36,8 @@
 struct EventReader {
     body: Incoming,
     splitter: EventSplitter,
+    /// True once the body has ended.
+    has_ended: bool,
 }
 
 /// Result of reading from a stream.
@@ -50,6 +52,7 @@
         Self {
             body,
             splitter: EventSplitter::default(),
+            has_ended: false,
         }
     }
 
@@ -59,11 +62,19 @@
             if let Some(event) = self.splitter.next_event() {
                 return Ok(Read::Event(event));
             }
+            if self.has_ended {
+                return Ok(Read::End);
+            }
             let data = tokio::time::timeout_at(deadline.into(), next_data(&mut self.body)).await;
             match data {
                 Err(_) => return Err(AttemptOutcome::Silent),
                 Ok(Some(Ok(data))) if self.splitter.push(&data) => {}
-                Ok(None) if self.splitter.is_empty() => return Ok(Read::End),
+                Ok(None) if self.splitter.is_between_events() => {
+                    self.has_ended = true;
+                    if let Some(rest) = self.splitter.take_unnumbered() {
+                        return Ok(Read::Event(rest));
+                    }
+                }
                 Ok(_) => return Err(AttemptOutcome::Broken),
             }
         }
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -27,7 +27,7 @@
     assert_eq!(ids, [Some(1), Some(2), Some(3)]);
     let bytes: Vec<u8> = all.iter().flat_map(|event| event.bytes.to_vec()).collect();
     assert_eq!(bytes, STREAM);
-    assert!(splitter.is_empty());
+    assert!(splitter.is_between_events());
 }
 
 #[test]
@@ -35,7 +35,38 @@
     let mut splitter = EventSplitter::default();
     splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
     assert_eq!(events(&mut splitter).len(), 1);
-    assert!(!splitter.is_empty());
+    assert!(!splitter.is_between_events());
+}
+
+#[test]
+fn events_without_a_number_wait_for_the_next_number_or_the_end() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b": one\n\ndata: two\n\n");
+    assert_eq!(splitter.next_event(), None);
+    assert!(splitter.is_between_events());
+    splitter.push(b"id: 3\ndata: a\n\n: four\n\n");
+    let all = events(&mut splitter);
+    assert_eq!(all.len(), 1);
+    assert_eq!(all[0].id, Some(3));
+    assert_eq!(
+        all[0].bytes[..],
+        b": one\n\ndata: two\n\nid: 3\ndata: a\n\n"[..]
+    );
+    let rest = splitter.take_unnumbered().unwrap();
+    assert_eq!((rest.id, &rest.bytes[..]), (None, &b": four\n\n"[..]));
+    assert_eq!(splitter.take_unnumbered(), None);
+    assert!(splitter.is_between_events());
+}
+
+#[test]
+fn endless_events_without_a_number_are_rejected() {
+    let mut splitter = EventSplitter::default();
+    let mut accepted = || {
+        let accepted = splitter.push(b"data: noise\n\n");
+        assert_eq!(splitter.next_event(), None);
+        accepted
+    };
+    assert!((0..64 * 1024).any(|_| !accepted()));
 }
 
 #[test]
