Break off a stream that repeats its events or runs past its deadline

Callers got one event and then nothing until their deadline from an engine that sends the same event without end: the relay drops events that the caller has, and read on. An engine that begins anew sends each such event once, so one more than that breaks the attempt and the stream goes on elsewhere.

The deadline is also compared before each event now. The new test, with numbered events without end, passed before as well, since its engine is slower than the entry; it stays as a guard.

--- a/fakes/src/raw.rs
+++ b/fakes/src/raw.rs
@@ -12,6 +12,14 @@
 /// Size of the pieces in which endless bytes are sent.
 const PIECE_BYTES: usize = 16 * 1024;
 
+/// Number of events in such a piece.
+const EVENTS_IN_A_PIECE: usize = 500;
+
+/// Text of one event of a stream.
+pub fn event_text(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
 /// How a connection ends after a raw answer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ConnectionEnd {
@@ -37,12 +45,17 @@
     Paragraphs,
     /// A body without length that repeats the first event of a stream.
     RepeatedEvent,
+    /// A body without length, of numbered events as fast as they are read.
+    NumberedEvents,
 }
 
 impl Flood {
     /// True when the bytes follow a complete head.
     fn is_in_body(self) -> bool {
-        matches!(self, Self::Body | Self::Paragraphs | Self::RepeatedEvent)
+        !matches!(
+            self,
+            Self::BlankLines | Self::InterimAnswers | Self::HeaderLines
+        )
     }
 
     /// The text that is repeated.
@@ -53,7 +66,7 @@
             Self::HeaderLines => "x-noise: 0123456789abcdef\r\n",
             Self::Body => "0123456789abcdef",
             Self::Paragraphs => "noise: 0123456789abcdef\n\n",
-            Self::RepeatedEvent => "id: 1\ndata: token 1\n\n",
+            Self::RepeatedEvent | Self::NumberedEvents => "id: 1\ndata: token 1\n\n",
         }
     }
 
@@ -69,19 +82,34 @@
         let text = self.text();
         RawAnswer {
             start: start.into(),
-            endless: text.repeat(PIECE_BYTES / text.len()).into(),
+            endless: match self {
+                Self::NumberedEvents => Endless::Events,
+                _ => Endless::Repeated(text.repeat(PIECE_BYTES / text.len()).into()),
+            },
             ..RawAnswer::default()
         }
     }
 }
 
+/// Bytes that are sent until the reader closes the connection.
+#[derive(Clone, Debug, Default)]
+pub enum Endless {
+    /// None: the connection ends.
+    #[default]
+    Nothing,
+    /// The same bytes again and again.
+    Repeated(Bytes),
+    /// Events, numbered from 1 on.
+    Events,
+}
+
 /// An answer of raw bytes. A handler returns it by [`RawAnswer::into_response`].
 #[derive(Clone, Debug, Default)]
 pub struct RawAnswer {
     /// Bytes that are sent once.
     pub start: Bytes,
-    /// Bytes that are sent after `start` until the reader closes the connection; empty for none.
-    pub endless: Bytes,
+    /// Bytes that are sent after `start`.
+    pub endless: Endless,
     /// End of the connection when nothing is endless.
     pub end: ConnectionEnd,
     /// Held until the connection is closed.
@@ -113,9 +141,21 @@
         if stream.write_all(&self.start).await.is_err() {
             return;
         }
-        if !self.endless.is_empty() {
-            while stream.write_all(&self.endless).await.is_ok() {}
-            return;
+        match &self.endless {
+            Endless::Nothing => {}
+            Endless::Repeated(piece) => {
+                while stream.write_all(piece).await.is_ok() {}
+                return;
+            }
+            Endless::Events => {
+                let mut ids = 1..;
+                let mut next_piece = || -> String {
+                    let ids = ids.by_ref().take(EVENTS_IN_A_PIECE);
+                    ids.map(event_text).collect()
+                };
+                while stream.write_all(next_piece().as_bytes()).await.is_ok() {}
+                return;
+            }
         }
         // Errors are ignored: the reader has closed the connection already.
         let _ = match self.end {
--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -13,7 +13,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 
-use crate::raw::{ConnectionEnd, Flood, RawAnswer};
+use crate::raw::{ConnectionEnd, Flood, RawAnswer, event_text};
 use crate::reply::{Body, Reply, answer, header, json as json_answer, query_number, read_body};
 use crate::server::Server;
 
@@ -372,10 +372,6 @@
     format!("done by {id}")
 }
 
-fn event_text(id: u64) -> String {
-    format!("id: {id}\ndata: token {id}\n\n")
-}
-
 /// The events after number `last_event`, up to number `events`, as far as they are sent before a
 /// break. One in good order leaves a part of the next event.
 fn stream_text(
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -58,6 +58,10 @@
 
     /// Waits for the next whole event, until `deadline`.
     async fn read(&mut self, deadline: Instant) -> Result<Read, AttemptOutcome> {
+        // Events that are always there never let a timeout run.
+        if Instant::now() >= deadline {
+            return Err(AttemptOutcome::Silent);
+        }
         loop {
             if let Some(event) = self.splitter.next_event() {
                 return Ok(Read::Event(event));
@@ -212,6 +216,7 @@
         mut next: Option<StreamEvent>,
         tx: &BodySender,
     ) -> AttemptOutcome {
+        let mut repeated = 0;
         loop {
             if let Some(event) = next.take() {
                 match self.should_forward(&event) {
@@ -222,8 +227,14 @@
                         self.last_event_id = event.id.or(self.last_event_id);
                         self.events += 1;
                     }
-                    // The caller already has this event.
-                    Some(false) => {}
+                    // The caller already has this event. An engine that begins anew sends each of
+                    // them once.
+                    Some(false) => {
+                        repeated += 1;
+                        if Some(repeated) > self.last_event_id {
+                            return AttemptOutcome::Broken;
+                        }
+                    }
                     None => return AttemptOutcome::Broken,
                 }
             }
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use tokio::task::JoinSet;
 
-use super::site::{Answer, STREAM_EVENTS, Site, request, send};
+use super::site::{Answer, STREAM_EVENTS, Site, discard, request, send};
 
 /// Most memory that a process of a debug build may have used at any time. It uses less than half
 /// of it without load; the smallest host has 128 MB.
@@ -170,6 +170,22 @@
     wait_until_floods_are_closed(&site).await;
 }
 
+/// Guards against events that arrive so fast that the deadline is never looked at.
+#[tokio::test]
+async fn a_stream_that_does_not_end_is_cut_at_its_deadline() {
+    let site = Site::start_serving(182, 1).await;
+    site.engines[0].set_faults(flood(Flood::NumberedEvents));
+    let mut req = request("POST", "/chat/x", "endless");
+    req.headers_mut()
+        .insert("deadline-ms", "500".parse().unwrap());
+    let reader = tokio::spawn(discard(site.caller_addr(), req));
+    site.wait_until(|site| site.entry_log().contains("\"end\":\"TimedOut\""))
+        .await;
+    let is_whole = reader.await.unwrap();
+    assert!(!is_whole);
+    wait_until_floods_are_closed(&site).await;
+}
+
 /// The caller learns that the answer broke (502), not that its time ran out (504).
 #[rstest]
 #[case::blank_lines(166, Flood::BlankLines)]
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -9,8 +9,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use limpetloom_fakes::site::{SiteEngine, SiteEngineKind, SiteOrigin, SiteStore};
 use serde_json::{Value, json};
@@ -343,12 +344,32 @@
         .unwrap()
 }
 
+/// Sends a request on a new connection and reads its answer without keeping it. False when it was
+/// incomplete.
+pub async fn discard(addr: SocketAddr, req: Request<Full<Bytes>>) -> bool {
+    let Some(mut answer) = open(addr, req).await else {
+        return false;
+    };
+    loop {
+        match answer.body_mut().frame().await {
+            None => return true,
+            Some(Ok(_)) => {}
+            Some(Err(_)) => return false,
+        }
+    }
+}
+
 /// Sends a request on a new connection; `None` when no response head arrives.
-pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> Option<Answer> {
+async fn open(addr: SocketAddr, req: Request<Full<Bytes>>) -> Option<Response<Incoming>> {
     let stream = TcpStream::connect(addr).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
-    let (head, mut body) = sender.send_request(req).await.ok()?.into_parts();
+    sender.send_request(req).await.ok()
+}
+
+/// Sends a request on a new connection; `None` when no response head arrives.
+pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> Option<Answer> {
+    let (head, mut body) = open(addr, req).await?.into_parts();
     let mut bytes = Vec::new();
     let is_whole = loop {
         match body.frame().await {
