Bound the memory for answers that are read whole

Each answer that is not a stream was collected up to 8 MB, for as many requests as there were, and again as one piece at the end.

An answer is now read up to 1 MB, which breaks an endless one sooner too; answers above 16 KB wait for one of eight places, so they take 8 MB together. Small ones never wait. The bytes are copied into one buffer, since pieces of a few bytes would each keep the 16 KB buffer that they arrived in.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -2,25 +2,32 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::CONTENT_ENCODING;
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
+use tokio::sync::Semaphore;
 
 use crate::dispatch::{Assignment, AttemptOutcome};
 use crate::http::{MAX_ANSWER_HEAD_BYTES, connect, too_many_interim_answers};
 
 use super::dialect::{AnswerHead, Dialect};
+use super::handle::next_data;
 
 /// Timeout for opening a connection to an endpoint. A lost SYN is retransmitted only after a
 /// second, so trying another endpoint is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Largest body of an answer that is not an event stream.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Largest body of an answer that is not an event stream; endpoints send less than 1 KB.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+/// Size in bytes up to which an answer is read whatever others take.
+const SMALL_ANSWER_BYTES: usize = 16 * 1024;
+/// Number of answers above `SMALL_ANSWER_BYTES` that are read at the same time, so that they take
+/// 8 MB at most; the smallest hosts have 160 MB.
+const MAX_LARGE_ANSWERS: usize = 8;
 
 /// Parts of a request that are the same in every attempt.
 #[derive(Clone, Debug)]
@@ -88,15 +95,51 @@
     }
 }
 
-/// Reads the whole body of an answer, until `deadline`.
-pub(super) async fn read_full_body(
-    body: Incoming,
-    deadline: Instant,
-) -> Result<Bytes, AttemptOutcome> {
-    let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    match tokio::time::timeout_at(deadline.into(), read).await {
-        Err(_) => Err(AttemptOutcome::Silent),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) => Err(AttemptOutcome::Broken),
+/// Reader of the bodies of answers that are not event streams, which bounds the memory for all.
+#[derive(Debug)]
+pub(super) struct BodyReader {
+    large: Semaphore,
+}
+
+impl Default for BodyReader {
+    fn default() -> Self {
+        Self {
+            large: Semaphore::new(MAX_LARGE_ANSWERS),
+        }
+    }
+}
+
+impl BodyReader {
+    /// Reads the whole body of an answer, until `deadline`.
+    pub async fn read(&self, body: Incoming, deadline: Instant) -> Result<Bytes, AttemptOutcome> {
+        let read = self.read_bounded(body);
+        match tokio::time::timeout_at(deadline.into(), read).await {
+            Err(_) => Err(AttemptOutcome::Silent),
+            Ok(body) => body.ok_or(AttemptOutcome::Broken),
+        }
+    }
+
+    /// Reads a body; `None` when it breaks or is too large. The bytes are copied: pieces of a few
+    /// bytes would each keep the buffer that they arrived in.
+    async fn read_bounded(&self, mut body: Incoming) -> Option<Bytes> {
+        if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
+            return None;
+        }
+        let mut bytes = BytesMut::new();
+        let mut permit = None;
+        while let Some(data) = next_data(&mut body).await {
+            let data = data.ok()?;
+            let length = bytes.len() + data.len();
+            if length > MAX_ANSWER_BYTES {
+                return None;
+            }
+            if length > SMALL_ANSWER_BYTES && permit.is_none() {
+                permit = Some(self.large.acquire().await.ok()?);
+                // A buffer that grows by doubling would take twice as much.
+                bytes.reserve(MAX_ANSWER_BYTES - bytes.len());
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Some(bytes.freeze())
     }
 }
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -20,7 +20,7 @@
 use crate::telemetry::{AttemptResult, Event, Metrics, RequestResult};
 use crate::types::Refusal;
 
-use super::answer::{OpenedAnswer, OutgoingRequest, read_full_body, send_attempt};
+use super::answer::{BodyReader, OpenedAnswer, OutgoingRequest, send_attempt};
 use super::dialect::{Dialect, RequestHead, ResumePoint};
 use super::stream;
 use super::ticket::Ticket;
@@ -64,6 +64,7 @@
     pending: Mutex<PendingDecisions>,
     /// Notified when the core's next wake-up time may have changed.
     wakeup_changed: Notify,
+    body_reader: BodyReader,
     pub metrics: Metrics,
 }
 
@@ -89,6 +90,7 @@
             core: Mutex::new(core),
             pending: Mutex::new(PendingDecisions::new()),
             wakeup_changed: Notify::new(),
+            body_reader: BodyReader::default(),
             metrics,
         };
         Self {
@@ -377,7 +379,7 @@
         if matches!(head.status.as_u16(), 408 | 421 | 429 | 503) {
             return Err(AttemptOutcome::Broken);
         }
-        let body = read_full_body(body, admitted.deadline).await?;
+        let body = self.inner.body_reader.read(body, admitted.deadline).await?;
         let outcome = match head.status.is_server_error() {
             true => AttemptOutcome::Failed,
             false => AttemptOutcome::Answered,
