Bound the answers of engines and the store to processes of the platform

An agent whose engine answers its report with a body without end took 86 MB in six runs of the test, where its host has 128 MB: the shared client collects up to 64 MB, the largest object of the product's own object API, and a report is asked for every 40 ms. Its heads were bounded at 408 KB, and informational answers only by the timeout of the call.

Heads and informational answers have the bounds of the relay.

--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
+use crate::http::{MAX_ANSWER_HEAD_BYTES, collect_bounded, too_many_interim_answers};
+
 use super::PlatformError;
 
-/// Largest answer that is read. It fits the largest object with its JSON escapes.
+/// Largest answer that is read by default. It fits the largest object with its JSON escapes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -56,6 +58,7 @@
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
     timeouts: HttpTimeouts,
+    max_answer_bytes: usize,
 }
 
 impl HttpClient {
@@ -73,8 +76,21 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .http1_max_buf_size(MAX_ANSWER_HEAD_BYTES)
             .build(connector);
-        Self { client, timeouts }
+        Self {
+            client,
+            timeouts,
+            max_answer_bytes: MAX_ANSWER_BYTES,
+        }
+    }
+
+    /// Replaces the size of the largest answer that is read; a larger one counts as lost.
+    pub fn with_max_answer(self, bytes: usize) -> Self {
+        Self {
+            max_answer_bytes: bytes,
+            ..self
+        }
     }
 
     /// Sends a request and reads the whole answer, whatever its status.
@@ -105,8 +121,16 @@
         self.timeouts.total
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, PlatformError> {
-        let res = self.client.request(req).await.map_err(|e| {
+    async fn exchange(
+        &self,
+        mut req: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let flooded = too_many_interim_answers(&mut req);
+        let res = tokio::select! {
+            () = flooded => return Err(PlatformError::Lost("interim answers only".into())),
+            res = self.client.request(req) => res,
+        };
+        let res = res.map_err(|e| {
             if e.is_connect() {
                 PlatformError::Refused(e.to_string())
             } else {
@@ -114,11 +138,10 @@
             }
         })?;
         let (parts, body) = res.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
+        let body = collect_bounded(body, self.max_answer_bytes)
             .await
             .map_err(|e| PlatformError::Lost(e.to_string()))?;
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        Ok(Response::from_parts(parts, body))
     }
 }
 
--- a/src/http/read.rs
+++ b/src/http/read.rs
@@ -1,8 +1,9 @@
-//! Reads request bodies within limits of size and time.
+//! Reads bodies within limits of size and time.
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
@@ -43,3 +44,35 @@
         Err(_) => Err(Code::Malformed),
     }
 }
+
+/// Why an answer was not read to its end.
+#[derive(Debug, Display)]
+pub enum CollectError {
+    /// the answer has more than {0} bytes
+    TooLarge(usize),
+    /// the answer broke: {0}
+    Broken(hyper::Error),
+}
+
+impl std::error::Error for CollectError {}
+
+/// Reads a whole body of at most `max` bytes. They are copied: pieces of a few bytes would each keep
+/// the buffer that they arrived in.
+///
+/// # Errors
+///
+/// Fails when the body is larger or its connection breaks.
+pub async fn collect_bounded(mut body: Incoming, max: usize) -> Result<Bytes, CollectError> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Frames other than data are trailers.
+        let Ok(data) = frame.map_err(CollectError::Broken)?.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > max {
+            return Err(CollectError::TooLarge(max));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
