Failing test: a body that drips holds a repeatable request to its deadline

The engine stand-in can send a body of a few bytes at a time. Of the five floods at one of two endpoints of a repeatable request only this one fails: 504 at the deadline. A stream before its first event goes on elsewhere already.

--- a/fakes/src/raw.rs
+++ b/fakes/src/raw.rs
@@ -1,6 +1,7 @@
 //! Answers that are written to the socket as they are, past the HTTP library.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
@@ -12,6 +13,8 @@
 /// Size of the pieces in which endless bytes are sent.
 const PIECE_BYTES: usize = 16 * 1024;
 
+/// Time between two pieces of a drip.
+const DRIP_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of events in such a piece.
 const EVENTS_IN_A_PIECE: usize = 500;
 
@@ -43,6 +46,8 @@
     Body,
     /// A body without length, in short paragraphs that are no numbered events.
     Paragraphs,
+    /// A body without length, of a few bytes at a time.
+    Drip,
     /// A body without length that repeats the first event of a stream.
     RepeatedEvent,
     /// A body without length, of numbered events as fast as they are read.
@@ -64,7 +69,7 @@
             Self::BlankLines => "\r\n",
             Self::InterimAnswers => "HTTP/1.1 102 Processing\r\n\r\n",
             Self::HeaderLines => "x-noise: 0123456789abcdef\r\n",
-            Self::Body => "0123456789abcdef",
+            Self::Body | Self::Drip => "0123456789abcdef",
             Self::Paragraphs => "noise: 0123456789abcdef\n\n",
             Self::RepeatedEvent | Self::NumberedEvents => "id: 1\ndata: token 1\n\n",
         }
@@ -84,6 +89,7 @@
             start: start.into(),
             endless: match self {
                 Self::NumberedEvents => Endless::Events,
+                Self::Drip => Endless::Dripping(text.into()),
                 _ => Endless::Repeated(text.repeat(PIECE_BYTES / text.len()).into()),
             },
             ..RawAnswer::default()
@@ -99,6 +105,8 @@
     Nothing,
     /// The same bytes again and again.
     Repeated(Bytes),
+    /// The same bytes again and again, with a pause after each piece.
+    Dripping(Bytes),
     /// Events, numbered from 1 on.
     Events,
 }
@@ -147,6 +155,12 @@
                 while stream.write_all(piece).await.is_ok() {}
                 return;
             }
+            Endless::Dripping(piece) => {
+                while stream.write_all(piece).await.is_ok() {
+                    tokio::time::sleep(DRIP_INTERVAL).await;
+                }
+                return;
+            }
             Endless::Events => {
                 let mut ids = 1..;
                 let mut next_piece = || -> String {
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -155,6 +155,7 @@
 #[case::body(163, Flood::Body)]
 #[case::paragraphs(164, Flood::Paragraphs)]
 #[case::repeated_event(165, Flood::RepeatedEvent)]
+#[case::drip(183, Flood::Drip)]
 #[tokio::test]
 async fn a_stream_completes_when_one_of_two_engines_sends_endless_bytes(
     #[case] network: u8,
@@ -170,6 +171,28 @@
     wait_until_floods_are_closed(&site).await;
 }
 
+#[rstest]
+#[case::blank_lines(184, Flood::BlankLines)]
+#[case::interim_answers(185, Flood::InterimAnswers)]
+#[case::header_lines(186, Flood::HeaderLines)]
+#[case::body(187, Flood::Body)]
+#[case::drip(188, Flood::Drip)]
+#[tokio::test]
+async fn a_repeatable_request_is_answered_when_one_of_two_endpoints_sends_endless_bytes(
+    #[case] network: u8,
+    #[case] kind: Flood,
+) {
+    let site = Site::start_serving(network, 1).await;
+    site.call("read").await;
+    let faulty = preferred(&site.plain_endpoints);
+    faulty.set_faults(flood(kind));
+    let answer = site.call_with_id("read", "read-1").await;
+    assert_eq!((answer.status, answer.is_whole), (StatusCode::OK, true));
+    assert_eq!(answer.body.len(), "done by plain-0".len());
+    assert!(has_run(faulty, "read-1"));
+    wait_until_floods_are_closed(&site).await;
+}
+
 /// Guards against events that arrive so fast that the deadline is never looked at.
 #[tokio::test]
 async fn a_stream_that_does_not_end_is_cut_at_its_deadline() {
