Give a body the time of a head where the request may be repeated

Callers of a repeatable request saw 504 at their deadline when the endpoint sent its body a few bytes at a time without end, although another endpoint was sound: the bound of 4.5 goals held for the head of an answer and for the first event of a stream, the body had all the time that was left. It has the same bound now, from the arrival of the head; a request that runs once keeps its deadline.

--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -354,7 +354,8 @@
         .await
     }
 
-    /// Deadline for the start of an answer whose attempt was sent, or whose head arrived, at `now`.
+    /// Deadline for the head of an answer whose attempt was sent at `now`, and for the first event or
+    /// the whole body of one whose head arrived at `now`.
     /// It is earlier than the request's deadline only when another attempt is allowed.
     pub(super) fn start_deadline(&self, admitted: &AdmittedRequest, now: Instant) -> Instant {
         let may_retry = admitted.route.repeat != crate::dispatch::Repeat::Never
@@ -379,7 +380,8 @@
         if matches!(head.status.as_u16(), 408 | 421 | 429 | 503) {
             return Err(AttemptOutcome::Broken);
         }
-        let body = self.inner.body_reader.read(body, admitted.deadline).await?;
+        let deadline = self.start_deadline(admitted, Instant::now());
+        let body = self.inner.body_reader.read(body, deadline).await?;
         let outcome = match head.status.is_server_error() {
             true => AttemptOutcome::Failed,
             false => AttemptOutcome::Answered,
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -76,7 +76,7 @@
 
 #[tokio::test]
 async fn an_answer_without_length_that_ends_in_good_order_is_whole() {
-    let site = Site::start_serving(150, 1).await;
+    let site = Site::start_serving(200, 1).await;
     for endpoint in site.engines.iter().chain(&site.plain_endpoints) {
         endpoint.set_faults(without_length(ConnectionEnd::Close, None));
     }
@@ -90,11 +90,11 @@
 }
 
 #[rstest]
-#[case::reset_between_events(151, ConnectionEnd::Reset, Some(4))]
-#[case::reset_before_the_first_event(152, ConnectionEnd::Reset, Some(0))]
-#[case::reset_after_the_last_event(153, ConnectionEnd::Reset, None)]
-#[case::closed_in_an_event(154, ConnectionEnd::Close, Some(4))]
-#[case::closed_in_the_first_event(155, ConnectionEnd::Close, Some(0))]
+#[case::reset_between_events(201, ConnectionEnd::Reset, Some(4))]
+#[case::reset_before_the_first_event(202, ConnectionEnd::Reset, Some(0))]
+#[case::reset_after_the_last_event(203, ConnectionEnd::Reset, None)]
+#[case::closed_in_an_event(204, ConnectionEnd::Close, Some(4))]
+#[case::closed_in_the_first_event(205, ConnectionEnd::Close, Some(0))]
 #[tokio::test]
 async fn a_stream_without_length_that_breaks_goes_on_at_another_engine(
     #[case] network: u8,
@@ -111,8 +111,8 @@
 }
 
 #[rstest]
-#[case::reset(156, ConnectionEnd::Reset)]
-#[case::closed_in_an_event(157, ConnectionEnd::Close)]
+#[case::reset(206, ConnectionEnd::Reset)]
+#[case::closed_in_an_event(207, ConnectionEnd::Close)]
 #[tokio::test]
 async fn a_stream_without_length_that_breaks_at_every_engine_is_not_completed(
     #[case] network: u8,
@@ -129,7 +129,7 @@
 
 #[tokio::test]
 async fn a_reset_answer_without_length_is_no_success() {
-    let site = Site::start_serving(158, 1).await;
+    let site = Site::start_serving(208, 1).await;
     site.call("read").await;
     let faulty = preferred(&site.plain_endpoints);
     faulty.set_faults(without_length(ConnectionEnd::Reset, None));
@@ -149,13 +149,13 @@
 }
 
 #[rstest]
-#[case::blank_lines(160, Flood::BlankLines)]
-#[case::interim_answers(161, Flood::InterimAnswers)]
-#[case::header_lines(162, Flood::HeaderLines)]
-#[case::body(163, Flood::Body)]
-#[case::paragraphs(164, Flood::Paragraphs)]
-#[case::repeated_event(165, Flood::RepeatedEvent)]
-#[case::drip(183, Flood::Drip)]
+#[case::blank_lines(210, Flood::BlankLines)]
+#[case::interim_answers(211, Flood::InterimAnswers)]
+#[case::header_lines(212, Flood::HeaderLines)]
+#[case::body(213, Flood::Body)]
+#[case::paragraphs(214, Flood::Paragraphs)]
+#[case::repeated_event(215, Flood::RepeatedEvent)]
+#[case::drip(233, Flood::Drip)]
 #[tokio::test]
 async fn a_stream_completes_when_one_of_two_engines_sends_endless_bytes(
     #[case] network: u8,
@@ -172,11 +172,11 @@
 }
 
 #[rstest]
-#[case::blank_lines(184, Flood::BlankLines)]
-#[case::interim_answers(185, Flood::InterimAnswers)]
-#[case::header_lines(186, Flood::HeaderLines)]
-#[case::body(187, Flood::Body)]
-#[case::drip(188, Flood::Drip)]
+#[case::blank_lines(234, Flood::BlankLines)]
+#[case::interim_answers(235, Flood::InterimAnswers)]
+#[case::header_lines(236, Flood::HeaderLines)]
+#[case::body(237, Flood::Body)]
+#[case::drip(238, Flood::Drip)]
 #[tokio::test]
 async fn a_repeatable_request_is_answered_when_one_of_two_endpoints_sends_endless_bytes(
     #[case] network: u8,
@@ -196,7 +196,7 @@
 /// Guards against events that arrive so fast that the deadline is never looked at.
 #[tokio::test]
 async fn a_stream_that_does_not_end_is_cut_at_its_deadline() {
-    let site = Site::start_serving(182, 1).await;
+    let site = Site::start_serving(232, 1).await;
     site.engines[0].set_faults(flood(Flood::NumberedEvents));
     let mut req = request("POST", "/chat/x", "endless");
     req.headers_mut()
@@ -211,10 +211,10 @@
 
 /// The caller learns that the answer broke (502), not that its time ran out (504).
 #[rstest]
-#[case::blank_lines(166, Flood::BlankLines)]
-#[case::interim_answers(167, Flood::InterimAnswers)]
-#[case::header_lines(168, Flood::HeaderLines)]
-#[case::body(169, Flood::Body)]
+#[case::blank_lines(216, Flood::BlankLines)]
+#[case::interim_answers(217, Flood::InterimAnswers)]
+#[case::header_lines(218, Flood::HeaderLines)]
+#[case::body(219, Flood::Body)]
 #[tokio::test]
 async fn a_request_that_runs_once_is_not_held_to_its_deadline_by_endless_bytes(
     #[case] network: u8,
@@ -231,9 +231,9 @@
 }
 
 #[rstest]
-#[case::interim_answers(170, Flood::InterimAnswers)]
-#[case::header_lines(171, Flood::HeaderLines)]
-#[case::body(172, Flood::Body)]
+#[case::interim_answers(220, Flood::InterimAnswers)]
+#[case::header_lines(221, Flood::HeaderLines)]
+#[case::body(222, Flood::Body)]
 #[tokio::test]
 async fn many_endless_answers_take_bounded_memory_and_do_not_stop_other_requests(
     #[case] network: u8,
@@ -265,9 +265,9 @@
 }
 
 #[rstest]
-#[case::interim_answers(173, Flood::InterimAnswers)]
-#[case::header_lines(174, Flood::HeaderLines)]
-#[case::body(175, Flood::Body)]
+#[case::interim_answers(223, Flood::InterimAnswers)]
+#[case::header_lines(224, Flood::HeaderLines)]
+#[case::body(225, Flood::Body)]
 #[tokio::test]
 async fn an_agent_survives_endless_reports_of_its_engine(#[case] network: u8, #[case] kind: Flood) {
     let site = Site::start_serving(network, 1).await;
@@ -285,9 +285,9 @@
 }
 
 #[rstest]
-#[case::interim_answers(176, Flood::InterimAnswers)]
-#[case::header_lines(177, Flood::HeaderLines)]
-#[case::body(178, Flood::Body)]
+#[case::interim_answers(226, Flood::InterimAnswers)]
+#[case::header_lines(227, Flood::HeaderLines)]
+#[case::body(228, Flood::Body)]
 #[tokio::test]
 async fn an_entry_survives_endless_answers_of_the_store(#[case] network: u8, #[case] kind: Flood) {
     let site = Site::start_serving(network, 1).await;
@@ -306,9 +306,9 @@
 }
 
 #[rstest]
-#[case::interim_answers(179, Flood::InterimAnswers)]
-#[case::header_lines(180, Flood::HeaderLines)]
-#[case::body(181, Flood::Body)]
+#[case::interim_answers(229, Flood::InterimAnswers)]
+#[case::header_lines(230, Flood::HeaderLines)]
+#[case::body(231, Flood::Body)]
 #[tokio::test]
 async fn agents_survive_endless_answers_of_the_origin(#[case] network: u8, #[case] kind: Flood) {
     let site = Site::start_serving(network, 2).await;
