--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -34,6 +34,8 @@
     calls: u64,
     /// Bytes that calls are answered with.
     flood: Option<Flood>,
+    /// True while each list is answered with its first page, as if another one followed.
+    has_endless_lists: bool,
 }
 
 /// Running stand-in for the metadata store; dropping it stops it.
@@ -84,6 +86,11 @@
         self.set_online(true);
     }
 
+    /// Answers each list with its first page, as if another one followed, or properly again.
+    pub fn set_endless_lists(&self, is_endless: bool) {
+        lock(&self.state).has_endless_lists = is_endless;
+    }
+
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.change(kind, name, Some(spec));
@@ -192,11 +199,12 @@
 
 /// One page of the objects of a kind, those with names after `after`.
 fn list(state: &State, kind: &str, after: Option<String>) -> hyper::Response<crate::reply::Body> {
+    let after = after.filter(|_| !state.has_endless_lists);
     let of_kind = state.objects.iter().filter(|((object_kind, name), _)| {
         object_kind == kind && after.as_deref().is_none_or(|after| name.as_str() > after)
     });
     let mut items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-    let has_more = items.len() > PAGE_SIZE;
+    let has_more = items.len() > PAGE_SIZE || state.has_endless_lists;
     items.truncate(PAGE_SIZE);
     json_answer(&json!({"items": items, "hasMore": has_more, "at": state.revision}))
 }
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -4,9 +4,11 @@
 use limpetloom_fakes::raw::{ConnectionEnd, Flood};
 use limpetloom_fakes::site::{SiteEngine, SiteEngineFaults};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-use super::site::{Answer, STREAM_EVENTS, Site, discard, request, send};
+use super::site::{Answer, STREAM_EVENTS, Site, WAIT_LIMIT, discard, request, send};
 
 /// Most memory that a process of a debug build may have used at any time. It uses less than half
 /// of it without load; the smallest host has 128 MB.
@@ -324,3 +326,32 @@
     site.wait_until(|site| site.engines.iter().all(|e| e.version() == Some(2)))
         .await;
 }
+
+#[tokio::test]
+async fn an_entry_gives_up_a_list_without_end() {
+    let mut site = Site::start(239, 1);
+    site.declare(1, &["key-1"]);
+    site.store.set_endless_lists(true);
+    site.start_agents();
+    site.start_entry();
+    site.wait_until(|site| site.entry_log().contains("\"event\":201"))
+        .await;
+    site.store.set_endless_lists(false);
+    site.wait_until_ready().await;
+    site.wait_until_answered("read").await;
+}
+
+#[tokio::test]
+async fn an_agent_gives_up_a_request_of_a_peer_whose_body_does_not_end() {
+    let site = Site::start_serving(240, 1).await;
+    let mut peer = TcpStream::connect(site.agent_addr(0)).await.unwrap();
+    let start = "POST /weights/m0@1/have HTTP/1.1\r\nhost: agent\r\ncontent-length: 9\r\n\r\n1";
+    peer.write_all(start.as_bytes()).await.unwrap();
+    let mut answer = [0; 12];
+    let read = peer.read_exact(&mut answer);
+    tokio::time::timeout(WAIT_LIMIT, read)
+        .await
+        .expect("the agent still waits")
+        .unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 400");
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -34,7 +34,7 @@
 /// Size above which the body of an answer is not read to its end.
 const MAX_BODY_BYTES: usize = 1 << 20;
 /// Longest wait for a condition before the test fails.
-const WAIT_LIMIT: Duration = Duration::from_secs(30);
+pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// A running deployment; dropping it kills its processes.
 pub struct Site {
@@ -270,6 +270,11 @@
         scrape(self.engines[n].addr().ip()).await
     }
 
+    /// Address from which an agent serves chunks to others.
+    pub fn agent_addr(&self, n: usize) -> SocketAddr {
+        SocketAddr::new(self.engines[n].addr().ip(), INTERNAL_PORT)
+    }
+
     /// Waits until a condition is true; panics after `WAIT_LIMIT`.
     pub async fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
         let start = tokio::time::Instant::now();
