Give a peer two seconds for the body of its announcement

The announcement of a peer had a bound in bytes only. One that stopped in the middle kept its connection, one of 256, until the agent ended; in the test it was open after 30 s. After 2 s, about as long as a peer waits for its answer, the request is answered 400 and the connection closed.

--- a/src/weights/serve.rs
+++ b/src/weights/serve.rs
@@ -1,7 +1,7 @@
 //! Handlers for requests of peers.
 
 use std::convert::Infallible;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,6 +14,10 @@
 use super::service::WeightsService;
 use super::wire::{self, PeerRequest, Sender};
 
+/// Timeout for the body of an announcement. Peers send it with its head and give up an answer after
+/// about as long.
+const HAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Response to a peer.
 pub type PeerResponse = Response<Full<Bytes>>;
 
@@ -37,10 +41,9 @@
             }
             (&Method::POST, Some(PeerRequest::Have(version))) => {
                 let sender = Sender::from_headers(req.headers());
-                let body = Limited::new(req.into_body(), MAX_HAVE_BYTES)
-                    .collect()
-                    .await;
-                let body = body.ok().map(|body| body.to_bytes());
+                let body = Limited::new(req.into_body(), MAX_HAVE_BYTES).collect();
+                let body = tokio::time::timeout(HAVE_TIMEOUT, body).await;
+                let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
                 Some(self.serve_have(version.as_ref(), sender, body))
             }
             _ => None,
