Bound heads and informational answers in the transfer of weights

Nothing failed: calls to the origin and to peers have timeouts, and their bodies bounds. The heads of their answers could take 408 KB each and informational answers all of the timeout. Heads have 64 KB now, which holds the largest bitmap, and informational answers the bound of the relay. The tests with an origin that sends endless bytes pass as before.

--- a/src/weights/client.rs
+++ b/src/weights/client.rs
@@ -12,6 +12,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
+use crate::http::too_many_interim_answers;
+
 use super::bitmap::ChunkSet;
 use super::core::{Have, Source, WantedVersion};
 use super::error::FetchError;
@@ -22,6 +24,8 @@
 const MAX_MANIFEST_BYTES: usize = 8 << 20;
 /// Maximum size in bytes of the bitmap in an announcement or its answer.
 pub(super) const MAX_HAVE_BYTES: usize = 16 << 10;
+/// Maximum size in bytes of the head of an answer, in which a bitmap has two digits a byte.
+const MAX_HEAD_BYTES: usize = 4 * MAX_HAVE_BYTES;
 /// Maximum time for a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -47,7 +51,9 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT.min(timeout)));
         Self {
-            http: Client::builder(TokioExecutor::new()).build(connector),
+            http: Client::builder(TokioExecutor::new())
+                .http1_max_buf_size(MAX_HEAD_BYTES)
+                .build(connector),
             own,
             timeout,
             origin,
@@ -145,8 +151,7 @@
             let close = HeaderValue::from_static("close");
             req.headers_mut().insert(CONNECTION, close);
         }
-        let response = self.http.request(req).await;
-        response.map_err(|_| FetchError::Unreachable)
+        self.send(req).await
     }
 
     fn request(
@@ -173,7 +178,15 @@
         body: Bytes,
     ) -> Result<Response<Incoming>, FetchError> {
         let req = self.request(method, addr, path, body)?;
-        let response = self.http.request(req).await;
+        self.send(req).await
+    }
+
+    async fn send(&self, mut req: Request<Full<Bytes>>) -> Result<Response<Incoming>, FetchError> {
+        let flooded = too_many_interim_answers(&mut req);
+        let response = tokio::select! {
+            () = flooded => return Err(FetchError::Unreachable),
+            response = self.http.request(req) => response,
+        };
         response.map_err(|_| FetchError::Unreachable)
     }
 
