Bound the unfinished event of a stream, not the piece it arrives in

Now only what waits for the end of its event counts, 16 KB at most, before the next piece is added.

The new test, 10,000 whole events in one piece, failed before and passes now.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -2,9 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Largest part of a stream that is buffered: an unfinished event of up to 16 KB, of which engines
-/// send less than 1 KB, and the piece of a body that follows.
-const MAX_EVENT_BYTES: usize = 32 * 1024;
+/// Largest part of a stream that waits for the end of its event; engines send events of less than
+/// 1 KB.
+const MAX_EVENT_BYTES: usize = 16 * 1024;
 
 /// One whole event of a stream, with the events without a number in front of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -27,10 +27,12 @@
 }
 
 impl EventSplitter {
-    /// Appends bytes. Returns false when more than `MAX_EVENT_BYTES` are buffered.
+    /// Appends bytes. Returns false when more than `MAX_EVENT_BYTES` waited before them, without an
+    /// event in them; whole events in `data` may be larger together.
     pub fn push(&mut self, data: &[u8]) -> bool {
+        let has_room = self.buf.len() <= MAX_EVENT_BYTES;
         self.buf.extend_from_slice(data);
-        self.buf.len() <= MAX_EVENT_BYTES
+        has_room
     }
 
     /// Removes the next whole event with a number, and those before it, from the buffer; `None` when
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -69,6 +69,19 @@
     assert!((0..64 * 1024).any(|_| !accepted()));
 }
 
+#[test]
+fn many_whole_events_in_one_piece_are_accepted() {
+    let mut splitter = EventSplitter::default();
+    let many: String = (1..=10_000)
+        .map(|id| format!("id: {id}\ndata: a\n\n"))
+        .collect();
+    splitter.push(b"id: 0\nda");
+    assert!(splitter.push(b"ta: a\n\n"));
+    assert!(splitter.push(many.as_bytes()));
+    assert_eq!(events(&mut splitter).len(), 10_001);
+    assert!(splitter.push(many.as_bytes()));
+}
+
 #[test]
 fn event_above_the_size_limit_is_rejected() {
     let mut splitter = EventSplitter::default();
