--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -67,6 +67,14 @@
     runs.filter(|run| run.request_id == id).count()
 }
 
+/// The endpoints of a route.
+fn endpoints<'a>(site: &'a Site, route: &str) -> &'a [SiteEngine] {
+    match route {
+        "chat" => &site.engines,
+        _ => &site.plain_endpoints,
+    }
+}
+
 /// Waits until no connection with an endless answer is open.
 async fn wait_until_floods_are_closed(site: &Site) {
     let is_closed = |site: &Site| {
@@ -233,37 +241,51 @@
 }
 
 #[rstest]
-#[case::interim_answers(220, Flood::InterimAnswers)]
-#[case::header_lines(221, Flood::HeaderLines)]
-#[case::body(222, Flood::Body)]
+#[case::interim_answers(220, "write", Flood::InterimAnswers)]
+#[case::header_lines(221, "write", Flood::HeaderLines)]
+#[case::body(222, "write", Flood::Body)]
+#[case::stream_of_one_line(241, "chat", Flood::Body)]
+#[case::stream_of_paragraphs(242, "chat", Flood::Paragraphs)]
+#[case::stream_of_one_event(243, "chat", Flood::RepeatedEvent)]
 #[tokio::test]
 async fn many_endless_answers_take_bounded_memory_and_do_not_stop_other_requests(
     #[case] network: u8,
+    #[case] route: &'static str,
     #[case] kind: Flood,
 ) {
     let site = Site::start_serving(network, 1).await;
-    for endpoint in &site.plain_endpoints {
+    for endpoint in endpoints(&site, route) {
         endpoint.set_faults(flood(kind));
     }
     let mut calls = JoinSet::new();
     for n in 0..CONCURRENT_REQUESTS {
-        let (addr, id) = (site.caller_addr(), format!("write-{n}"));
-        calls.spawn(async move { send(addr, request("POST", "/write/x", &id)).await });
+        let req = request("POST", &format!("/{route}/x"), &format!("{route}-{n}"));
+        calls.spawn(send(site.caller_addr(), req));
     }
     for n in 0..4 {
-        assert_whole_stream(&site.call_with_id("chat", &format!("stream-{n}")).await);
+        match route {
+            "chat" => assert_eq!(site.call("read").await.status, StatusCode::OK),
+            _ => assert_whole_stream(&site.call_with_id("chat", &format!("stream-{n}")).await),
+        }
     }
     while let Some(answer) = calls.join_next().await {
         let answer = answer.unwrap().unwrap();
-        assert!(!answer.status.is_success(), "{answer:?}");
+        assert!(
+            !(answer.status.is_success() && answer.is_whole),
+            "{answer:?}"
+        );
+        // What began as a stream has nothing but the event that the engine sent.
+        if answer.status.is_success() {
+            assert_eq!((route, answer.events()), ("chat", vec![1]));
+        }
     }
     wait_until_floods_are_closed(&site).await;
     let peak = site.entry_peak_memory();
     assert!(peak < MAX_PEAK_MEMORY, "{peak} bytes");
-    for endpoint in &site.plain_endpoints {
+    for endpoint in endpoints(&site, route) {
         endpoint.set_faults(SiteEngineFaults::default());
     }
-    site.wait_until_answered("read").await;
+    site.wait_until_answered(route).await;
 }
 
 #[rstest]
