--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
+use crate::raw::Flood;
 use crate::reply::{Reply, answer, json as json_answer, query_number, query_param};
 use crate::server::{ANY_PORT, Server};
 
@@ -33,6 +34,10 @@
     history_time: Option<Duration>,
     /// Calls of all kinds so far.
     calls: u64,
+    /// Bytes that calls are answered with.
+    flood: Option<Flood>,
+    /// True while each list is answered with its first page, as if another one followed.
+    has_endless_lists: bool,
 }
 
 /// Running stand-in for the metadata store; dropping it stops it.
@@ -76,6 +81,18 @@
         self.server.set_online(online);
     }
 
+    /// Answers all further calls with a flood, or properly again. Waiting watches end.
+    pub fn set_flood(&self, flood: Option<Flood>) {
+        lock(&self.state).flood = flood;
+        self.set_online(false);
+        self.set_online(true);
+    }
+
+    /// Answers each list with its first page, as if another one followed, or properly again.
+    pub fn set_endless_lists(&self, is_endless: bool) {
+        lock(&self.state).has_endless_lists = is_endless;
+    }
+
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.change(kind, name, Some(spec));
@@ -137,7 +154,14 @@
     mut changed: watch::Receiver<u64>,
     req: Request<Incoming>,
 ) -> Reply {
-    lock(&state).calls += 1;
+    {
+        let mut state = lock(&state);
+        state.calls += 1;
+        if let Some(flood) = state.flood {
+            let raw = flood.replacing(&answer(StatusCode::OK, ""));
+            return Some(raw.into_response());
+        }
+    }
     let kind = req.uri().path().strip_prefix(OBJECTS_PATH)?.to_owned();
     if req.method() != Method::GET {
         return Some(answer(StatusCode::METHOD_NOT_ALLOWED, ""));
@@ -189,11 +213,12 @@
 
 /// One page of the objects of a kind, those with names after `after`.
 fn list(state: &State, kind: &str, after: Option<String>) -> hyper::Response<crate::reply::Body> {
+    let after = after.filter(|_| !state.has_endless_lists);
     let of_kind = state.objects.iter().filter(|((object_kind, name), _)| {
         object_kind == kind && after.as_deref().is_none_or(|after| name.as_str() > after)
     });
     let mut items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-    let has_more = items.len() > PAGE_SIZE;
+    let has_more = items.len() > PAGE_SIZE || state.has_endless_lists;
     items.truncate(PAGE_SIZE);
     json_answer(&json!({"items": items, "hasMore": has_more, "at": state.revision}))
 }
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -20,7 +20,7 @@
 use crate::telemetry::{AttemptResult, Event, Metrics, RequestResult};
 use crate::types::Refusal;
 
-use super::answer::{OpenedAnswer, OutgoingRequest, read_full_body, send_attempt};
+use super::answer::{BodyReader, OpenedAnswer, OutgoingRequest, send_attempt};
 use super::dialect::{Dialect, RequestHead, ResumePoint};
 use super::notice::{log_notice, prompt_parts_text};
 use super::stream;
@@ -65,6 +65,7 @@
     pending: Mutex<PendingDecisions>,
     /// Notified when the core's next wake-up time may have changed.
     wakeup_changed: Notify,
+    body_reader: BodyReader,
     pub metrics: Metrics,
 }
 
@@ -90,6 +91,7 @@
             core: Mutex::new(core),
             pending: Mutex::new(PendingDecisions::new()),
             wakeup_changed: Notify::new(),
+            body_reader: BodyReader::default(),
             metrics,
         };
         Self {
@@ -353,7 +355,8 @@
         .await
     }
 
-    /// Deadline for the start of an answer whose attempt was sent, or whose head arrived, at `now`.
+    /// Deadline for the head of an answer whose attempt was sent at `now`, and for the first event or
+    /// the whole body of one whose head arrived at `now`.
     /// It is earlier than the request's deadline only when another attempt is allowed.
     pub(super) fn start_deadline(&self, admitted: &AdmittedRequest, now: Instant) -> Instant {
         let may_retry = admitted.route.repeat != crate::dispatch::Repeat::Never
@@ -378,7 +381,8 @@
         if matches!(head.status.as_u16(), 408 | 421 | 429 | 503) {
             return Err(AttemptOutcome::Broken);
         }
-        let body = read_full_body(body, admitted.deadline).await?;
+        let deadline = self.start_deadline(admitted, Instant::now());
+        let body = self.inner.body_reader.read(body, deadline).await?;
         let outcome = match head.status {
             status if status.is_server_error() => AttemptOutcome::Failed,
             status if status.is_client_error() => AttemptOutcome::Rejected,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -36,6 +36,8 @@
 struct EventReader {
     body: Incoming,
     splitter: EventSplitter,
+    /// True once the body has ended.
+    has_ended: bool,
 }
 
 /// Result of reading from a stream.
@@ -50,20 +52,33 @@
         Self {
             body,
             splitter: EventSplitter::default(),
+            has_ended: false,
         }
     }
 
     /// Waits for the next whole event, until `deadline`.
     async fn read(&mut self, deadline: Instant) -> Result<Read, AttemptOutcome> {
+        // Events that are always there never let a timeout run.
+        if Instant::now() >= deadline {
+            return Err(AttemptOutcome::Silent);
+        }
         loop {
             if let Some(event) = self.splitter.next_event() {
                 return Ok(Read::Event(event));
             }
+            if self.has_ended {
+                return Ok(Read::End);
+            }
             let data = tokio::time::timeout_at(deadline.into(), next_data(&mut self.body)).await;
             match data {
                 Err(_) => return Err(AttemptOutcome::Silent),
                 Ok(Some(Ok(data))) if self.splitter.push(&data) => {}
-                Ok(None) if self.splitter.is_empty() => return Ok(Read::End),
+                Ok(None) if self.splitter.is_between_events() => {
+                    self.has_ended = true;
+                    if let Some(rest) = self.splitter.take_unnumbered() {
+                        return Ok(Read::Event(rest));
+                    }
+                }
                 Ok(_) => return Err(AttemptOutcome::Broken),
             }
         }
@@ -201,6 +216,7 @@
         mut next: Option<StreamEvent>,
         tx: &BodySender,
     ) -> AttemptOutcome {
+        let mut repeated = 0;
         loop {
             if let Some(event) = next.take() {
                 match self.should_forward(&event) {
@@ -211,8 +227,14 @@
                         self.last_event_id = event.id.or(self.last_event_id);
                         self.events += 1;
                     }
-                    // The caller already has this event.
-                    Some(false) => {}
+                    // The caller already has this event. An engine that begins anew sends each of
+                    // them once.
+                    Some(false) => {
+                        repeated += 1;
+                        if Some(repeated) > self.last_event_id {
+                            return AttemptOutcome::Broken;
+                        }
+                    }
                     None => return AttemptOutcome::Broken,
                 }
             }
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -9,8 +9,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use limpetloom_fakes::site::{SiteEngine, SiteEngineKind, SiteOrigin, SiteStore};
 use serde_json::{Value, json};
@@ -32,8 +33,10 @@
 pub const CHUNKS_PER_VERSION: u64 = 8;
 /// Time for which the settings say that the store keeps changes.
 const HISTORY_TIME: Duration = Duration::from_secs(5);
+/// Size above which the body of an answer is not read to its end.
+const MAX_BODY_BYTES: usize = 1 << 20;
 /// Longest wait for a condition before the test fails.
-const WAIT_LIMIT: Duration = Duration::from_secs(30);
+pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// A running deployment; dropping it kills its processes.
 pub struct Site {
@@ -55,7 +58,7 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// False when the connection ended before the body did.
+    /// False when the connection ended before the body did, and for an oversized body.
     pub is_whole: bool,
 }
 
@@ -247,6 +250,16 @@
             .collect()
     }
 
+    /// Most memory that the entry has used at any time, in bytes.
+    pub fn entry_peak_memory(&self) -> u64 {
+        peak_memory(self.entry.as_ref().unwrap())
+    }
+
+    /// Most memory that an agent has used at any time, in bytes.
+    pub fn agent_peak_memory(&self, n: usize) -> u64 {
+        peak_memory(&self.agents[n])
+    }
+
     /// Sends the entry a signal, given as an option of `kill` such as `-TERM`.
     pub async fn signal_entry(&self, signal: &str) {
         let id = self.entry.as_ref().and_then(Child::id).unwrap().to_string();
@@ -280,6 +293,11 @@
         scrape(self.engines[n].addr().ip()).await
     }
 
+    /// Address from which an agent serves chunks to others.
+    pub fn agent_addr(&self, n: usize) -> SocketAddr {
+        SocketAddr::new(self.engines[n].addr().ip(), INTERNAL_PORT)
+    }
+
     /// Waits until a condition is true; panics after `WAIT_LIMIT`.
     pub async fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
         let start = tokio::time::Instant::now();
@@ -316,6 +334,14 @@
     }
 }
 
+/// Most memory that a process has used at any time, in bytes.
+fn peak_memory(process: &Child) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.id().unwrap())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = line.unwrap().trim().strip_suffix(" kB").unwrap();
+    kilobytes.parse::<u64>().unwrap() * 1024
+}
+
 /// Fetches the metrics of the process on a host.
 async fn scrape(ip: IpAddr) -> String {
     let req = request("GET", "/metrics", "scrape");
@@ -346,16 +372,37 @@
         .unwrap()
 }
 
+/// Sends a request on a new connection and reads its answer without keeping it. False when it was
+/// incomplete.
+pub async fn discard(addr: SocketAddr, req: Request<Full<Bytes>>) -> bool {
+    let Some(mut answer) = open(addr, req).await else {
+        return false;
+    };
+    loop {
+        match answer.body_mut().frame().await {
+            None => return true,
+            Some(Ok(_)) => {}
+            Some(Err(_)) => return false,
+        }
+    }
+}
+
 /// Sends a request on a new connection; `None` when no response head arrives.
-pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> Option<Answer> {
+async fn open(addr: SocketAddr, req: Request<Full<Bytes>>) -> Option<Response<Incoming>> {
     let stream = TcpStream::connect(addr).await.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
-    let (head, mut body) = sender.send_request(req).await.ok()?.into_parts();
+    sender.send_request(req).await.ok()
+}
+
+/// Sends a request on a new connection; `None` when no response head arrives.
+pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> Option<Answer> {
+    let (head, mut body) = open(addr, req).await?.into_parts();
     let mut bytes = Vec::new();
     let is_whole = loop {
         match body.frame().await {
             None => break true,
+            Some(Ok(_)) if bytes.len() > MAX_BODY_BYTES => break false,
             Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
             Some(Err(_)) => break false,
         }
