Failing tests: a metadata store that returns as an older copy

The stand-in of the store can go back by N changes: their revisions are given out again, the history is gone, `Store-Era` rises, and waiting watches get 410, as does one from a revision that was not given out.

What operators would see after such a return, each by a test that fails: - no new version reaches an engine once its entries have restarted, until the revision has grown past the old one (engine still at version 2 after 30 s); - endpoints whose leases the store lost are dropped at once and counted as crashed (503 on the first request), although they run and come back; - a server that was written after the return is never listed, since the watch goes on from a revision that was given out again (30 s waited).

A fourth test passes already: a revoked key stays revoked, and evacuations follow the store.

--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -16,6 +16,8 @@
 
 /// Path of the objects; the kind follows.
 const OBJECTS_PATH: &str = "/limpetloom/objects/";
+/// Header of every answer: rises by one each time that the store loses changes.
+const ERA_HEADER: &str = "store-era";
 /// Largest number of objects in an answer to a list.
 const PAGE_SIZE: usize = 50;
 
@@ -23,8 +25,13 @@
 struct State {
     /// Revision of the newest change.
     revision: u64,
+    /// Number of times that the store lost changes, from 1.
+    era: u64,
     /// Objects by kind and name.
     objects: BTreeMap<(String, String), Value>,
+    /// Each change, oldest first: the object's kind and name, and the object before; `None` when
+    /// there was none.
+    undo: Vec<((String, String), Option<Value>)>,
     /// Changes, oldest first: revision, kind, whether the object was removed, the object.
     history: Vec<(u64, String, bool, Value)>,
     /// Revision up to which the history was dropped; 0 for never.
@@ -52,6 +59,7 @@
     pub fn spawn() -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State {
             revision: 10,
+            era: 1,
             ..State::default()
         }));
         let changed = Arc::new(watch::Sender::new(10));
@@ -93,6 +101,28 @@
         state.history.clear();
     }
 
+    /// Returns as an older copy: the newest `changes` and the history are lost, their revisions are
+    /// given out again, and the era rises by one. Waiting watches are answered with status 410.
+    pub fn roll_back(&self, changes: usize) {
+        let mut state = lock(&self.state);
+        for _ in 0..changes {
+            let Some((key, before)) = state.undo.pop() else {
+                break;
+            };
+            state.revision -= 1;
+            match before {
+                Some(object) => state.objects.insert(key, object),
+                None => state.objects.remove(&key),
+            };
+        }
+        state.era += 1;
+        state.compacted_to = state.revision;
+        state.history.clear();
+        let revision = state.revision;
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
     /// Sets for how long changes are kept. A watch that has waited longer is answered with status 410
     /// at the next change.
     pub fn set_history_time(&self, time: Duration) {
@@ -116,10 +146,11 @@
             "finalizers": [], "isDeleting": false,
         });
         let object = json!({"metadata": metadata, "spec": spec, "status": null});
-        match is_removed {
+        let before = match is_removed {
             true => state.objects.remove(&key),
-            false => state.objects.insert(key, object.clone()),
+            false => state.objects.insert(key.clone(), object.clone()),
         };
+        state.undo.push((key, before));
         state
             .history
             .push((revision, kind.to_owned(), is_removed, object));
@@ -134,10 +165,21 @@
 
 async fn serve(
     state: Arc<Mutex<State>>,
-    mut changed: watch::Receiver<u64>,
+    changed: watch::Receiver<u64>,
     req: Request<Incoming>,
 ) -> Reply {
     lock(&state).calls += 1;
+    let mut res = answer_call(state.clone(), changed, req).await?;
+    let era = lock(&state).era;
+    res.headers_mut().insert(ERA_HEADER, era.into());
+    Some(res)
+}
+
+async fn answer_call(
+    state: Arc<Mutex<State>>,
+    mut changed: watch::Receiver<u64>,
+    req: Request<Incoming>,
+) -> Reply {
     let kind = req.uri().path().strip_prefix(OBJECTS_PATH)?.to_owned();
     if req.method() != Method::GET {
         return Some(answer(StatusCode::METHOD_NOT_ALLOWED, ""));
@@ -148,11 +190,15 @@
     let since = query_number(&req, "watch");
     let wait = Duration::from_millis(query_number(&req, "waitMs"));
     let started_at = tokio::time::Instant::now();
+    let started_era = lock(&state).era;
     let next_changes = async {
         loop {
             changed.borrow_and_update();
             let (changes, history_time) = {
                 let state = lock(&state);
+                if state.era != started_era {
+                    return None;
+                }
                 (changes_since(&state, &kind, since), state.history_time)
             };
             if let Some(changes) = changes {
@@ -173,9 +219,9 @@
 }
 
 /// Changes to objects of a kind after a revision: `None` when there are none yet, `Some(None)` when
-/// the history was dropped.
+/// the history was dropped or the revision was not given out yet.
 fn changes_since(state: &State, kind: &str, since: u64) -> Option<Option<Value>> {
-    if since < state.compacted_to {
+    if since < state.compacted_to || since > state.revision {
         return Some(None);
     }
     let events: Vec<Value> = state
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,4 +6,5 @@
 mod lifecycle;
 mod metrics;
 mod site;
+mod store_era;
 mod weights;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -175,6 +175,13 @@
         self.entry = Some(child);
     }
 
+    /// Kills the entry and starts it again.
+    pub async fn restart_entry(&mut self) {
+        self.entry.as_mut().unwrap().kill().await.unwrap();
+        self.start_entry();
+        self.wait_until_ready().await;
+    }
+
     /// Starts an agent for each engine.
     pub fn start_agents(&mut self) {
         for n in 0..self.engines.len() {
