Order the agents' plans by the era of the store, then by revision

What operators would see: after the store has returned as an older copy and an entry has restarted, a version that is named reaches no engine until the store's revision has grown past the old one.

Cause: a plan carried the revision only, and an agent ignores a plan of a lower revision. An entry that runs kept the highest revision of before, so only those that started later were ignored, and two entries of either kind were never told apart.

Change: the plan carries the position, which is ordered by era first. An entry cut off from the store in an older era no longer overrules one that sees the store. The order of versions is unchanged: a later era that names an older version doesn't take the newest back. The heartbeat's format changes, so entries and agents are updated together, as with each change of it.

--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::ChangeAge;
+use crate::types::{ChangeAge, StorePosition};
 
 pub use peers::{Entries, PlanState};
 
@@ -41,8 +41,8 @@
 /// Versions that the fleet has to serve, and the agents that serve them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Plan {
-    /// Revision of the store that the plan was made from; the plan with the highest one applies.
-    pub revision: u64,
+    /// Position of the store that the plan was made from; the plan with the highest one applies.
+    pub position: StorePosition,
     /// Models with their wanted versions.
     pub wanted: Vec<WantedModel>,
     /// Address of the origin that publishes the weights.
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -120,7 +120,7 @@
         let is_current = self
             .plan
             .as_ref()
-            .is_none_or(|old| plan.revision >= old.revision);
+            .is_none_or(|old| plan.position >= old.position);
         if !is_current {
             return false;
         }
--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
+
 use super::*;
+use crate::types::StorePosition;
 
 fn heartbeat(entry: u64, crashes: Vec<Crash>) -> EntryHeartbeat {
     EntryHeartbeat {
@@ -14,8 +17,12 @@
 }
 
 fn plan(revision: u64, version: u64, age_ms: u64) -> Plan {
+    plan_of_era(1, revision, version, age_ms)
+}
+
+fn plan_of_era(era: u64, revision: u64, version: u64, age_ms: u64) -> Plan {
     Plan {
-        revision,
+        position: StorePosition { era, revision },
         wanted: vec![WantedModel {
             model: "m".into(),
             version,
@@ -57,6 +64,38 @@
     assert_eq!(wanted_versions(&state).last().unwrap().0, 2);
 }
 
+#[rstest]
+#[case::higher_revision((1, 5), (1, 6), true)]
+#[case::same_position((1, 5), (1, 5), true)]
+#[case::lower_revision((1, 5), (1, 4), false)]
+#[case::lower_revision_of_a_later_era((1, 5), (2, 1), true)]
+#[case::higher_revision_of_an_earlier_era((2, 1), (1, 5), false)]
+#[case::first_era_that_is_named((0, 5), (3, 1), true)]
+fn the_plan_of_the_highest_position_applies(
+    #[case] before: (u64, u64),
+    #[case] next: (u64, u64),
+    #[case] is_applied: bool,
+) {
+    let now = Instant::now();
+    let mut state = PlanState::default();
+    assert!(state.apply_plan(now, plan_of_era(before.0, before.1, 2, 0)));
+    let next = plan_of_era(next.0, next.1, 3, 0);
+    assert_eq!(state.apply_plan(now, next.clone()), is_applied);
+    assert_eq!(state.current() == Some(&next), is_applied);
+}
+
+// Guards against a version that goes back since the store lost its name.
+#[test]
+fn a_later_era_that_names_an_older_version_keeps_the_newest() {
+    let now = Instant::now();
+    let mut state = PlanState::default();
+    state.apply_plan(now, plan_of_era(1, 5, 3, 0));
+    assert!(!state.apply_plan(now, plan_of_era(2, 4, 2, 0)));
+    let versions = wanted_versions(&state);
+    assert_eq!(versions.last().unwrap().0, 3);
+    assert!(state.apply_plan(now, plan_of_era(2, 6, 4, 0)));
+}
+
 #[test]
 fn each_version_keeps_its_own_deadline() {
     let now = Instant::now();
--- a/src/heartbeat/tests/version_times.rs
+++ b/src/heartbeat/tests/version_times.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::{Fleet, Mitigations};
 use crate::fuzz_config::fuzz_config;
 use crate::heartbeat::*;
-use crate::types::{ChangeAge, ChangeTime};
+use crate::types::{ChangeAge, ChangeTime, StorePosition};
 
 /// Number of generated sequences per run.
 const CASES: u32 = 256;
@@ -183,7 +183,7 @@
             }
         });
         Message::Plan(Plan {
-            revision: 1,
+            position: StorePosition::default(),
             wanted: wanted.collect(),
             origin: None,
             zones: Vec::new(),
