--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -40,6 +40,8 @@
     history_time: Option<Duration>,
     /// Calls of all kinds so far.
     calls: u64,
+    /// True when answers do not name the era.
+    hides_era: bool,
 }
 
 /// Running stand-in for the metadata store; dropping it stops it.
@@ -123,6 +125,20 @@
         self.changed.send_replace(revision);
     }
 
+    /// Leaves the era out of the answers, or names it again.
+    pub fn hide_era(&self, is_hidden: bool) {
+        lock(&self.state).hides_era = is_hidden;
+    }
+
+    /// Names of the objects of a kind, with their `spec`.
+    pub fn objects(&self, kind: &str) -> BTreeMap<String, Value> {
+        let state = lock(&self.state);
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        of_kind
+            .map(|((_, name), object)| (name.clone(), object["spec"].clone()))
+            .collect()
+    }
+
     /// Sets for how long changes are kept. A watch that has waited longer is answered with status 410
     /// at the next change.
     pub fn set_history_time(&self, time: Duration) {
@@ -170,8 +186,10 @@
 ) -> Reply {
     lock(&state).calls += 1;
     let mut res = answer_call(state.clone(), changed, req).await?;
-    let era = lock(&state).era;
-    res.headers_mut().insert(ERA_HEADER, era.into());
+    let state = lock(&state);
+    if !state.hides_era {
+        res.headers_mut().insert(ERA_HEADER, state.era.into());
+    }
     Some(res)
 }
 
