--- a/src/heartbeat/tests/version_times.rs
+++ b/src/heartbeat/tests/version_times.rs
@@ -12,7 +12,7 @@
 use crate::fuzz_config::fuzz_config;
 use crate::heartbeat::*;
 use crate::timer::StallDetector;
-use crate::types::{ChangeAge, ChangeTime};
+use crate::types::{ChangeAge, ChangeTime, StorePosition};
 
 /// Number of generated sequences per run.
 const CASES: u32 = 1_024;
@@ -213,7 +213,7 @@
             }
         });
         Message::Plan(Plan {
-            revision: 1,
+            position: StorePosition::default(),
             wanted: wanted.collect(),
             origin: None,
             zones: Vec::new(),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,4 +8,5 @@
 mod lifecycle;
 mod metrics;
 mod site;
+mod store_era;
 mod weights;
