Log the digest of a request with its attempts and refusals

Copies of a request have ids of their own, so the log could not tell whether an entry knew the second copy of a request that crashes engines as the same one.

--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -22,7 +22,7 @@
 
 use super::answer::{BodyReader, OpenedAnswer, OutgoingRequest, send_attempt};
 use super::dialect::{Dialect, RequestHead, ResumePoint};
-use super::notice::{log_notice, prompt_parts_text};
+use super::notice::{digest_text, log_notice, prompt_parts_text};
 use super::stream;
 use super::ticket::Ticket;
 
@@ -179,10 +179,9 @@
                 bytes: configuration.limits.body_bytes,
                 timeout: DEFAULT_BODY_LIMITS.timeout,
             });
-        let request_id = head.req.request_id.clone();
         let body = match read_body(body, limits).await {
             Ok(body) => body,
-            Err(code) => return self.refuse(arrived, Some(&request_id), "", &Refusal::new(code)),
+            Err(code) => return self.refuse(arrived, Some(&head.req), "", &Refusal::new(code)),
         };
         head.req.fingerprint = fingerprint(&head.req, &body);
         self.admit(arrived, head, parts, body).await
@@ -207,14 +206,9 @@
         let (id, deadline, route) = match admission {
             Ok((id, deadline, Some(route))) => (id, deadline, route),
             Ok((_, _, None)) => {
-                return self.refuse(
-                    arrived,
-                    Some(&req.request_id),
-                    "",
-                    &Refusal::new(Code::UnknownRoute),
-                );
+                return self.refuse(arrived, Some(&req), "", &Refusal::new(Code::UnknownRoute));
             }
-            Err(refusal) => return self.refuse(arrived, Some(&req.request_id), "", &refusal),
+            Err(refusal) => return self.refuse(arrived, Some(&req), "", &refusal),
         };
         let ticket = Ticket {
             relay: self.clone(),
@@ -265,7 +259,7 @@
         ticket: Ticket<D>,
         admitted: AdmittedRequest,
     ) -> Response<AnswerBody> {
-        let request_id = admitted.caller.request_id.clone();
+        let caller = &admitted.caller;
         let route = admitted.route.name.clone();
         // The last whole answer. One that reports a failure of the endpoint is forwarded only when
         // no later attempt gets an answer.
@@ -277,7 +271,7 @@
                     return last_answer.unwrap_or_else(|| {
                         self.refuse_with_inputs(
                             admitted.arrived,
-                            Some(&request_id),
+                            Some(caller),
                             &route,
                             &refusal,
                             inputs,
@@ -316,7 +310,7 @@
                 (NextStep::Finish, outcome) if is_whole_answer(outcome) => last_answer.take(),
                 (NextStep::Finish, _) => None,
                 (NextStep::Refuse(refusal), _) => last_answer.take().or_else(|| {
-                    Some(self.refuse(admitted.arrived, Some(&request_id), &route, &refusal))
+                    Some(self.refuse(admitted.arrived, Some(caller), &route, &refusal))
                 }),
             };
             if answer.is_some() && is_whole_answer(outcome) {
@@ -326,7 +320,7 @@
             }
             return answer.unwrap_or_else(|| {
                 let refusal = Refusal::new(Code::OutcomeUnknown);
-                self.refuse(admitted.arrived, Some(&request_id), &route, &refusal)
+                self.refuse(admitted.arrived, Some(caller), &route, &refusal)
             });
         }
     }
@@ -417,6 +411,7 @@
         };
         log_fields!(event, {
             request: &*admitted.caller.request_id,
+            digest: digest_text(admitted.caller.fingerprint),
             route: &*admitted.route.name,
             endpoint: &*assignment.endpoint,
             attempt: assignment.attempt,
--- a/src/relay/notice.rs
+++ b/src/relay/notice.rs
@@ -38,3 +38,8 @@
     let parts: Vec<_> = parts.into_iter().map(|part| format!("{part:x}")).collect();
     parts.join(",")
 }
+
+/// Digest of a request as it is written to the log; equal for all copies of the request.
+pub(super) fn digest_text(fingerprint: u64) -> String {
+    format!("{fingerprint:016x}")
+}
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -1,12 +1,11 @@
 //! Refusals to callers.
 
-use std::sync::Arc;
 use std::time::Instant;
 
 use hyper::Response;
 
 use crate::codes::RunState;
-use crate::dispatch::DecisionInputs;
+use crate::dispatch::{CallerRequest, DecisionInputs};
 use crate::http::AnswerBody;
 use crate::log_fields;
 use crate::telemetry::{Event, RequestResult};
@@ -14,14 +13,14 @@
 
 use super::dialect::Dialect;
 use super::handle::Relay;
-use super::notice::prompt_parts_text;
+use super::notice::{digest_text, prompt_parts_text};
 
 impl<D: Dialect> Relay<D> {
     /// Answers with a refusal for which the core gave no decision inputs.
     pub(super) fn refuse(
         &self,
         arrived: Instant,
-        request_id: Option<&Arc<str>>,
+        req: Option<&CallerRequest>,
         route: &str,
         refusal: &Refusal,
     ) -> Response<AnswerBody> {
@@ -33,14 +32,14 @@
             configuration,
             ..DecisionInputs::default()
         };
-        self.refuse_with_inputs(arrived, request_id, route, refusal, inputs)
+        self.refuse_with_inputs(arrived, req, route, refusal, inputs)
     }
 
     /// Answers with a refusal and logs the inputs of the decision.
     pub(super) fn refuse_with_inputs(
         &self,
         arrived: Instant,
-        request_id: Option<&Arc<str>>,
+        req: Option<&CallerRequest>,
         route: &str,
         refusal: &Refusal,
         inputs: DecisionInputs,
@@ -48,7 +47,8 @@
         let result = RequestResult::Refused(refusal.code);
         self.inner.metrics.count_request(route, result);
         log_fields!(Event::RequestRefused, {
-            request: request_id.map_or("", |id| id),
+            request: req.map_or("", |req| &*req.request_id),
+            digest: req.map_or(String::new(), |req| digest_text(req.fingerprint)),
             route: route,
             code: refusal.code.number(),
             not_run: refusal.code.run_state() == RunState::NotRun,
@@ -61,6 +61,7 @@
             asking_for_ms: inputs.since_first_attempt.as_millis() as u64,
             held_ms: arrived.elapsed().as_millis() as u64
         });
+        let request_id = req.map(|req| &req.request_id);
         self.inner.dialect.refusal_response(request_id, refusal)
     }
 }
