Failing test: copies of a request that crashes engines, which return after 3.3 s

On the code before the fix the copy that is sent 3 s after the first crashes two more engines, at the same entry. Its 401 lines carry the same digest as those of the first copy, and no 507 line names a crash: the crashes are not recognised, so there is no news to spread. The stand-in's engines returned after 0.3 s so far, which the entries saw in time.

--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -20,7 +20,7 @@
 
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
-/// Time from a crash to the start of the next process.
+/// Time from a crash to the start of the next process, unless the faults say otherwise.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 /// Length of the part of an event that a breaking stream sends; it ends before the `data` line.
 const PARTIAL_EVENT_BYTES: usize = 6;
@@ -60,6 +60,10 @@
     /// Prompt part, as in the `prompt-prefix` header, that crashes the process when it begins to
     /// answer a request with it; the last part of a request has no such effect.
     pub crash_on_part: Option<String>,
+    /// Body of a request that crashes the process when it begins to answer it.
+    pub crash_on_body: Option<Bytes>,
+    /// Time from a crash to the start of the next process.
+    pub restart_time: Option<Duration>,
     /// When set, answers have neither a length nor chunks and end with their connection. A reset
     /// one has half of its body, or as many events as `break_after` says and no part of the next.
     pub without_length: Option<ConnectionEnd>,
@@ -256,11 +260,14 @@
     mut crash_rx: mpsc::UnboundedReceiver<()>,
 ) {
     while crash_rx.recv().await.is_some() {
+        let mut restart_time = RESTART_TIME;
         if let (Some(state), Some(server)) = (state.upgrade(), server.upgrade()) {
             server.set_online(false);
-            lock(&state).crashes += 1;
+            let mut state = lock(&state);
+            state.crashes += 1;
+            restart_time = state.faults.restart_time.unwrap_or(RESTART_TIME);
         }
-        tokio::time::sleep(RESTART_TIME).await;
+        tokio::time::sleep(restart_time).await;
         let (Some(state), Some(server)) = (state.upgrade(), server.upgrade()) else {
             return;
         };
@@ -370,13 +377,15 @@
         state.runs.push(SiteRun {
             request_id: request_id.clone(),
             headers,
-            body,
+            body: body.clone(),
             path,
         });
         (state.faults.clone(), state.version, state.id.clone())
     };
-    let crashes = |part: &String| shared_parts(&prefix).any(|shared| shared == part);
-    if faults.crash_on_part.as_ref().is_some_and(crashes) {
+    let has_part = |part: &String| shared_parts(&prefix).any(|shared| shared == part);
+    let is_harmful =
+        faults.crash_on_part.as_ref().is_some_and(has_part) || faults.crash_on_body == Some(body);
+    if is_harmful {
         // The answer has begun, and no event follows.
         faults.silent_after = Some(0);
         lock(state).crash_tx.send(()).ok()?;
