Recognise requests that crash engines by the agents' word, and weigh them with their parts

Cause: a broken attempt became a crash of its request only when within 3 s the endpoint refused another connection, left the list or was reported as a new process. Engines are back after 3.2 s and more, and leases end after 3.6 s, so only a refused connection came in time, if there was one. Agents see each crash within 40 ms, but their word counted against prompt parts only.

Change: the request as a whole is a suspect beside its prompt parts, with the same attestation, exchange and clearing by answers; the record of its own that entries kept is gone. What the crashes of a harmful request explain no longer counts against the common parts in its prompt, nor against requests that ran beside it. Endpoints without an agent keep the weaker signs, for 6 s instead of 3, since they too end their lease later than that.

--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -18,7 +18,7 @@
 pub use claim::{ChosenAttempt, Claim, ClaimStep, KeyedRequest};
 pub use ledger::{Ledger, OfferDecision};
 pub use quarantine::{Quarantine, QuarantineStatus};
-pub use suspects::{BlameChange, BlamedParts, PartCrash, Suspects};
+pub use suspects::{BlameChange, Blamed, Suspect, SuspectCrash, Suspects};
 
 use std::time::Duration;
 
--- a/src/dispatch/crash_watch.rs
+++ b/src/dispatch/crash_watch.rs
@@ -1,17 +1,22 @@
-//! Matches attempts with the crashes of endpoints that the agents beside them attest.
+//! Matches attempts with the crashes of their endpoints.
 //!
-//! Only an agent that saw its endpoint alive can attest its crash: a host without power has no
-//! agent to do so, and its next agent has another incarnation.
+//! Where an agent runs beside the endpoint, only an agent that saw its endpoint alive can attest its
+//! crash: a host without power has no agent to do so, and its next agent has another incarnation. The
+//! end of an endpoint without an agent is known from a failed connection or from the list.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::types::{EndpointId, InstanceId, PromptPart};
+use crate::delivery::Suspect;
+use crate::types::{EndpointId, InstanceId};
 
 /// Longest time between the break of an attempt and the news of the crash, in either order.
 const BREAK_WINDOW: Duration = Duration::from_secs(3);
+/// The same for an endpoint without an agent. Its lease expires after three heartbeats, and its next
+/// process is listed some seconds after the crash.
+const UNATTESTED_BREAK_WINDOW: Duration = Duration::from_secs(6);
 /// Time after any other end within which a crash at the endpoint counts as the cause. An answer
 /// without length or chunks ends with its connection, so a crash may look like the end, and an
 /// abandoned request may still run; agents notice a crash within a few polls.
@@ -72,17 +77,11 @@
     pub at: Instant,
     pub endpoint: EndpointId,
     pub process: EndpointProcess,
-    pub parts: Arc<[PromptPart]>,
+    /// Suspects of its request.
+    pub suspects: Arc<[Suspect]>,
     pub end: AttemptEnd,
 }
 
-impl EndedAttempt {
-    /// True when no crash explains its end any more.
-    fn is_settled(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.at) > self.end.crash_window()
-    }
-}
-
 /// How an attempt ended that may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum AttemptEnd {
@@ -94,16 +93,6 @@
     Other,
 }
 
-impl AttemptEnd {
-    /// Longest time between this end and the news of the crash that is its cause.
-    fn crash_window(self) -> Duration {
-        match self {
-            Self::Broken => BREAK_WINDOW,
-            Self::Answered | Self::Other => END_WINDOW,
-        }
-    }
-}
-
 /// Last report of an agent.
 #[derive(Clone, Copy, Debug)]
 struct LastReport {
@@ -176,7 +165,7 @@
 
     /// Records an ended attempt, or returns it when the crash of its endpoint is known already.
     pub fn attempt_ended(&mut self, attempt: EndedAttempt) -> Option<EndedAttempt> {
-        let window = attempt.end.crash_window();
+        let window = self.crash_window(&attempt);
         let is_crashed = self.attested.iter().any(|(at, process)| {
             *process == attempt.process && attempt.at.saturating_duration_since(*at) <= window
         });
@@ -192,25 +181,61 @@
 
     /// Takes the attempts that ended with the crash of a process.
     pub fn take_crashed(&mut self, now: Instant, process: EndpointProcess) -> Vec<EndedAttempt> {
-        self.take(|attempt| attempt.process == process && !attempt.is_settled(now))
+        self.take(now, |attempt, is_settled| {
+            attempt.process == process && !is_settled
+        })
+    }
+
+    /// Takes the attempts that broke at a process whose end is known from a failed connection or from
+    /// the list; none where an agent could attest it, and none of a process that was leaving.
+    pub fn take_unattested(&mut self, now: Instant, process: EndpointProcess) -> Vec<EndedAttempt> {
+        if self.reports.contains_key(&process.host) || self.leaving.contains(&process) {
+            return Vec::new();
+        }
+        self.take(now, |attempt, is_settled| {
+            attempt.process == process && attempt.end == AttemptEnd::Broken && !is_settled
+        })
     }
 
     /// Takes the attempts whose end no crash explains any more.
     pub fn take_settled(&mut self, now: Instant) -> Vec<EndedAttempt> {
-        match self.ended.iter().any(|attempt| attempt.is_settled(now)) {
-            true => self.take(|attempt| attempt.is_settled(now)),
+        match self
+            .ended
+            .iter()
+            .any(|attempt| self.is_settled(now, attempt))
+        {
+            true => self.take(now, |_, is_settled| is_settled),
             false => Vec::new(),
         }
     }
 
-    fn take(&mut self, is_taken: impl Fn(&EndedAttempt) -> bool) -> Vec<EndedAttempt> {
+    /// Takes the ended attempts for which `is_taken` is true, given whether they are settled.
+    fn take(
+        &mut self,
+        now: Instant,
+        is_taken: impl Fn(&EndedAttempt, bool) -> bool,
+    ) -> Vec<EndedAttempt> {
         let (taken, others): (Vec<_>, Vec<_>) = std::mem::take(&mut self.ended)
             .into_iter()
-            .partition(is_taken);
+            .partition(|attempt| is_taken(attempt, self.is_settled(now, attempt)));
         self.ended = others.into();
         taken
     }
 
+    /// True when no crash explains the end of the attempt any more.
+    fn is_settled(&self, now: Instant, attempt: &EndedAttempt) -> bool {
+        now.saturating_duration_since(attempt.at) > self.crash_window(attempt)
+    }
+
+    /// Longest time between the end of an attempt and the news of the crash that is its cause.
+    fn crash_window(&self, attempt: &EndedAttempt) -> Duration {
+        match attempt.end {
+            AttemptEnd::Broken if self.reports.contains_key(&attempt.process.host) => BREAK_WINDOW,
+            AttemptEnd::Broken => UNATTESTED_BREAK_WINDOW,
+            AttemptEnd::Answered | AttemptEnd::Other => END_WINDOW,
+        }
+    }
+
     /// Handles a process that is listed as leaving; its end is no crash.
     pub fn leaving(&mut self, process: EndpointProcess) {
         if !self.leaving.contains(&process) {
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -3,14 +3,13 @@
 use std::time::{Duration, Instant};
 
 use crate::codes::Code;
-use crate::dispatch::crash_watch::EndpointProcess;
 use crate::dispatch::endpoint::Endpoint;
 use crate::dispatch::fleet::EndpointQuery;
 use crate::dispatch::patterns::{WaitingRequest, sample, should_send};
 use crate::dispatch::request::{Assignment, RunningAttempt, TicketId};
 use crate::types::{EndpointId, Refusal};
 
-use super::{Decision, DecisionInputs, Dispatcher};
+use super::{Decision, DecisionInputs, Dispatcher, prompt_parts};
 
 /// Cost of an endpoint in another region, as time; traffic between regions is expensive.
 const REGION_COST: Duration = Duration::from_millis(12);
@@ -23,7 +22,7 @@
     pub(super) fn try_assign(&mut self, now: Instant, ticket: TicketId) -> Option<Decision> {
         let request = self.requests.get(&ticket)?;
         let configuration = self.configuration.as_ref()?;
-        if let Some(parts) = self.suspects.blamed_among(&request.prompt_parts).cloned() {
+        if let Some(blamed) = self.suspects.blamed_among(&request.suspects).cloned() {
             let inputs = DecisionInputs {
                 configuration: configuration.version,
                 ..DecisionInputs::default()
@@ -31,7 +30,7 @@
             let decision = self.reject(now, ticket, Code::Quarantined, inputs);
             return Some(match decision {
                 Decision::Refuse(refusal, inputs) => {
-                    Decision::Refuse(refusal.with_prompt_parts(parts), inputs)
+                    Decision::Refuse(refusal.with_prompt_parts(prompt_parts(&blamed)), inputs)
                 }
                 decision => decision,
             });
@@ -151,10 +150,7 @@
         request.attempts.sent += 1;
         request.running = Some(RunningAttempt {
             endpoint: id.clone(),
-            process: EndpointProcess {
-                host: endpoint.listed.addr.ip(),
-                incarnation: endpoint.listed.incarnation,
-            },
+            process: endpoint.process(),
             since: now,
             predicted,
             started: false,
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -4,7 +4,7 @@
 mod crashes;
 mod outcome;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,10 +13,8 @@
 use rand::{Rng, SeedableRng};
 
 use crate::codes::Code;
-use crate::delivery::{
-    Attempts, BlamedParts, Quarantine, QuarantineStatus, RetryLimit, RetryWindow, Suspects,
-};
-use crate::types::{ChangeTime, EndpointId, InstanceId, Refusal, RegionId, TargetId, ZoneId};
+use crate::delivery::{Attempts, Blamed, RetryLimit, RetryWindow, Suspect, Suspects};
+use crate::types::{ChangeTime, EndpointId, PromptPart, Refusal, RegionId, TargetId, ZoneId};
 
 use super::configuration::{Configuration, Customer, Route};
 use super::crash_watch::{CrashWatch, EndpointProcess};
@@ -102,12 +100,10 @@
     pub waiting: usize,
     /// Endpoints on the list.
     pub endpoints: Vec<EndpointView>,
-    /// Number of request fingerprints that are suspected or quarantined.
-    pub fingerprints: usize,
-    /// Number of prompt parts with crashes.
-    pub prompt_parts: usize,
-    /// Prompt parts that are blamed for crashes, in hexadecimal; those of one item together.
-    pub blamed_parts: Vec<Vec<String>>,
+    /// Number of requests and prompt parts with crashes.
+    pub suspects: usize,
+    /// What is blamed for crashes, as `part ID` or `request DIGEST`; those of one item together.
+    pub blamed: Vec<Vec<String>>,
 }
 
 /// State of one endpoint in a dump.
@@ -133,15 +129,6 @@
     pub failing: f64,
 }
 
-/// Broken attempt, kept until it is known whether its endpoint has crashed.
-#[derive(Clone, Debug)]
-struct BrokenAttempt {
-    at: Instant,
-    endpoint: EndpointId,
-    incarnation: InstanceId,
-    fingerprint: u64,
-}
-
 /// Sans-IO dispatcher for the requests of one entry.
 pub struct Dispatcher {
     cfg: DispatchConfig,
@@ -157,8 +144,6 @@
     queue: BTreeSet<(bool, Instant, TicketId)>,
     last_ticket: TicketId,
     retry_budgets: HashMap<TargetId, RetryWindow>,
-    quarantine: Quarantine,
-    broken_attempts: VecDeque<BrokenAttempt>,
     crash_watch: CrashWatch,
     suspects: Suspects,
     refused_callers: RefusedCallers,
@@ -181,8 +166,6 @@
             queue: BTreeSet::new(),
             last_ticket: 0,
             retry_budgets: HashMap::new(),
-            quarantine: Quarantine::default(),
-            broken_attempts: VecDeque::new(),
             crash_watch: CrashWatch::default(),
             suspects: Suspects::default(),
             refused_callers: RefusedCallers::default(),
@@ -227,10 +210,10 @@
                 incarnation: listed.incarnation,
             });
         }
-        let before = self.fleet.get(&id).map(|e| e.listed.incarnation);
+        let before = self.fleet.get(&id).map(Endpoint::process);
         let changed = self.fleet.update_endpoint(now, listed);
         if changed && let Some(before) = before {
-            self.record_crash(now, &id, before, CrashSign::Listing);
+            self.record_unattested_end(now, before, CrashSign::Listing);
         }
         changed
     }
@@ -246,10 +229,8 @@
             self.fleet.start_lease_grace(now, id);
             return;
         }
-        if let Some((incarnation, false)) =
-            endpoint.map(|e| (e.listed.incarnation, e.listed.is_leaving))
-        {
-            self.record_crash(now, id, incarnation, CrashSign::Listing);
+        if let Some(process) = endpoint.map(Endpoint::process) {
+            self.record_unattested_end(now, process, CrashSign::Listing);
         }
         self.fleet.remove_endpoint(id);
     }
@@ -272,14 +253,6 @@
     /// Applies a load report from the agent of a host. Returns false when no endpoint is listed
     /// there.
     pub fn update_load(&mut self, now: Instant, host: IpAddr, load: EndpointLoad) -> bool {
-        let restarted = self
-            .fleet
-            .endpoints()
-            .find(|e| e.listed.addr.ip() == host && e.listed.incarnation < load.incarnation)
-            .map(|e| (e.listed.id.clone(), e.listed.incarnation));
-        if let Some((id, before)) = restarted {
-            self.record_crash(now, &id, before, CrashSign::LoadReport);
-        }
         self.fleet.update_load(now, host, load)
     }
 
@@ -318,13 +291,10 @@
             .ok_or_else(|| Refusal::new(Code::UnknownRoute))?
             .clone();
         let customer = customer(&configuration, &route, req)?;
-        let fingerprint = digest(req.fingerprint);
-        if self.quarantine.status(&fingerprint) == QuarantineStatus::Quarantined {
-            return Err(self.refuse_unavailable(Code::Quarantined));
-        }
-        if let Some(parts) = self.suspects.blamed_among(&req.prompt_parts).cloned() {
+        let suspects = req.suspects();
+        if let Some(blamed) = self.suspects.blamed_among(&suspects).cloned() {
             let refusal = self.refuse_unavailable(Code::Quarantined);
-            return Err(refusal.with_prompt_parts(parts));
+            return Err(refusal.with_prompt_parts(prompt_parts(&blamed)));
         }
         let target = self.choose_target(&route);
         let timeout = req.timeout.unwrap_or(route.timeout);
@@ -338,7 +308,7 @@
             model: req.model.clone(),
             prompt_tokens: req.prompt_tokens,
             answer_tokens: req.answer_tokens,
-            prompt_parts: req.prompt_parts.clone(),
+            suspects,
             fingerprint: req.fingerprint,
             deadline: now + timeout.min(route.timeout),
             first_attempt_at,
@@ -455,9 +425,8 @@
             requests: self.requests.len(),
             waiting: self.queue.len(),
             endpoints: self.fleet.endpoints().map(view).collect(),
-            fingerprints: self.quarantine.len(),
-            prompt_parts: self.suspects.len(),
-            blamed_parts: self.suspects.blamed().map(hexadecimal).collect(),
+            suspects: self.suspects.len(),
+            blamed: self.suspects.blamed().map(names).collect(),
         }
     }
 }
@@ -480,11 +449,14 @@
     }
 }
 
-fn hexadecimal(parts: &BlamedParts) -> Vec<String> {
-    parts.iter().map(|part| format!("{part:x}")).collect()
+fn prompt_parts(blamed: &Blamed) -> impl Iterator<Item = PromptPart> {
+    blamed.iter().filter_map(|suspect| suspect.part())
 }
 
-/// Fingerprint as the hexadecimal digest that [`Quarantine`] is keyed by.
-fn digest(fingerprint: u64) -> Arc<str> {
-    format!("{fingerprint:016x}").into()
+fn names(blamed: &Blamed) -> Vec<String> {
+    let names = blamed.iter().map(|suspect| match suspect {
+        Suspect::Part(part) => format!("part {part:x}"),
+        Suspect::Request(digest) => format!("request {digest:016x}"),
+    });
+    names.collect()
 }
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -1,24 +1,19 @@
 //! Handling of the start and the outcome of an attempt.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use crate::codes::Code;
-use crate::delivery::{AttemptRules, QuarantineStatus};
+use crate::delivery::AttemptRules;
 use crate::dispatch::configuration::Repeat;
-use crate::dispatch::notice::{CrashSign, Notice};
+use crate::dispatch::notice::CrashSign;
 use crate::dispatch::patterns::max_queue_time;
 use crate::dispatch::request::{AttemptOutcome, Departure, RunningAttempt, TicketId};
-use crate::types::{InstanceId, Refusal};
+use crate::types::Refusal;
 
-use super::{BrokenAttempt, Dispatcher, NextStep, digest};
+use super::{Dispatcher, NextStep, prompt_parts};
 
 /// Time for which a broken stream may wait for an endpoint to resume at.
 const RESUME_QUEUE_TIME: Duration = Duration::from_millis(500);
-/// Age up to which a broken attempt is attributed to a crash of its endpoint.
-const CRASH_WINDOW: Duration = Duration::from_secs(3);
-/// Maximum number of broken attempts kept while it is not known whether their endpoint crashed.
-const MAX_BROKEN_ATTEMPTS: usize = 256;
 
 impl Dispatcher {
     /// Records the first event of the running attempt, and the weight version that answers.
@@ -51,7 +46,7 @@
         let Some(running) = request.running.take() else {
             return NextStep::Finish;
         };
-        let (fingerprint, prompt) = (request.fingerprint, request.prompt_tokens);
+        let prompt = request.prompt_tokens;
         if !matches!(
             outcome,
             AttemptOutcome::NotRun { .. } | AttemptOutcome::NotSent
@@ -61,9 +56,9 @@
         if matches!(outcome, AttemptOutcome::NotSent) {
             request.attempts.sent -= 1;
         }
-        let parts = request.prompt_parts.clone();
-        self.record_outcome(now, &running, prompt, fingerprint, outcome);
-        self.record_ended(now, &running, &parts, outcome);
+        let suspects = request.suspects.clone();
+        self.record_outcome(now, &running, prompt, outcome);
+        self.record_ended(now, &running, &suspects, outcome);
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Rejected | AttemptOutcome::CallerGone => {
                 self.finish(now, ticket);
@@ -81,13 +76,12 @@
         }
     }
 
-    /// Updates the endpoint's statistics, and remembers broken attempts.
+    /// Updates the endpoint's statistics.
     fn record_outcome(
         &mut self,
         now: Instant,
         running: &RunningAttempt,
         prompt: u32,
-        fingerprint: u64,
         outcome: AttemptOutcome,
     ) {
         let Some(endpoint) = self.fleet.get_mut(&running.endpoint) else {
@@ -95,7 +89,6 @@
         };
         let by_caller = matches!(outcome, AttemptOutcome::CallerGone);
         endpoint.occupancy.ended(prompt, running.started, by_caller);
-        let incarnation = endpoint.listed.incarnation;
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Rejected => {
                 endpoint.health.succeeded();
@@ -108,28 +101,10 @@
             | AttemptOutcome::Failed => {}
             AttemptOutcome::NotSent => {
                 endpoint.health.failed(now);
-                // A failed connection counts as a crash: the requests whose attempts broke there
-                // shortly before are suspected.
-                self.record_crash(
-                    now,
-                    &running.endpoint,
-                    incarnation,
-                    CrashSign::ConnectionFailed,
-                );
+                let process = endpoint.process();
+                self.record_unattested_end(now, process, CrashSign::ConnectionFailed);
             }
-            AttemptOutcome::Broken => {
-                endpoint.health.failed(now);
-                self.broken_attempts.push_back(BrokenAttempt {
-                    at: now,
-                    endpoint: running.endpoint.clone(),
-                    incarnation,
-                    fingerprint,
-                });
-                if self.broken_attempts.len() > MAX_BROKEN_ATTEMPTS {
-                    self.broken_attempts.pop_front();
-                }
-            }
-            AttemptOutcome::Silent => endpoint.health.failed(now),
+            AttemptOutcome::Broken | AttemptOutcome::Silent => endpoint.health.failed(now),
         }
         self.fleet.sweep();
     }
@@ -146,12 +121,11 @@
         let Some(request) = self.requests.get_mut(&ticket) else {
             return NextStep::Finish;
         };
-        let status = self.quarantine.status(&digest(request.fingerprint));
-        let blamed = self.suspects.blamed_among(&request.prompt_parts).cloned();
+        let blamed = self.suspects.blamed_among(&request.suspects).cloned();
         let rules = AttemptRules {
             max: request.route.max_attempts,
             is_repeatable: request.route.repeat != Repeat::Never,
-            is_harmful: status == QuarantineStatus::Quarantined || blamed.is_some(),
+            is_harmful: blamed.is_some(),
             has_time_left: now < request.deadline,
         };
         let limit = self.cfg.retry;
@@ -188,7 +162,8 @@
             Code::Quarantined => self.refuse_unavailable(code),
             code => self.refuse_overload(code),
         };
-        NextStep::Refuse(refusal.with_prompt_parts(blamed.into_iter().flatten()))
+        let parts = blamed.iter().flat_map(prompt_parts);
+        NextStep::Refuse(refusal.with_prompt_parts(parts))
     }
 
     /// Removes a request; a running attempt ends with [`AttemptOutcome::CallerGone`]. Returns `None`
@@ -207,15 +182,9 @@
                 now,
                 running,
                 request.prompt_tokens,
-                request.fingerprint,
-                AttemptOutcome::CallerGone,
-            );
-            self.record_ended(
-                now,
-                running,
-                &request.prompt_parts,
                 AttemptOutcome::CallerGone,
             );
+            self.record_ended(now, running, &request.suspects, AttemptOutcome::CallerGone);
         }
         Some(Departure {
             attempts: request.attempts.sent,
@@ -227,50 +196,4 @@
             }),
         })
     }
-
-    /// Handles the crash of an endpoint incarnation: requests whose attempts broke there within
-    /// [`CRASH_WINDOW`] are suspected to have caused it.
-    pub(super) fn record_crash(
-        &mut self,
-        now: Instant,
-        id: &str,
-        incarnation: InstanceId,
-        sign: CrashSign,
-    ) {
-        let mut attempts = 0;
-        let mut remaining = VecDeque::new();
-        for broken in std::mem::take(&mut self.broken_attempts) {
-            if now.saturating_duration_since(broken.at) > CRASH_WINDOW {
-                continue;
-            }
-            if &*broken.endpoint == id && broken.incarnation == incarnation {
-                let fingerprint = digest(broken.fingerprint);
-                let instance = instance(id, incarnation);
-                self.quarantine.record_crash(now, &fingerprint, instance);
-                attempts += 1;
-            } else {
-                remaining.push_back(broken);
-            }
-        }
-        self.broken_attempts = remaining;
-        if attempts > 0 {
-            self.notify(Notice::EndpointCrashed {
-                endpoint: id.into(),
-                incarnation,
-                attempts,
-                sign,
-            });
-        }
-    }
-}
-
-/// Identifies one incarnation of one endpoint; endpoints that start at the same time have equal
-/// incarnation numbers.
-fn instance(id: &str, incarnation: InstanceId) -> InstanceId {
-    let mut hash = blake3::Hasher::new();
-    hash.update(&incarnation.to_le_bytes())
-        .update(id.as_bytes());
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hash.finalize().as_bytes()[..8]);
-    InstanceId::from_le_bytes(bytes)
 }
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -6,6 +6,7 @@
 
 use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
 
+use super::crash_watch::EndpointProcess;
 use super::estimate::EngineModel;
 use super::patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
 
@@ -121,6 +122,14 @@
         restarted
     }
 
+    /// The process that answers there, by the last listing or report.
+    pub fn process(&self) -> EndpointProcess {
+        EndpointProcess {
+            host: self.listed.addr.ip(),
+            incarnation: self.listed.incarnation,
+        }
+    }
+
     fn update_cold_deadline(&mut self, now: Instant) {
         if !self.listed.cold_left.is_zero() {
             self.cold_deadline = Some(now + self.listed.cold_left);
--- a/src/dispatch/notice.rs
+++ b/src/dispatch/notice.rs
@@ -17,9 +17,9 @@
         /// How the crash was recognised.
         sign: CrashSign,
     },
-    /// Prompt parts are blamed for crashes from now on, or no more.
+    /// Requests or prompt parts are blamed for crashes from now on, or no more.
     BlameChanged {
-        /// The parts and their crashes.
+        /// The suspects and their crashes.
         change: BlameChange,
         /// Whose observation changed it.
         source: BlameSource,
@@ -42,8 +42,6 @@
     ConnectionFailed,
     /// The list of endpoints names a newer incarnation, or names it no more.
     Listing,
-    /// The load report of its agent names a newer incarnation.
-    LoadReport,
     /// The agent beside it saw it alive, and then down or replaced.
     Agent,
 }
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::delivery::Attempts;
+use crate::delivery::{Attempts, Suspect};
 use crate::types::{CustomerId, EndpointId, PromptPart, TargetId};
 
 use super::configuration::{Customer, Route};
@@ -38,6 +38,14 @@
     pub fingerprint: u64,
 }
 
+impl CallerRequest {
+    /// What may be at fault when an endpoint crashes that runs the request.
+    pub(super) fn suspects(&self) -> Arc<[Suspect]> {
+        let parts = self.prompt_parts.iter().copied().map(Suspect::Part);
+        parts.chain([Suspect::Request(self.fingerprint)]).collect()
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
@@ -110,7 +118,8 @@
     pub model: Option<Arc<str>>,
     pub prompt_tokens: u32,
     pub answer_tokens: Option<u32>,
-    pub prompt_parts: Arc<[PromptPart]>,
+    /// The request itself and the prompt parts that it shares with others.
+    pub suspects: Arc<[Suspect]>,
     pub fingerprint: u64,
     /// Deadline for the whole answer.
     pub deadline: Instant,
--- a/src/dispatch/tests/prompt_parts.rs
+++ b/src/dispatch/tests/prompt_parts.rs
@@ -6,6 +6,7 @@
 
 use super::fixture::*;
 use crate::codes::Code;
+use crate::delivery::Suspect;
 use crate::dispatch::*;
 use crate::types::PromptPart;
 
@@ -59,6 +60,15 @@
     true
 }
 
+/// Suspects of the uncleared crashes that an entry shares.
+fn uncleared(core: &mut Dispatcher, now: Instant) -> Vec<Suspect> {
+    let crashes = core.crashes(now).into_iter();
+    let uncleared = crashes.filter(|crash| !crash.is_cleared);
+    let mut suspects: Vec<_> = uncleared.map(|crash| crash.suspect).collect();
+    suspects.sort_unstable();
+    suspects
+}
+
 /// Sends a request that is answered in full, and waits until no crash can take the answer back.
 fn answer(core: &mut Dispatcher, now: Instant, parts: &[PromptPart]) -> Instant {
     let (ticket, _) = send(core, now, &prompt(now.elapsed().as_nanos() as u64, parts));
@@ -83,7 +93,7 @@
     assert!(first.admit(now, &prompt(61, &[1, 2])).is_ok());
 
     let mut second = core(now);
-    second.merge_part_crashes(now, &first.part_crashes(now));
+    second.merge_crashes(now, &first.crashes(now));
     assert!(second.admit(now, &prompt(62, &[2, HARMFUL])).is_err());
     assert!(second.admit(now, &prompt(63, &[1, 2])).is_ok());
 }
@@ -95,7 +105,7 @@
     let ticket = core.admit(now, &prompt(60, &[HARMFUL])).unwrap();
     let mut other = watched_core(now);
     (0..3).for_each(|number| assert!(crash(&mut other, now, number, &[HARMFUL])));
-    core.merge_part_crashes(now, &other.part_crashes(now));
+    core.merge_crashes(now, &other.crashes(now));
     let decision = decide(&mut core, now, ticket);
     assert_eq!(refusal_code(decision), Some(Code::Quarantined));
 }
@@ -112,7 +122,7 @@
     let (ticket, _) = send(&mut core, now, &prompt(60, &[HARMFUL]));
     let mut other = watched_core(now);
     (0..3).for_each(|number| assert!(crash(&mut other, now, number, &[HARMFUL])));
-    core.merge_part_crashes(now, &other.part_crashes(now));
+    core.merge_crashes(now, &other.crashes(now));
     let NextStep::Refuse(refusal) = core.attempt_ended(now, ticket, outcome) else {
         panic!("the request is sent again");
     };
@@ -129,7 +139,7 @@
     assert_eq!(step, NextStep::Wait);
     let mut other = watched_core(now);
     (0..3).for_each(|number| assert!(crash(&mut other, now, number, &[HARMFUL])));
-    core.merge_part_crashes(now, &other.part_crashes(now));
+    core.merge_crashes(now, &other.crashes(now));
     let decision = decide(&mut core, now, ticket);
     assert_eq!(refusal_code(decision), Some(Code::OutcomeUnknown));
 }
@@ -198,9 +208,12 @@
         }
         Sign::DownBeforeTheBreak | Sign::DownLongBefore | Sign::Leaving => {}
     }
-    let crashes = core.part_crashes(now + ms(1_000));
-    let uncleared = crashes.iter().filter(|crash| !crash.is_cleared).count();
-    assert_eq!(uncleared, usize::from(counts), "{crashes:?}");
+    let expected = [Suspect::Part(HARMFUL), Suspect::Request(60)];
+    let expected = expected.into_iter().filter(|_| counts);
+    assert_eq!(
+        uncleared(&mut core, now + ms(1_000)),
+        expected.collect::<Vec<_>>()
+    );
 }
 
 /// How an engine's crash relates to an attempt that ended there before.
@@ -227,9 +240,11 @@
     let now = now + ms(millis_until_crash);
     core.dispatch_waiting(now);
     sight(&mut core, now, host(&assignment), EndpointSight::Down);
-    let crashes = core.part_crashes(now);
-    let uncleared = crashes.iter().filter(|crash| !crash.is_cleared).count();
-    assert_eq!(uncleared, expected, "{crashes:?}");
+    let uncleared = uncleared(&mut core, now);
+    let count = uncleared
+        .iter()
+        .filter(|suspect| **suspect == Suspect::Part(HARMFUL));
+    assert_eq!(count.count(), expected, "{uncleared:?}");
 }
 
 #[test]
@@ -250,10 +265,13 @@
     };
     assert_eq!(notices.iter().filter(is_attested).count(), 3);
     let blame = notices.iter().find_map(|notice| match notice {
-        Notice::BlameChanged { change, source } => Some((change.parts.clone(), *source)),
+        Notice::BlameChanged { change, source } => Some((change.suspects.clone(), *source)),
         Notice::EndpointCrashed { .. } => None,
     });
-    assert_eq!(blame, Some(([HARMFUL].into(), BlameSource::Own)));
+    assert_eq!(
+        blame,
+        Some(([Suspect::Part(HARMFUL)].into(), BlameSource::Own))
+    );
     assert!(core.take_notices().is_empty());
-    assert_eq!(core.snapshot(now).blamed_parts, [["7"]]);
+    assert_eq!(core.snapshot(now).blamed, [["part 7"]]);
 }
--- a/src/dispatch/tests/prompt_parts_fuzz.rs
+++ b/src/dispatch/tests/prompt_parts_fuzz.rs
@@ -1,5 +1,5 @@
-//! Random worlds of entries, agents and engines in which one prompt part crashes engines, checked
-//! against an oracle that knows the part.
+//! Random worlds of entries, agents and engines in which one prompt part or one request crashes
+//! engines, checked against an oracle that knows it.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -22,7 +22,9 @@
 const SOUND: [PromptPart; 4] = [1, 2, 3, 4];
 /// Prompt part that crashes engines.
 const HARMFUL: PromptPart = 7;
-/// Crashes after which the harmful part is known when all processes have exchanged them.
+/// Digest of the request that crashes engines with any prompt; all others have one of their own.
+const HARMFUL_DIGEST: u64 = u64::MAX;
+/// Crashes after which the harmful part or request is known when all processes have exchanged them.
 const KNOWN_AFTER: usize = 3;
 
 /// Longest time between a crash and the moment at which the breaks of its connections are seen.
@@ -81,6 +83,8 @@
     HarmfulPartNotRead,
     /// Entries take the harmful part for a sound one.
     HarmfulPartMistaken,
+    /// Entries take each copy of the harmful request for another one.
+    CopiesNotKnown,
     /// Agents forward no crashes.
     CrashesNotForwarded,
     /// Agents attest the crash of engines that ended with the host's power.
@@ -89,6 +93,16 @@
     LeavingNotApplied,
 }
 
+/// What crashes engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Storm {
+    Nothing,
+    /// A prompt part, in requests of which no two are alike.
+    Part,
+    /// One request, of which copies are sent. Its prompt has sound parts only.
+    Request,
+}
+
 /// A request at an engine.
 #[derive(Clone, Debug)]
 struct Flight {
@@ -117,6 +131,7 @@
     entries: Vec<Dispatcher>,
     engines: Vec<Engine>,
     flights: Vec<Flight>,
+    storm: Storm,
     fault: InjectedFault,
     /// Number of requests sent.
     sent: u64,
@@ -125,7 +140,7 @@
 type Check = Result<(), TestCaseError>;
 
 impl World {
-    fn new(fault: InjectedFault) -> Self {
+    fn new(storm: Storm, fault: InjectedFault) -> Self {
         let now = Instant::now();
         let engine = |engine| Engine {
             incarnation: 1,
@@ -140,6 +155,7 @@
             entries: (0..ENTRIES).map(|_| core(now)).collect(),
             engines: (0..ENGINES).map(engine).collect(),
             flights: Vec::new(),
+            storm,
             fault,
             sent: 0,
         };
@@ -232,10 +248,16 @@
             InjectedFault::HarmfulPartMistaken => Some(SOUND[0]),
             _ => Some(HARMFUL),
         };
-        let harmful = harmful.filter(|_| is_harmful);
+        let harmful = harmful.filter(|_| is_harmful && self.storm == Storm::Part);
+        let is_copy = is_harmful
+            && self.storm == Storm::Request
+            && self.fault != InjectedFault::CopiesNotKnown;
         let req = CallerRequest {
             prompt_parts: parts.chain(harmful).collect(),
-            fingerprint: self.sent,
+            fingerprint: match is_copy {
+                true => HARMFUL_DIGEST,
+                false => self.sent,
+            },
             ..request("chat")
         };
         let core = &mut self.entries[entry];
@@ -309,11 +331,11 @@
         host.agent_state.expire(now);
         let crashes = match self.fault {
             InjectedFault::CrashesNotForwarded => Vec::new(),
-            _ => host.agent_state.part_crashes(now),
+            _ => host.agent_state.crashes(now),
         };
         for (entry, core) in self.entries.iter_mut().enumerate() {
             if to & (1 << entry) != 0 {
-                core.merge_part_crashes(now, &crashes);
+                core.merge_crashes(now, &crashes);
                 core.record_sight(now, ip(engine as u8 + 1), host.agent, sight);
             }
         }
@@ -325,8 +347,7 @@
             entry_incarnation: 1,
             is_open: true,
             plan: None,
-            crashes: Vec::new(),
-            part_crashes: self.entries[entry].part_crashes(self.now),
+            crashes: self.entries[entry].crashes(self.now),
         };
         for (engine, host) in self.engines.iter_mut().enumerate() {
             if host.has_agent && to & (1 << engine) != 0 {
@@ -407,7 +428,7 @@
     fn check_without_storm(&mut self) -> Check {
         self.calm();
         for core in &mut self.entries {
-            let crashes = core.part_crashes(self.now);
+            let crashes = core.crashes(self.now);
             prop_assert!(crashes.is_empty(), "{:?} count as crashes", crashes);
         }
         Ok(())
@@ -415,45 +436,60 @@
 }
 
 /// Runs histories with harmful requests or without.
-fn run_histories(fault: InjectedFault, is_storm: bool) -> Result<(), TestError<Vec<Op>>> {
+fn run_histories(fault: InjectedFault, storm: Storm) -> Result<(), TestError<Vec<Op>>> {
     let mut runner = TestRunner::new(fuzz_config(CASES));
     runner.run(&proptest::collection::vec(op(), 1..150), |ops| {
-        let mut world = World::new(fault);
+        let mut world = World::new(storm, fault);
         for op in &ops {
             match op {
-                Op::Send(entry, parts, true) if !is_storm => {
+                Op::Send(entry, parts, true) if storm == Storm::Nothing => {
                     world.run(&Op::Send(*entry, *parts, false));
                 }
                 op => world.run(op),
             }
         }
-        match is_storm {
-            true => world.check_after_storm(),
-            false => world.check_without_storm(),
+        match storm {
+            Storm::Part | Storm::Request => world.check_after_storm(),
+            Storm::Nothing => world.check_without_storm(),
         }
     })
 }
 
 #[rstest]
-#[case::with_harmful_requests(true)]
-#[case::without_harmful_requests(false)]
-fn random_histories_violate_no_invariant(#[case] is_storm: bool) {
-    if let Err(err) = run_histories(InjectedFault::NoFault, is_storm) {
+#[case::harmful_part(Storm::Part)]
+#[case::harmful_request(Storm::Request)]
+#[case::without_harmful_requests(Storm::Nothing)]
+fn random_histories_violate_no_invariant(#[case] storm: Storm) {
+    if let Err(err) = run_histories(InjectedFault::NoFault, storm) {
         panic!("{err}");
     }
 }
 
 #[rstest]
-#[case::harmful_part_not_read(InjectedFault::HarmfulPartNotRead, true, "more engines crash")]
-#[case::harmful_part_mistaken(InjectedFault::HarmfulPartMistaken, true, "a sound part is blamed")]
-#[case::crashes_not_forwarded(InjectedFault::CrashesNotForwarded, true, "more engines crash")]
-#[case::power_loss_attested(InjectedFault::PowerLossAttested, false, "count as crashes")]
-#[case::leaving_not_applied(InjectedFault::LeavingNotApplied, false, "count as crashes")]
+#[case::harmful_part_not_read(InjectedFault::HarmfulPartNotRead, Storm::Part, "more engines crash")]
+#[case::harmful_part_mistaken(
+    InjectedFault::HarmfulPartMistaken,
+    Storm::Part,
+    "a sound part is blamed"
+)]
+#[case::copies_not_known(InjectedFault::CopiesNotKnown, Storm::Request, "more engines crash")]
+#[case::crashes_not_forwarded(
+    InjectedFault::CrashesNotForwarded,
+    Storm::Part,
+    "more engines crash"
+)]
+#[case::crashes_of_a_request_not_forwarded(
+    InjectedFault::CrashesNotForwarded,
+    Storm::Request,
+    "more engines crash"
+)]
+#[case::power_loss_attested(InjectedFault::PowerLossAttested, Storm::Nothing, "count as crashes")]
+#[case::leaving_not_applied(InjectedFault::LeavingNotApplied, Storm::Nothing, "count as crashes")]
 fn an_injected_fault_is_detected(
     #[case] fault: InjectedFault,
-    #[case] is_storm: bool,
+    #[case] storm: Storm,
     #[case] message: &str,
 ) {
-    let err = run_histories(fault, is_storm).unwrap_err().to_string();
+    let err = run_histories(fault, storm).unwrap_err().to_string();
     assert!(err.contains(message), "{err}");
 }
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::delivery::PartCrash;
+use crate::delivery::SuspectCrash;
 use crate::types::{ChangeAge, StorePosition};
 
 pub use peers::{Entries, PlanState};
@@ -23,9 +23,6 @@
 /// datagram fits into one Ethernet frame.
 pub const MAX_DATAGRAM: usize = 8 * 1024;
 
-/// A crash: fingerprint of the request in flight and incarnation of the endpoint that crashed.
-pub type Crash = (u64, u64);
-
 /// Heartbeat from an entry to each agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EntryHeartbeat {
@@ -35,10 +32,8 @@
     pub is_open: bool,
     /// Plan of the fleet; absent in most heartbeats, and until the entry can build one.
     pub plan: Option<Plan>,
-    /// Crashes that the entry observed itself, newest last.
-    pub crashes: Vec<Crash>,
-    /// Crashes by prompt part that the entry knows; bounded by [`crate::delivery::Suspects`].
-    pub part_crashes: Vec<PartCrash>,
+    /// Crashes that the entry knows; bounded by [`crate::delivery::Suspects`].
+    pub crashes: Vec<SuspectCrash>,
 }
 
 /// Versions that the fleet has to serve, and the agents that serve them.
@@ -94,11 +89,9 @@
     pub engine_is_down: bool,
     /// Number of entries that recently sent the agent a heartbeat and accept requests.
     pub entries: u32,
-    /// Crashes that entries reported to the agent, newest last.
-    pub crashes: Vec<Crash>,
-    /// Crashes by prompt part that entries reported to the agent. Left out of most datagrams, which
-    /// the state of the engine makes frequent.
-    pub part_crashes: Vec<PartCrash>,
+    /// Crashes that entries reported to the agent. Left out of most datagrams, which the state of the
+    /// engine makes frequent.
+    pub crashes: Vec<SuspectCrash>,
     /// Ages of the wanted versions, for entries that heard of one later than this agent.
     pub wanted: Vec<VersionAge>,
 }
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/peers.rs
@@ -5,16 +5,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::delivery::{PartCrash, Suspects};
+use crate::delivery::{SuspectCrash, Suspects};
 use crate::timer::StallDetector;
 use crate::types::ChangeTime;
 
-use super::{Crash, EntryHeartbeat, Plan, VersionAge, WantedModel};
+use super::{EntryHeartbeat, Plan, VersionAge, WantedModel};
 
 /// Time after which a silent entry is removed: four heartbeats.
 const ENTRY_TTL: Duration = Duration::from_millis(1_600);
-/// Maximum number of crashes that are forwarded.
-const CRASHES_MAX: usize = 64;
 
 /// Last heartbeat of an entry.
 #[derive(Clone, Debug)]
@@ -28,11 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Entries {
     last_heartbeats: BTreeMap<SocketAddr, LastHeartbeat>,
-    /// Crashes that entries reported, newest last.
-    ///
-    /// Invariant: at most [`CRASHES_MAX`], each once.
-    crashes: Vec<Crash>,
-    /// Crashes by prompt part that entries reported.
+    /// Crashes that entries reported.
     suspects: Suspects,
 }
 
@@ -44,14 +38,7 @@
         from: SocketAddr,
         heartbeat: &EntryHeartbeat,
     ) -> bool {
-        for crash in &heartbeat.crashes {
-            if !self.crashes.contains(crash) {
-                self.crashes.push(*crash);
-            }
-        }
-        let excess = self.crashes.len().saturating_sub(CRASHES_MAX);
-        self.crashes.drain(..excess);
-        self.suspects.merge(now, &heartbeat.part_crashes);
+        self.suspects.merge(now, &heartbeat.crashes);
         let last = LastHeartbeat {
             incarnation: heartbeat.entry_incarnation,
             is_open: heartbeat.is_open,
@@ -90,12 +77,7 @@
     }
 
     /// Crashes to forward to the entries.
-    pub fn crashes(&self) -> &[Crash] {
-        &self.crashes
-    }
-
-    /// Crashes by prompt part to forward to the entries.
-    pub fn part_crashes(&self, now: Instant) -> Vec<PartCrash> {
+    pub fn crashes(&self, now: Instant) -> Vec<SuspectCrash> {
         self.suspects.shared(now)
     }
 }
--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -6,18 +6,17 @@
 use rstest::rstest;
 
 use super::*;
-use crate::delivery::Suspects;
+use crate::delivery::{Suspect, SuspectCrash, Suspects};
 use crate::dispatch::{Fleet, Mitigations};
 use crate::timer::StallDetector;
 use crate::types::{ChangeTime, StorePosition};
 
-fn heartbeat(entry: u64, crashes: Vec<Crash>) -> EntryHeartbeat {
+fn heartbeat(entry: u64, crashes: Vec<SuspectCrash>) -> EntryHeartbeat {
     EntryHeartbeat {
         entry_incarnation: entry,
         is_open: true,
         plan: None,
         crashes,
-        part_crashes: Vec::new(),
     }
 }
 
@@ -54,50 +53,47 @@
     let now = Instant::now();
     let mut entries = Entries::default();
     let addrs = ["127.0.0.1:1", "127.0.0.1:2"].map(|addr| addr.parse().unwrap());
-    assert!(entries.record_heartbeat(now, addrs[0], &heartbeat(1, vec![(7, 9)])));
-    assert!(!entries.record_heartbeat(now, addrs[0], &heartbeat(1, vec![(7, 9)])));
+    assert!(entries.record_heartbeat(now, addrs[0], &heartbeat(1, Vec::new())));
+    assert!(!entries.record_heartbeat(now, addrs[0], &heartbeat(1, Vec::new())));
     let later = now + Duration::from_secs(1);
     assert!(entries.record_heartbeat(later, addrs[1], &heartbeat(2, Vec::new())));
     assert_eq!(entries.open_count(), 2);
-    assert_eq!(entries.crashes(), [(7, 9)]);
     assert_eq!(entries.expire(now + Duration::from_secs(2)), [addrs[0]]);
     assert_eq!(entries.addrs(), [addrs[1]]);
 }
 
 #[test]
-fn crashes_by_prompt_part_are_joined_and_forwarded() {
+fn crashes_are_joined_and_forwarded() {
     let now = Instant::now();
     let mut entries = Entries::default();
     for (entry, instances) in [(1, [1, 2]), (2, [2, 3])] {
         let mut known = Suspects::default();
         for instance in instances {
-            known.record_crash(now, [7], instance);
+            known.record_crash(now, [Suspect::Part(7), Suspect::Request(8)], instance);
         }
-        let heartbeat = EntryHeartbeat {
-            part_crashes: known.shared(now),
-            ..heartbeat(entry, Vec::new())
-        };
+        let heartbeat = heartbeat(entry, known.shared(now));
         let from = SocketAddr::from(([127, 0, 0, 1], entry as u16));
         entries.record_heartbeat(now, from, &heartbeat);
     }
     let mut newcomer = Suspects::default();
-    newcomer.merge(now, &entries.part_crashes(now));
-    assert!(newcomer.blamed_among(&[7]).is_some());
+    newcomer.merge(now, &entries.crashes(now));
+    let suspects = [Suspect::Part(7), Suspect::Request(8)];
+    assert!(newcomer.blamed_among(&suspects).is_some());
 }
 
 #[test]
-fn crashes_by_prompt_part_leave_room_in_a_datagram() {
+fn crashes_leave_room_in_a_datagram() {
     let now = Instant::now();
     let mut known = Suspects::default();
     for n in 0..400_u64 {
-        let parts = [u64::MAX - n % 40, u64::MAX / 2 - n];
-        known.record_crash(now, parts, u64::MAX - n);
-        known.record_answer(now, [u64::MAX / 2 - n / 2]);
+        let suspects = [
+            Suspect::Part(u64::MAX - n % 40),
+            Suspect::Request(u64::MAX / 2 - n),
+        ];
+        known.record_crash(now, suspects, u64::MAX - n);
+        known.record_answer(now, [Suspect::Request(u64::MAX / 2 - n / 2)]);
     }
-    let heartbeat = EntryHeartbeat {
-        part_crashes: known.shared(now + Duration::from_secs(30)),
-        ..heartbeat(1, Vec::new())
-    };
+    let heartbeat = heartbeat(1, known.shared(now + Duration::from_secs(30)));
     let size = encode(&heartbeat).len();
     assert!(size < MAX_DATAGRAM / 3, "{size} bytes");
 }
@@ -173,7 +169,14 @@
 #[test]
 fn invalid_bytes_are_not_decoded() {
     assert_eq!(decode::<AgentHeartbeat>(&[0xff; 40]), None);
-    let heartbeat = heartbeat(3, vec![(1, 2)]);
+    let crash = SuspectCrash {
+        suspect: Suspect::Request(1),
+        instance: 2,
+        is_cleared: false,
+        age_ms: 3,
+        answered_ms: None,
+    };
+    let heartbeat = heartbeat(3, vec![crash]);
     assert_eq!(decode(&encode(&heartbeat)), Some(heartbeat));
 }
 
--- a/src/relay/notice.rs
+++ b/src/relay/notice.rs
@@ -1,5 +1,6 @@
 //! Log lines for the notices of the dispatcher.
 
+use crate::delivery::Suspect;
 use crate::dispatch::Notice;
 use crate::log_fields;
 use crate::telemetry::Event;
@@ -21,11 +22,17 @@
         }),
         Notice::BlameChanged { change, source } => {
             let event = match change.is_blamed {
-                true => Event::PromptPartBlamed,
-                false => Event::PromptPartReleased,
+                true => Event::SuspectBlamed,
+                false => Event::SuspectReleased,
             };
+            let parts: Vec<_> = change.suspects.iter().filter_map(|s| s.part()).collect();
+            let digests = change.suspects.iter().filter_map(|suspect| match suspect {
+                Suspect::Request(digest) => Some(digest_text(*digest)),
+                Suspect::Part(_) => None,
+            });
             log_fields!(event, {
-                prompt_parts: prompt_parts_text(&change.parts),
+                prompt_parts: prompt_parts_text(&parts),
+                digests: digests.collect::<Vec<_>>().join(","),
                 crashes: change.crashes,
                 source: format!("{source:?}")
             });
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -73,10 +73,10 @@
     EntrySetAside = 506,
     /// endpoint crashed while requests ran there
     EndpointCrashed = 507,
-    /// prompt parts are blamed for crashes; requests with all of them are refused
-    PromptPartBlamed = 508,
-    /// prompt parts are no longer blamed for crashes
-    PromptPartReleased = 509,
+    /// a request or prompt parts are blamed for crashes; the request, or those with all of the parts, are refused
+    SuspectBlamed = 508,
+    /// a request or prompt parts are no longer blamed for crashes
+    SuspectReleased = 509,
     /// version is ready
     VersionReady = 600,
     /// chunk failed verification
@@ -139,8 +139,8 @@
             Self::EndpointListed => log::Level::Info,
             Self::EntrySetAside => log::Level::Warn,
             Self::EndpointCrashed => log::Level::Warn,
-            Self::PromptPartBlamed => log::Level::Error,
-            Self::PromptPartReleased => log::Level::Warn,
+            Self::SuspectBlamed => log::Level::Error,
+            Self::SuspectReleased => log::Level::Warn,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
             Self::NoRoomForVersion => log::Level::Error,
