--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -64,6 +64,11 @@
     pub crash_on_body: Option<Bytes>,
     /// Time from a crash to the start of the next process.
     pub restart_time: Option<Duration>,
+    /// Requests a second that the process takes from all entries together, as its answers name them
+    /// in `server-limit`. It takes more all the same.
+    pub limit: Option<String>,
+    /// True while reports name the limit too.
+    pub limit_in_reports: bool,
     /// When set, answers have neither a length nor chunks and end with their connection. A reset
     /// one has half of its body, or as many events as `break_after` says and no part of the next.
     pub without_length: Option<ConnectionEnd>,
@@ -299,7 +304,14 @@
         }
     }
     match &*path {
-        "/limpetloom/report" => Some(json_answer(&report(&lock(&state)))),
+        "/limpetloom/report" => {
+            let state = lock(&state);
+            let mut answer = json_answer(&report(&state));
+            if state.faults.limit_in_reports {
+                name_limit(&state.faults, &mut answer);
+            }
+            Some(answer)
+        }
         "/limpetloom/order" => handle_order(&state, kind, req).await,
         path if path.starts_with("/limpetloom/stage-put/") => {
             // The platform's `numItems` is the index of the piece here.
@@ -368,6 +380,7 @@
             refusal
                 .headers_mut()
                 .insert("not-executed", "1".parse().ok()?);
+            name_limit(&state.faults, &mut refusal);
             return Some(refusal);
         }
         let is_model = matches!(kind, SiteEngineKind::Model { .. });
@@ -399,6 +412,7 @@
             Response::new(stream_body(events, last_event, &faults))
         }
     };
+    name_limit(&faults, &mut answer);
     let headers = answer.headers_mut();
     let echoed_id = match faults.wrong_request_ids {
         true => "another",
@@ -433,6 +447,14 @@
     Some(answer)
 }
 
+/// Adds the limit of the process to an answer.
+fn name_limit(faults: &SiteEngineFaults, answer: &mut Response<Body>) {
+    let limit = faults.limit.as_ref().and_then(|limit| limit.parse().ok());
+    if let Some(limit) = limit {
+        answer.headers_mut().insert("server-limit", limit);
+    }
+}
+
 /// Ids in a `prompt-prefix` header, without the last one, which belongs to the request itself.
 fn shared_parts(prefix: &str) -> impl Iterator<Item = &str> {
     let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod faults;
 mod lifecycle;
+mod limits;
 mod metrics;
 mod site;
 mod store_era;
