Log the limits that endpoints name

No line told that an endpoint had named a limit, so the record could not show which entries had heard of it. Events 510 and 511 name each change and each value that can't be read; choices do not heed it yet.

--- a/examples/patterns/sim/fleet.rs
+++ b/examples/patterns/sim/fleet.rs
@@ -8,7 +8,7 @@
 use limpetloom::delivery::RetryLimit;
 use limpetloom::dispatch::{
     CallerLimits, Configuration, DispatchConfig, Dispatcher, EndpointLoad, EngineModel,
-    ListedEndpoint, Mitigations, Repeat, Route, Target,
+    ListedEndpoint, Mitigations, Repeat, Route, Statement, Target,
 };
 
 use super::Workload;
@@ -127,6 +127,7 @@
         models: vec![(MODEL.into(), engine.version)],
         is_switching: engine.is_switching,
         switch_in,
+        statement: Statement::default(),
     }
 }
 
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -14,17 +14,21 @@
 
 use crate::codes::Code;
 use crate::delivery::{Attempts, Blamed, RetryLimit, RetryWindow, Suspect, Suspects};
-use crate::types::{ChangeTime, EndpointId, PromptPart, Refusal, RegionId, TargetId, ZoneId};
+use crate::types::{
+    ChangeTime, EndpointId, InstanceId, PromptPart, Refusal, RegionId, TargetId, ZoneId,
+};
 
 use super::configuration::{Configuration, Customer, Route};
 use super::crash_watch::{CrashWatch, EndpointProcess};
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::fleet::{Fleet, VersionUpdate};
+use super::limit::LimitChange;
 use super::notice::{CrashSign, Notice};
 use super::patterns::{
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
+use super::statement::{Statement, StatementSource};
 
 /// Number of entries assumed to share the fleet until agents report it.
 const DEFAULT_ENTRY_COUNT: u32 = 4;
@@ -127,6 +131,8 @@
     pub is_leaving: bool,
     /// Moving average of the share of failed attempts, from 0 to 1.
     pub failing: f64,
+    /// Requests per second that it takes from all entries together; `None` without a limit.
+    pub limit: Option<f64>,
 }
 
 /// Sans-IO dispatcher for the requests of one entry.
@@ -253,7 +259,55 @@
     /// Applies a load report from the agent of a host. Returns false when no endpoint is listed
     /// there.
     pub fn update_load(&mut self, now: Instant, host: IpAddr, load: EndpointLoad) -> bool {
-        self.fleet.update_load(now, host, load)
+        let statement = load.statement.clone();
+        let Some(endpoint) = self.fleet.update_load(now, host, load) else {
+            return false;
+        };
+        let change = endpoint
+            .limit
+            .record(now, StatementSource::Agent, &statement.limit);
+        let process = (endpoint.listed.id.clone(), endpoint.listed.incarnation);
+        self.notify_limit(process, StatementSource::Agent, change);
+        true
+    }
+
+    /// Applies what the endpoint of a request's running attempt says of itself in its answer.
+    pub fn record_statement(&mut self, now: Instant, ticket: TicketId, statement: &Statement) {
+        let running = self.requests.get(&ticket).and_then(|r| r.running.as_ref());
+        let Some(running) = running else { return };
+        let endpoint = self.fleet.get_mut(&running.endpoint);
+        // An earlier incarnation does not speak for the current one.
+        let Some(endpoint) = endpoint.filter(|e| e.process() == running.process) else {
+            return;
+        };
+        let change = endpoint
+            .limit
+            .record(now, StatementSource::Answer, &statement.limit);
+        let process = (endpoint.listed.id.clone(), endpoint.listed.incarnation);
+        self.notify_limit(process, StatementSource::Answer, change);
+    }
+
+    fn notify_limit(
+        &mut self,
+        (endpoint, incarnation): (EndpointId, InstanceId),
+        source: StatementSource,
+        change: Option<LimitChange>,
+    ) {
+        match change {
+            Some(LimitChange::InForce(limit)) => self.notify(Notice::LimitChanged {
+                endpoint,
+                incarnation,
+                limit,
+                source,
+                entries: self.entries,
+            }),
+            Some(LimitChange::Invalid(text)) => self.notify(Notice::LimitInvalid {
+                endpoint,
+                text,
+                source,
+            }),
+            None => {}
+        }
     }
 
     /// Sets the number of entries that share the fleet.
@@ -415,6 +469,7 @@
             version: e.version(None),
             is_leaving: e.listed.is_leaving,
             failing: e.health.failing(),
+            limit: e.limit.rate(),
         };
         Snapshot {
             configuration: self
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -8,7 +8,9 @@
 
 use super::crash_watch::EndpointProcess;
 use super::estimate::EngineModel;
+use super::limit::Limit;
 use super::patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
+use super::statement::Statement;
 
 /// Age from which a load report is ignored.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
@@ -61,6 +63,8 @@
     pub is_switching: bool,
     /// Time left until it is ordered to switch its weight version.
     pub switch_in: Option<Duration>,
+    /// What the endpoint says of itself in its report.
+    pub statement: Statement,
 }
 
 /// An entry's view of one endpoint.
@@ -79,6 +83,8 @@
     report: Option<(Instant, EndpointLoad)>,
     pub(super) occupancy: Occupancy,
     pub(super) health: Health,
+    /// What the current incarnation says of the requests that it takes.
+    pub(super) limit: Limit,
     /// Moving average of observed over predicted time to the first event.
     bias: f64,
     /// Moving average of a plain service's answer time in seconds.
@@ -97,6 +103,7 @@
             report: None,
             occupancy: Occupancy::new(mitigations.departures),
             health: Health::new(mitigations.zone_loss),
+            limit: Limit::default(),
             bias: 1.0,
             mean_work_time: INITIAL_WORK_TIME.as_secs_f64(),
         };
@@ -140,6 +147,7 @@
         self.report = None;
         self.occupancy.reported();
         self.health.restarted();
+        self.limit = Limit::default();
         self.bias = 1.0;
     }
 
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -124,20 +124,21 @@
         self.endpoints.get(id)
     }
 
-    /// Applies a load report from the agent of a host. Returns false when no endpoint is listed
-    /// there.
-    pub fn update_load(&mut self, now: Instant, host: IpAddr, load: EndpointLoad) -> bool {
+    /// Applies a load report from the agent of a host, and returns the endpoint; `None` when none is
+    /// listed there.
+    pub(super) fn update_load(
+        &mut self,
+        now: Instant,
+        host: IpAddr,
+        load: EndpointLoad,
+    ) -> Option<&mut Endpoint> {
         let mut found = self
             .endpoints
             .values_mut()
             .filter(|e| !e.is_unlisted && e.listed.addr.ip() == host);
-        match found.next() {
-            Some(endpoint) => {
-                endpoint.update_load(now, load);
-                true
-            }
-            None => false,
-        }
+        let endpoint = found.next()?;
+        endpoint.update_load(now, load);
+        Some(endpoint)
     }
 
     /// Sets the zones whose endpoints get no new requests.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -9,9 +9,11 @@
 mod endpoint;
 mod estimate;
 mod fleet;
+mod limit;
 mod notice;
 mod patterns;
 mod request;
+mod statement;
 #[cfg(test)]
 mod tests;
 
@@ -26,3 +28,4 @@
 pub use notice::{BlameSource, CrashSign, Notice};
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
 pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, TicketId};
+pub use statement::{LimitStatement, Statement, StatementSource};
--- a/src/dispatch/notice.rs
+++ b/src/dispatch/notice.rs
@@ -1,8 +1,12 @@
 //! Notices of the dispatcher for the log.
 
+use std::sync::Arc;
+
 use crate::delivery::BlameChange;
 use crate::types::{EndpointId, InstanceId};
 
+use super::statement::StatementSource;
+
 /// Something that the driver logs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
@@ -24,6 +28,28 @@
         /// Whose observation changed it.
         source: BlameSource,
     },
+    /// Another limit of an endpoint is in force.
+    LimitChanged {
+        /// Name of the endpoint.
+        endpoint: EndpointId,
+        /// Incarnation that named the limit, or names none any more.
+        incarnation: InstanceId,
+        /// Requests per second from all entries together; `None` when the limit is lifted.
+        limit: Option<f64>,
+        /// Where this entry learned of it.
+        source: StatementSource,
+        /// Number of entries that share the limit.
+        entries: u32,
+    },
+    /// An endpoint names a limit that can't be read.
+    LimitInvalid {
+        /// Name of the endpoint.
+        endpoint: EndpointId,
+        /// What it names.
+        text: Arc<str>,
+        /// Where this entry learned of it.
+        source: StatementSource,
+    },
 }
 
 /// Whose observation changed the blame.
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -129,6 +129,7 @@
         models: vec![(MODEL.into(), 1)],
         is_switching: false,
         switch_in: None,
+        statement: Statement::default(),
     }
 }
 
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_state;
 mod fixture;
 mod fuzz;
+mod limits;
 mod overload;
 mod prompt_parts;
 mod prompt_parts_fuzz;
--- a/src/dispatch/tests/prompt_parts.rs
+++ b/src/dispatch/tests/prompt_parts.rs
@@ -266,7 +266,7 @@
     assert_eq!(notices.iter().filter(is_attested).count(), 3);
     let blame = notices.iter().find_map(|notice| match notice {
         Notice::BlameChanged { change, source } => Some((change.suspects.clone(), *source)),
-        Notice::EndpointCrashed { .. } => None,
+        _ => None,
     });
     assert_eq!(
         blame,
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::delivery::SuspectCrash;
+use crate::dispatch::LimitStatement;
 use crate::types::{ChangeAge, StorePosition};
 
 pub use peers::{Entries, PlanState};
@@ -124,6 +125,41 @@
     pub is_switching: bool,
     /// Time left until it is ordered to switch its version, in milliseconds.
     pub switch_in_ms: Option<u32>,
+    /// Limit that it names in its reports.
+    pub limit: LimitReport,
+}
+
+/// Limit that an engine names in its reports: the requests per second that it takes from all entries
+/// together.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub enum LimitReport {
+    /// It names none.
+    #[default]
+    Unlimited,
+    /// Requests per second.
+    Rate(f64),
+    /// What it names is no number.
+    Invalid(Arc<str>),
+}
+
+impl From<LimitStatement> for LimitReport {
+    fn from(limit: LimitStatement) -> Self {
+        match limit {
+            LimitStatement::Unlimited => Self::Unlimited,
+            LimitStatement::Rate(rate) => Self::Rate(rate),
+            LimitStatement::Invalid(text) => Self::Invalid(text),
+        }
+    }
+}
+
+impl From<LimitReport> for LimitStatement {
+    fn from(limit: LimitReport) -> Self {
+        match limit {
+            LimitReport::Unlimited => Self::Unlimited,
+            LimitReport::Rate(rate) => Self::Rate(rate),
+            LimitReport::Invalid(text) => Self::Invalid(text),
+        }
+    }
 }
 
 /// Encodes a message as a datagram.
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -45,6 +45,21 @@
     pub body: Incoming,
 }
 
+impl OpenedAnswer {
+    /// Returns the answer if it may be forwarded, otherwise how the attempt ended.
+    pub fn checked(self) -> Result<Self, AttemptOutcome> {
+        let Self { head, parsed, .. } = &self;
+        let is_foreign = !parsed.is_authentic || head.headers.contains_key(CONTENT_ENCODING);
+        match (parsed.not_run || parsed.wrong_instance, is_foreign) {
+            (true, _) => Err(AttemptOutcome::NotRun {
+                is_full: !parsed.wrong_instance,
+            }),
+            (false, true) => Err(AttemptOutcome::Broken),
+            (false, false) => Ok(self),
+        }
+    }
+}
+
 /// Sends the request `request_id` and waits for the head of the answer until `deadline`.
 pub(super) async fn send_attempt<D: Dialect>(
     dialect: &D,
@@ -85,14 +100,7 @@
     };
     let (head, body) = res.into_parts();
     let parsed = dialect.parse_answer_head(&head, request_id);
-    let is_foreign = !parsed.is_authentic || head.headers.contains_key(CONTENT_ENCODING);
-    match (parsed.not_run || parsed.wrong_instance, is_foreign) {
-        (true, _) => Err(AttemptOutcome::NotRun {
-            is_full: !parsed.wrong_instance,
-        }),
-        (false, true) => Err(AttemptOutcome::Broken),
-        (false, false) => Ok(OpenedAnswer { head, parsed, body }),
-    }
+    Ok(OpenedAnswer { head, parsed, body })
 }
 
 /// Reader of the bodies of answers that are not event streams, which bounds the memory for all.
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response};
 
 use crate::codes::Code;
-use crate::dispatch::{Assignment, CallerRequest};
+use crate::dispatch::{Assignment, CallerRequest, Statement};
 use crate::http::AnswerBody;
 use crate::types::Refusal;
 
@@ -22,7 +22,7 @@
 }
 
 /// Parsed head of an endpoint's answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerHead {
     /// True when the endpoint reports that it has not run the request.
     pub not_run: bool,
@@ -32,6 +32,8 @@
     pub is_authentic: bool,
     /// Version of the weights with which the answer started.
     pub version: Option<u64>,
+    /// What the endpoint says of itself; nothing when another one answered.
+    pub statement: Option<Statement>,
 }
 
 /// Point from which an endpoint continues a stream.
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -283,7 +283,10 @@
                 last_event_id: admitted.last_event_id,
                 version: None,
             };
-            let outcome = match self.send_attempt(&admitted, &assignment, resume).await {
+            let outcome = match self
+                .send_attempt(ticket.id, &admitted, &assignment, resume)
+                .await
+            {
                 Ok(opened) if admitted.route.is_stream && opened.head.status.is_success() => {
                     match stream::read_first_event(self, &admitted, opened).await {
                         Ok(started) => return stream::spawn(ticket, admitted, assignment, started),
@@ -325,9 +328,10 @@
         }
     }
 
-    /// Sends an attempt and waits for the head of its answer.
+    /// Sends an attempt of the request `ticket` and waits for the head of its answer.
     pub(super) async fn send_attempt(
         &self,
+        ticket: TicketId,
         admitted: &AdmittedRequest,
         assignment: &Assignment,
         resume: ResumePoint,
@@ -338,7 +342,7 @@
         let headers = dialect.attempt_headers(&admitted.headers, assignment, time_left, resume);
         let deadline = self.start_deadline(admitted, now);
         let request_id = &admitted.caller.request_id;
-        send_attempt(
+        let opened = send_attempt(
             dialect,
             &admitted.outgoing,
             headers,
@@ -346,7 +350,12 @@
             request_id,
             deadline,
         )
-        .await
+        .await?;
+        if let Some(statement) = &opened.parsed.statement {
+            self.core()
+                .record_statement(Instant::now(), ticket, statement);
+        }
+        opened.checked()
     }
 
     /// Deadline for the head of an answer whose attempt was sent at `now`, and for the first event or
--- a/src/relay/notice.rs
+++ b/src/relay/notice.rs
@@ -20,6 +20,28 @@
             attempts: attempts,
             sign: format!("{sign:?}")
         }),
+        Notice::LimitChanged {
+            endpoint,
+            incarnation,
+            limit,
+            source,
+            entries,
+        } => log_fields!(Event::EndpointLimit, {
+            endpoint: &**endpoint,
+            incarnation: incarnation,
+            limit: limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string()),
+            source: format!("{source:?}"),
+            entries: entries
+        }),
+        Notice::LimitInvalid {
+            endpoint,
+            text,
+            source,
+        } => log_fields!(Event::EndpointLimitInvalid, {
+            endpoint: &**endpoint,
+            named: &**text,
+            source: format!("{source:?}")
+        }),
         Notice::BlameChanged { change, source } => {
             let event = match change.is_blamed {
                 true => Event::SuspectBlamed,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -290,7 +290,7 @@
                 version: self.version,
             };
             let outcome = match relay
-                .send_attempt(&self.admitted, &self.assignment, resume)
+                .send_attempt(self.ticket.id, &self.admitted, &self.assignment, resume)
                 .await
             {
                 Ok(opened) if opened.head.status.is_success() => {
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -77,6 +77,10 @@
     SuspectBlamed = 508,
     /// a request or prompt parts are no longer blamed for crashes
     SuspectReleased = 509,
+    /// the limit that an endpoint names has changed
+    EndpointLimit = 510,
+    /// an endpoint names a limit that is no number; it has no effect
+    EndpointLimitInvalid = 511,
     /// version is ready
     VersionReady = 600,
     /// chunk failed verification
@@ -141,6 +145,8 @@
             Self::EndpointCrashed => log::Level::Warn,
             Self::SuspectBlamed => log::Level::Error,
             Self::SuspectReleased => log::Level::Warn,
+            Self::EndpointLimit => log::Level::Info,
+            Self::EndpointLimitInvalid => log::Level::Warn,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
             Self::NoRoomForVersion => log::Level::Error,
