Keep the limits on requests that endpoints name, all entries together

Callers saw nothing at first: the endpoints in need did. An engine that had named 1.1 requests a second got 20 in 4 s, where 12 are allowed, and one that had named 2.3 as many, where 19 are.

What endpoints say of themselves in answers was forwarded to callers and heeded by nobody; entries know an endpoint by the list and by its agent's report only.

Change: the choice of an endpoint passes over one whose limit leaves this entry no room; a request that finds no other is refused at once (2019, not run). Zero and negative limits leave one request in four seconds, values that are no number have no effect, one that comes and goes stays in force, and one that ends is loosened step by step.

--- a/examples/patterns/sim/fleet.rs
+++ b/examples/patterns/sim/fleet.rs
@@ -89,7 +89,7 @@
         seed,
     });
     dispatcher.set_configuration(Arc::new(configuration(workload.cold_rate)));
-    dispatcher.set_entry_count(workload.entries as u32);
+    dispatcher.set_entry_count(now, workload.entries as u32);
     dispatcher.set_evacuated_zones(BTreeSet::new());
     for engine in 0..workload.engines {
         dispatcher.update_endpoint(
--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -62,6 +62,8 @@
     EndpointFull = 2017,
     /// the endpoint is leaving
     EndpointLeaving = 2018,
+    /// every endpoint for this work has named a limit that is used up
+    LimitReached = 2019,
     /// the request may have run and its outcome is not known
     OutcomeUnknown = 3001,
     /// a request with this key is running
@@ -147,6 +149,7 @@
         Self::Fenced,
         Self::EndpointFull,
         Self::EndpointLeaving,
+        Self::LimitReached,
         Self::OutcomeUnknown,
         Self::StillRunning,
         Self::AnswerBroken,
@@ -206,6 +209,7 @@
             Self::Fenced => 409,
             Self::EndpointFull => 503,
             Self::EndpointLeaving => 503,
+            Self::LimitReached => 503,
             Self::OutcomeUnknown => 502,
             Self::StillRunning => 409,
             Self::AnswerBroken => 502,
@@ -266,6 +270,7 @@
             Self::Fenced => RunState::NotRun,
             Self::EndpointFull => RunState::NotRun,
             Self::EndpointLeaving => RunState::NotRun,
+            Self::LimitReached => RunState::NotRun,
             Self::OutcomeUnknown => RunState::Unknown,
             Self::StillRunning => RunState::Running,
             Self::AnswerBroken => RunState::Unknown,
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -56,9 +56,17 @@
             eligible: eligible.len(),
             ..DecisionInputs::default()
         };
+        let has_fitting = !eligible.is_empty();
+        let admitting: Vec<&Endpoint> = eligible
+            .into_iter()
+            .filter(|e| e.limit.admits(now, self.entries))
+            .collect();
+        if has_fitting && admitting.is_empty() {
+            return Some(self.reject(now, ticket, Code::LimitReached, inputs));
+        }
         let candidates = match self.cfg.mitigations.hot_key {
-            true => sample(&eligible, &mut self.rng),
-            false => eligible,
+            true => sample(&admitting, &mut self.rng),
+            false => admitting,
         };
         let goal = request.route.start_goal;
         let best = candidates
@@ -145,6 +153,7 @@
             version: endpoint.version(request.model.as_deref()),
         };
         endpoint.sent(now, request.prompt_tokens);
+        endpoint.limit.sent(now, entries);
         request.is_waiting = false;
         request.tried.push(id.clone());
         request.attempts.sent += 1;
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -14,9 +14,7 @@
 
 use crate::codes::Code;
 use crate::delivery::{Attempts, Blamed, RetryLimit, RetryWindow, Suspect, Suspects};
-use crate::types::{
-    ChangeTime, EndpointId, InstanceId, PromptPart, Refusal, RegionId, TargetId, ZoneId,
-};
+use crate::types::{ChangeTime, EndpointId, PromptPart, Refusal, RegionId, TargetId, ZoneId};
 
 use super::configuration::{Configuration, Customer, Route};
 use super::crash_watch::{CrashWatch, EndpointProcess};
@@ -28,7 +26,7 @@
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
-use super::statement::{Statement, StatementSource};
+use super::statement::{LimitStatement, Statement, StatementSource};
 
 /// Number of entries assumed to share the fleet until agents report it.
 const DEFAULT_ENTRY_COUNT: u32 = 4;
@@ -260,14 +258,11 @@
     /// there.
     pub fn update_load(&mut self, now: Instant, host: IpAddr, load: EndpointLoad) -> bool {
         let statement = load.statement.clone();
-        let Some(endpoint) = self.fleet.update_load(now, host, load) else {
+        let endpoint = self.fleet.update_load(now, host, load);
+        let Some(id) = endpoint.map(|endpoint| endpoint.listed.id.clone()) else {
             return false;
         };
-        let change = endpoint
-            .limit
-            .record(now, StatementSource::Agent, &statement.limit);
-        let process = (endpoint.listed.id.clone(), endpoint.listed.incarnation);
-        self.notify_limit(process, StatementSource::Agent, change);
+        self.record_limit(now, &id, StatementSource::Agent, &statement.limit);
         true
     }
 
@@ -275,44 +270,54 @@
     pub fn record_statement(&mut self, now: Instant, ticket: TicketId, statement: &Statement) {
         let running = self.requests.get(&ticket).and_then(|r| r.running.as_ref());
         let Some(running) = running else { return };
-        let endpoint = self.fleet.get_mut(&running.endpoint);
+        let endpoint = self.fleet.get(&running.endpoint);
         // An earlier incarnation does not speak for the current one.
-        let Some(endpoint) = endpoint.filter(|e| e.process() == running.process) else {
-            return;
-        };
-        let change = endpoint
-            .limit
-            .record(now, StatementSource::Answer, &statement.limit);
-        let process = (endpoint.listed.id.clone(), endpoint.listed.incarnation);
-        self.notify_limit(process, StatementSource::Answer, change);
+        if endpoint.is_some_and(|e| e.process() == running.process) {
+            let id = running.endpoint.clone();
+            self.record_limit(now, &id, StatementSource::Answer, &statement.limit);
+        }
     }
 
-    fn notify_limit(
+    fn record_limit(
         &mut self,
-        (endpoint, incarnation): (EndpointId, InstanceId),
+        now: Instant,
+        id: &EndpointId,
         source: StatementSource,
-        change: Option<LimitChange>,
+        statement: &LimitStatement,
     ) {
-        match change {
-            Some(LimitChange::InForce(limit)) => self.notify(Notice::LimitChanged {
-                endpoint,
-                incarnation,
+        let Some(endpoint) = self.fleet.get_mut(id) else {
+            return;
+        };
+        let entries = self.entries;
+        let phase = || self.rng.random_range(0.0..1.0);
+        let change = endpoint
+            .limit
+            .record(now, source, statement, entries, phase);
+        let notice = match change {
+            Some(LimitChange::InForce(limit)) => Notice::LimitChanged {
+                endpoint: id.clone(),
+                incarnation: endpoint.listed.incarnation,
                 limit,
                 source,
-                entries: self.entries,
-            }),
-            Some(LimitChange::Invalid(text)) => self.notify(Notice::LimitInvalid {
-                endpoint,
+                entries,
+            },
+            Some(LimitChange::Invalid(text)) => Notice::LimitInvalid {
+                endpoint: id.clone(),
                 text,
                 source,
-            }),
-            None => {}
-        }
+            },
+            None => return,
+        };
+        self.notify(notice);
     }
 
     /// Sets the number of entries that share the fleet.
-    pub fn set_entry_count(&mut self, entries: u32) {
-        self.entries = entries.max(1);
+    pub fn set_entry_count(&mut self, now: Instant, entries: u32) {
+        let entries = entries.max(1);
+        if entries != self.entries {
+            self.fleet.settle_limits(now, self.entries);
+            self.entries = entries;
+        }
     }
 
     /// Takes the notices for the log.
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -141,6 +141,14 @@
         Some(endpoint)
     }
 
+    /// Prepares the limits that endpoints name for another number of entries; `entries` is the one up
+    /// to now.
+    pub(super) fn settle_limits(&mut self, now: Instant, entries: u32) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.limit.settle(now, entries);
+        }
+    }
+
     /// Sets the zones whose endpoints get no new requests.
     pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneId>) {
         self.evacuated = zones;
--- a/src/dispatch/limit.rs
+++ b/src/dispatch/limit.rs
@@ -1,41 +1,128 @@
 //! Limits that an endpoint names: the requests per second that it takes from all entries together.
+//!
+//! Each entry uses an equal part of the limit. It knows the number of entries from the agents, and
+//! needs no message of another entry.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::statement::{LimitStatement, StatementSource};
 
 /// Time for which a limit holds after it was last named. One that comes and goes stays in force, and
-/// an answer that was overtaken by a later one does not lift it.
+/// an answer that was overtaken by a later one does not loosen it.
 const HOLD_TIME: Duration = Duration::from_secs(1);
 
+/// Factor by which each answer without a limit raises the one in force, once in [`HOLD_TIME`], so that
+/// an endpoint that was in need does not get the requests of all entries at once.
+const LOOSEN_FACTOR: f64 = 2.0;
+
+/// Requests per second from which a limit that is not named any more is lifted; more than an engine
+/// answers.
+const LIFT_RATE: f64 = 50.0;
+
+/// Share of a limit that all entries together use, so that parts that happen to be used at the same
+/// time do not exceed it.
+const USED_SHARE: f64 = 0.7;
+
+/// Least limit that is applied, in requests per second: one of zero or less would never be heard to
+/// end, since only an answer tells.
+const MIN_RATE: f64 = 0.25;
+
+/// Requests that all entries together may send at once, as seconds of the limit and a number.
+const BURST: (f64, f64) = (1.0, 2.0);
+
+/// Time for which the turn of an entry lasts whose part of the burst is less than one request. Turns of
+/// idle entries lapse, so that they do not all send at the same time later.
+const TURN_TIME: Duration = Duration::from_secs(1);
+
 /// The limit that one source has named.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct NamedLimit {
-    /// Requests per second, as named.
+    /// Requests per second, as named, or more after answers without a limit.
     rate: f64,
-    /// Time at which it was last named, or a stricter one.
+    /// Time at which it was last named, or a stricter one, or was raised.
     at: Instant,
 }
 
+impl NamedLimit {
+    /// The limit after an answer that names `rate` or, with `None`, no limit. Returns `None` when it is
+    /// lifted.
+    fn after(self, now: Instant, rate: Option<f64>) -> Option<Self> {
+        let is_held = now.saturating_duration_since(self.at) < HOLD_TIME;
+        match rate {
+            Some(rate) if rate <= self.rate || !is_held => Some(Self { rate, at: now }),
+            _ if is_held => Some(self),
+            _ => {
+                let rate = self.rate.max(MIN_RATE) * LOOSEN_FACTOR;
+                (rate < LIFT_RATE).then_some(Self { rate, at: now })
+            }
+        }
+    }
+}
+
 /// What follows from a statement on the limit.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum LimitChange {
     /// The limit in force is another one; `None` when it is lifted.
     InForce(Option<f64>),
     /// What the endpoint names can't be read; it has no effect.
-    Invalid(std::sync::Arc<str>),
+    Invalid(Arc<str>),
+}
+
+/// One entry's part of a limit.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    /// Requests per second.
+    rate: f64,
+    /// Requests that it may send at once.
+    burst: f64,
+}
+
+impl Share {
+    /// Part of one of `entries` entries of a limit in requests per second.
+    fn of(limit: f64, entries: u32) -> Self {
+        let entries = f64::from(entries.max(1));
+        let limit = limit.max(MIN_RATE);
+        Self {
+            rate: limit * USED_SHARE / entries,
+            burst: (limit * BURST.0 + BURST.1) / entries,
+        }
+    }
 }
 
-/// Limit in force of one incarnation of an endpoint.
+/// Requests that this entry may send, as a token bucket.
+#[derive(Clone, Copy, Debug)]
+struct Tokens {
+    /// Tokens at `at`; each is a request.
+    count: f64,
+    at: Instant,
+}
+
+impl Tokens {
+    /// Tokens at a later time.
+    fn at(self, now: Instant, share: Share) -> f64 {
+        let elapsed = now.saturating_duration_since(self.at);
+        let count = self.count + elapsed.as_secs_f64() * share.rate;
+        if share.burst >= 1.0 {
+            return count.min(share.burst);
+        }
+        // A whole token lasts for `TURN_TIME`; then the next one begins to grow.
+        count % (1.0 + TURN_TIME.as_secs_f64() * share.rate)
+    }
+}
+
+/// Limit in force of one incarnation of an endpoint, and this entry's use of it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Limit {
-    /// Named in answers that passed this entry. A source that is silent on the limit lifts only what it
+    /// Named in answers that passed this entry. A source that is silent on the limit loosens only what it
     /// has named itself: reports may never name one.
     by_answers: Option<NamedLimit>,
     /// Named in reports to the agent.
     by_agent: Option<NamedLimit>,
     /// True after a limit that could not be read, until one can be.
     is_invalid: bool,
+    /// Invariant: present while a limit is in force.
+    tokens: Option<Tokens>,
 }
 
 impl Limit {
@@ -45,12 +132,16 @@
         named.map(|named| named.rate).reduce(f64::min)
     }
 
-    /// Applies a statement; returns what is new.
+    /// Applies a statement; returns what is new. `phase`, from 0 to 1, is how far the first token has
+    /// grown when a limit comes into force; it has to differ between entries, which hear of it at
+    /// about the same time.
     pub fn record(
         &mut self,
         now: Instant,
         source: StatementSource,
         statement: &LimitStatement,
+        entries: u32,
+        phase: impl FnOnce() -> f64,
     ) -> Option<LimitChange> {
         let before = self.rate();
         let named = match source {
@@ -66,14 +157,50 @@
             }
         };
         self.is_invalid = false;
-        let is_held = named.is_some_and(|named| {
-            let is_looser = rate.is_none_or(|rate| rate > named.rate);
-            is_looser && now.saturating_duration_since(named.at) < HOLD_TIME
+        *named = match *named {
+            Some(named) => named.after(now, rate),
+            None => rate.map(|rate| NamedLimit { rate, at: now }),
+        };
+        let after = self.rate();
+        if before == after {
+            return None;
+        }
+        let grown = self.tokens.zip(before).map(|(tokens, before)| {
+            let share = Share::of(before, entries);
+            tokens.at(now, share)
         });
-        if !is_held {
-            *named = rate.map(|rate| NamedLimit { rate, at: now });
+        self.tokens = after.map(|_| Tokens {
+            count: grown.unwrap_or_else(phase),
+            at: now,
+        });
+        Some(LimitChange::InForce(after))
+    }
+
+    /// True when this entry may send a request now.
+    pub fn admits(&self, now: Instant, entries: u32) -> bool {
+        self.tokens_at(now, entries)
+            .is_none_or(|tokens| tokens >= 1.0)
+    }
+
+    /// Counts a request that this entry sends.
+    pub fn sent(&mut self, now: Instant, entries: u32) {
+        if let Some(count) = self.tokens_at(now, entries) {
+            self.tokens = Some(Tokens {
+                count: count - 1.0,
+                at: now,
+            });
         }
-        let after = self.rate();
-        (before != after).then_some(LimitChange::InForce(after))
+    }
+
+    /// Prepares for another number of entries; `entries` is the one up to now.
+    pub fn settle(&mut self, now: Instant, entries: u32) {
+        if let Some(count) = self.tokens_at(now, entries) {
+            self.tokens = Some(Tokens { count, at: now });
+        }
+    }
+
+    fn tokens_at(&self, now: Instant, entries: u32) -> Option<f64> {
+        let share = Share::of(self.rate()?, entries);
+        self.tokens.map(|tokens| tokens.at(now, share))
     }
 }
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod fuzz;
 mod limits;
+mod limits_fuzz;
 mod overload;
 mod prompt_parts;
 mod prompt_parts_fuzz;
