Keep a looser limit that comes right after a stricter one

An entry that had heard a limit of 0.34 and, in the same second, of 3 ignored the second one, since limits hold for a second after they were named. Under a low limit the next answer may be a minute away, so the entry stayed at the low one. Found by a trial of the fuzzing with 16 entries: a limit was not lifted within 60 s. The looser statement is kept now and takes effect when the hold ends.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -474,7 +474,7 @@
             version: e.version(None),
             is_leaving: e.listed.is_leaving,
             failing: e.health.failing(),
-            limit: e.limit.rate(),
+            limit: e.limit.rate(now),
         };
         Snapshot {
             configuration: self
--- a/src/dispatch/limit.rs
+++ b/src/dispatch/limit.rs
@@ -8,8 +8,7 @@
 
 use super::statement::{LimitStatement, StatementSource};
 
-/// Time for which a limit holds after it was last named. One that comes and goes stays in force, and
-/// an answer that was overtaken by a later one does not loosen it.
+/// Time for which a limit holds after it was last named. One that comes and goes stays in force.
 const HOLD_TIME: Duration = Duration::from_secs(1);
 
 /// Factor by which each answer without a limit raises the one in force, once in [`HOLD_TIME`], so that
@@ -40,24 +39,64 @@
 struct NamedLimit {
     /// Requests per second, as named, or more after answers without a limit.
     rate: f64,
-    /// Time at which it was last named, or a stricter one, or was raised.
+    /// Time at which it was last named, or was loosened.
     at: Instant,
+    /// What the endpoint has said since, if that is looser; it applies when the limit need not hold any
+    /// more. Answers are rare under a low limit, so none of them may be lost.
+    looser: Option<Looser>,
+}
+
+/// A statement that is looser than the limit in force.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Looser {
+    /// Requests per second.
+    Rate(f64),
+    /// No limit is named.
+    Silence,
 }
 
 impl NamedLimit {
-    /// The limit after an answer that names `rate` or, with `None`, no limit. Returns `None` when it is
-    /// lifted.
-    fn after(self, now: Instant, rate: Option<f64>) -> Option<Self> {
+    fn new(now: Instant, rate: f64) -> Self {
+        Self {
+            rate,
+            at: now,
+            looser: None,
+        }
+    }
+
+    /// The limit at a time; `None` when it is lifted.
+    fn at(self, now: Instant) -> Option<Self> {
         let is_held = now.saturating_duration_since(self.at) < HOLD_TIME;
-        match rate {
-            Some(rate) if rate <= self.rate || !is_held => Some(Self { rate, at: now }),
-            _ if is_held => Some(self),
-            _ => {
+        match self.looser {
+            Some(looser) if !is_held => self.loosened(self.at + HOLD_TIME, looser),
+            _ => Some(self),
+        }
+    }
+
+    fn loosened(self, now: Instant, looser: Looser) -> Option<Self> {
+        match looser {
+            Looser::Rate(rate) => Some(Self::new(now, rate)),
+            Looser::Silence => {
                 let rate = self.rate.max(MIN_RATE) * LOOSEN_FACTOR;
-                (rate < LIFT_RATE).then_some(Self { rate, at: now })
+                (rate < LIFT_RATE).then(|| Self::new(now, rate))
             }
         }
     }
+
+    /// The limit after an answer that names `rate` or, with `None`, no limit. Returns `None` when it is
+    /// lifted.
+    fn after(self, now: Instant, rate: Option<f64>) -> Option<Self> {
+        let looser = match rate {
+            Some(rate) if rate <= self.rate => return Some(Self::new(now, rate)),
+            Some(rate) => Looser::Rate(rate),
+            None => Looser::Silence,
+        };
+        let waiting = Self {
+            looser: Some(looser),
+            ..self
+        };
+        waiting.at(now)
+    }
 }
 
 /// What follows from a statement on the limit.
@@ -121,15 +160,18 @@
     by_agent: Option<NamedLimit>,
     /// True after a limit that could not be read, until one can be.
     is_invalid: bool,
-    /// Invariant: present while a limit is in force.
+    /// Limit in force at the last statement.
+    reported: Option<f64>,
+    /// Invariant: present while a limit is in force at the last statement.
     tokens: Option<Tokens>,
 }
 
 impl Limit {
     /// Requests per second from all entries together; `None` without a limit.
-    pub fn rate(&self) -> Option<f64> {
+    pub fn rate(&self, now: Instant) -> Option<f64> {
         let named = [self.by_answers, self.by_agent].into_iter().flatten();
-        named.map(|named| named.rate).reduce(f64::min)
+        let rates = named.filter_map(|named| Some(named.at(now)?.rate));
+        rates.reduce(f64::min)
     }
 
     /// Applies a statement; returns what is new. `phase`, from 0 to 1, is how far the first token has
@@ -143,10 +185,9 @@
         entries: u32,
         phase: impl FnOnce() -> f64,
     ) -> Option<LimitChange> {
-        let before = self.rate();
         let named = match source {
-            StatementSource::Answer => &mut self.by_answers,
-            StatementSource::Agent => &mut self.by_agent,
+            StatementSource::Answer => self.by_answers,
+            StatementSource::Agent => self.by_agent,
         };
         let rate = match statement {
             LimitStatement::Rate(rate) => Some(*rate),
@@ -157,23 +198,25 @@
             }
         };
         self.is_invalid = false;
-        *named = match *named {
-            Some(named) => named.after(now, rate),
-            None => rate.map(|rate| NamedLimit { rate, at: now }),
+        let before = named.and_then(|named| named.at(now));
+        let after = match before {
+            Some(before) => before.after(now, rate),
+            None => rate.map(|rate| NamedLimit::new(now, rate)),
         };
-        let after = self.rate();
-        if before == after {
-            return None;
+        let grown = self.tokens_at(now, entries);
+        match source {
+            StatementSource::Answer => self.by_answers = after,
+            StatementSource::Agent => self.by_agent = after,
         }
-        let grown = self.tokens.zip(before).map(|(tokens, before)| {
-            let share = Share::of(before, entries);
-            tokens.at(now, share)
-        });
-        self.tokens = after.map(|_| Tokens {
-            count: grown.unwrap_or_else(phase),
-            at: now,
-        });
-        Some(LimitChange::InForce(after))
+        let in_force = self.rate(now);
+        if in_force != self.reported {
+            self.tokens = in_force.map(|_| Tokens {
+                count: grown.unwrap_or_else(phase),
+                at: now,
+            });
+        }
+        let before = std::mem::replace(&mut self.reported, in_force);
+        (before != in_force).then_some(LimitChange::InForce(in_force))
     }
 
     /// True when this entry may send a request now.
@@ -200,7 +243,7 @@
     }
 
     fn tokens_at(&self, now: Instant, entries: u32) -> Option<f64> {
-        let share = Share::of(self.rate()?, entries);
+        let share = Share::of(self.rate(now)?, entries);
         self.tokens.map(|tokens| tokens.at(now, share))
     }
 }
--- a/src/dispatch/tests/limits.rs
+++ b/src/dispatch/tests/limits.rs
@@ -49,7 +49,8 @@
     notices.filter(is_on_limits).collect()
 }
 
-/// Answers of one endpoint, `at` milliseconds after the start, and the limit afterwards.
+/// Answers of one endpoint, `at` milliseconds after the start, and the limit afterwards; at the times
+/// without a text there is no answer.
 #[rstest]
 #[case::named(&[(0, "1e6")], Some(1e6))]
 #[case::lowered(&[(0, "1e6"), (1, "9e5")], Some(9e5))]
@@ -57,6 +58,12 @@
 #[case::raised_later(&[(0, "1e6"), (HOLD_MS, "2e6")], Some(2e6))]
 #[case::silent_at_once(&[(0, "1e6"), (900, "-")], Some(1e6))]
 #[case::lifted(&[(0, "1e6"), (HOLD_MS, "-")], None)]
+#[case::raised_after_the_hold(&[(0, "1e6"), (900, "2e6"), (HOLD_MS, "")], Some(2e6))]
+#[case::lifted_after_the_hold(&[(0, "1e6"), (900, "-"), (HOLD_MS, "")], None)]
+#[case::loosened_after_the_hold(
+    &[(0, "1e6"), (2_000, "20"), (2_100, "-"), (9_000, "")], Some(40.0))]
+#[case::named_again_in_the_hold(
+    &[(0, "1e6"), (900, "-"), (950, "1e6"), (1_900, "")], Some(1e6))]
 #[case::loosened(&[(0, "1e6"), (2_000, "20"), (3_000, "-")], Some(40.0))]
 #[case::loosened_once_in_the_time(&[(0, "1e6"), (2_000, "20"), (3_000, "-"), (3_900, "-")], Some(40.0))]
 #[case::loosened_and_lifted(&[(0, "1e6"), (2_000, "20"), (3_000, "-"), (4_000, "-")], None)]
@@ -70,10 +77,11 @@
 ) {
     let start = Instant::now();
     let mut core = core_with_one_desk(start);
-    for (at, text) in answers {
+    for (at, text) in answers.iter().filter(|(_, text)| !text.is_empty()) {
         answer(&mut core, start + ms(*at), text);
     }
-    assert_eq!(limit(&core, start, "d1"), expected);
+    let now = start + ms(answers.last().unwrap().0);
+    assert_eq!(limit(&core, now, "d1"), expected);
 }
 
 #[test]
@@ -113,14 +121,14 @@
         let mut load = load(0);
         load.statement = statement(text);
         core.update_load(start + ms(at), ip(1), load);
-        limit(core, start, "e1")
+        limit(core, start + ms(at), "e1")
     };
     let answer = |core: &mut Dispatcher, at: u64, text: &str| {
         let now = start + ms(at);
         let (ticket, _) = send(core, now, &request("chat"));
         core.record_statement(now, ticket, &statement(text));
         core.attempt_ended(now, ticket, AttemptOutcome::Answered);
-        limit(core, start, "e1")
+        limit(core, now, "e1")
     };
     assert_eq!(answer(&mut core, 0, "1e6"), Some(1e6));
     assert_eq!(report(&mut core, 2_000, "-"), Some(1e6));
