Ignore a limit in a late report of an earlier incarnation

A load report of an engine's earlier process is ignored, but the limit in it was applied to the current one, which had named none and got fewer requests than it takes. Found by reading. The test a_late_report_of_an_earlier_incarnation_names_no_limit failed before.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -257,12 +257,15 @@
     /// Applies a load report from the agent of a host. Returns false when no endpoint is listed
     /// there.
     pub fn update_load(&mut self, now: Instant, host: IpAddr, load: EndpointLoad) -> bool {
-        let statement = load.statement.clone();
-        let endpoint = self.fleet.update_load(now, host, load);
-        let Some(id) = endpoint.map(|endpoint| endpoint.listed.id.clone()) else {
+        let (statement, incarnation) = (load.statement.clone(), load.incarnation);
+        let Some(endpoint) = self.fleet.update_load(now, host, load) else {
             return false;
         };
-        self.record_limit(now, &id, StatementSource::Agent, &statement.limit);
+        let (id, current) = (endpoint.listed.id.clone(), endpoint.listed.incarnation);
+        // An earlier incarnation does not speak for the current one.
+        if incarnation == current {
+            self.record_limit(now, &id, StatementSource::Agent, &statement.limit);
+        }
         true
     }
 
--- a/src/dispatch/tests/limits.rs
+++ b/src/dispatch/tests/limits.rs
@@ -137,6 +137,20 @@
     assert_eq!(report(&mut core, 4_000, "-"), None);
 }
 
+/// Guards against a report that is overtaken by the restart of its engine.
+#[test]
+fn a_late_report_of_an_earlier_incarnation_names_no_limit() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let mut restarted = load(0);
+    restarted.incarnation = 5;
+    core.update_load(now, ip(1), restarted);
+    let mut late = load(0);
+    late.statement = statement("2");
+    core.update_load(now, ip(1), late);
+    assert_eq!(limit(&core, now, "e1"), None);
+}
+
 #[test]
 fn a_limit_ends_with_the_incarnation_that_named_it() {
     let now = Instant::now();
