Log a limit that is no number once, also beside reports without a limit

Each report that named no limit made the next answer with one that is no number news again, so that such an endpoint wrote a line for each answer. Only a number that is named does so now. Found by reading. The test a_value_that_is_no_number_is_noticed_once_beside_reports_without_a_limit failed before.

--- a/src/dispatch/limit.rs
+++ b/src/dispatch/limit.rs
@@ -158,7 +158,7 @@
     by_answers: Option<NamedLimit>,
     /// Named in reports to the agent.
     by_agent: Option<NamedLimit>,
-    /// True after a limit that could not be read, until one can be.
+    /// True after a limit that could not be read, until a number is named.
     is_invalid: bool,
     /// Limit in force at the last statement.
     reported: Option<f64>,
@@ -197,7 +197,7 @@
                 return (!is_known).then(|| LimitChange::Invalid(text.clone()));
             }
         };
-        self.is_invalid = false;
+        self.is_invalid &= rate.is_none();
         let before = named.and_then(|named| named.at(now));
         let after = match before {
             Some(before) => before.after(now, rate),
--- a/src/dispatch/tests/limits.rs
+++ b/src/dispatch/tests/limits.rs
@@ -151,6 +151,21 @@
     assert_eq!(limit(&core, now, "e1"), None);
 }
 
+/// Guards against a log line for each answer of an endpoint whose reports name no limit.
+#[test]
+fn a_value_that_is_no_number_is_noticed_once_beside_reports_without_a_limit() {
+    let now = Instant::now();
+    let mut core = core(now);
+    for n in 0..4 {
+        let now = now + ms(100 * n);
+        core.update_load(now, ip(1), load(0));
+        let mut invalid = load(0);
+        invalid.statement = statement("?");
+        core.update_load(now, ip(1), invalid);
+    }
+    assert_eq!(limit_notices(&mut core).len(), 1);
+}
+
 #[test]
 fn a_limit_ends_with_the_incarnation_that_named_it() {
     let now = Instant::now();
