--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -18,6 +18,8 @@
 use crate::reply::{Body, Reply, answer, header, json as json_answer, query_number, read_body};
 use crate::server::Server;
 
+use super::faults::SiteEngineFaults;
+
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// Time from a crash to the start of the next process, unless the faults say otherwise.
@@ -41,43 +43,6 @@
     Plain,
 }
 
-/// Injected faults of a back end, which a test can change at any time.
-#[derive(Clone, Debug, Default)]
-pub struct SiteEngineFaults {
-    /// Id of the last event that streams send whole; they break in the middle of the next one. Ids
-    /// count from 1 and go on in resumed streams, so one resumed after this event sends none whole.
-    pub break_after: Option<u64>,
-    /// True while requests are refused before they run, which a `not-executed` header reports.
-    pub shed_requests: bool,
-    /// True while requests run, but the connection is closed without an answer.
-    pub lose_answers: bool,
-    /// True while answers carry the id of another request.
-    pub wrong_request_ids: bool,
-    /// True while answers have no `server-stamp` header.
-    pub unsigned: bool,
-    /// Id of the last event that streams send; after it they stall without ending.
-    pub silent_after: Option<u64>,
-    /// Prompt part, as in the `prompt-prefix` header, that crashes the process when it begins to
-    /// answer a request with it; the last part of a request has no such effect.
-    pub crash_on_part: Option<String>,
-    /// Body of a request that crashes the process when it begins to answer it.
-    pub crash_on_body: Option<Bytes>,
-    /// Time from a crash to the start of the next process.
-    pub restart_time: Option<Duration>,
-    /// Requests a second that the process takes from all entries together, as its answers name them
-    /// in `server-limit`. It takes more all the same.
-    pub limit: Option<String>,
-    /// True while reports name the limit too.
-    pub limit_in_reports: bool,
-    /// When set, answers have neither a length nor chunks and end with their connection. A reset
-    /// one has half of its body, or as many events as `break_after` says and no part of the next.
-    pub without_length: Option<ConnectionEnd>,
-    /// Bytes that callers' requests are answered with.
-    pub flood: Option<Flood>,
-    /// Bytes that the report, orders and reads from the staging area are answered with.
-    pub admin_flood: Option<Flood>,
-}
-
 /// A request that a back end ran.
 #[derive(Clone, Debug)]
 pub struct SiteRun {
@@ -308,7 +273,7 @@
             let state = lock(&state);
             let mut answer = json_answer(&report(&state));
             if state.faults.limit_in_reports {
-                name_limit(&state.faults, &mut answer);
+                state.faults.name_limit(&mut answer);
             }
             Some(answer)
         }
@@ -380,7 +345,7 @@
             refusal
                 .headers_mut()
                 .insert("not-executed", "1".parse().ok()?);
-            name_limit(&state.faults, &mut refusal);
+            state.faults.name_limit(&mut refusal);
             return Some(refusal);
         }
         let is_model = matches!(kind, SiteEngineKind::Model { .. });
@@ -412,7 +377,7 @@
             Response::new(stream_body(events, last_event, &faults))
         }
     };
-    name_limit(&faults, &mut answer);
+    faults.name_limit(&mut answer);
     let headers = answer.headers_mut();
     let echoed_id = match faults.wrong_request_ids {
         true => "another",
@@ -447,14 +412,6 @@
     Some(answer)
 }
 
-/// Adds the limit of the process to an answer.
-fn name_limit(faults: &SiteEngineFaults, answer: &mut Response<Body>) {
-    let limit = faults.limit.as_ref().and_then(|limit| limit.parse().ok());
-    if let Some(limit) = limit {
-        answer.headers_mut().insert("server-limit", limit);
-    }
-}
-
 /// Ids in a `prompt-prefix` header, without the last one, which belongs to the request itself.
 fn shared_parts(prefix: &str) -> impl Iterator<Item = &str> {
     let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
--- /dev/null
+++ b/fakes/src/site/faults.rs
@@ -0,0 +1,56 @@
+//! Injected faults of a back end.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Response;
+
+use crate::raw::{ConnectionEnd, Flood};
+use crate::reply::Body;
+
+/// Injected faults of a back end, which a test can change at any time.
+#[derive(Clone, Debug, Default)]
+pub struct SiteEngineFaults {
+    /// Id of the last event that streams send whole; they break in the middle of the next one. Ids
+    /// count from 1 and go on in resumed streams, so one resumed after this event sends none whole.
+    pub break_after: Option<u64>,
+    /// True while requests are refused before they run, which a `not-executed` header reports.
+    pub shed_requests: bool,
+    /// True while requests run, but the connection is closed without an answer.
+    pub lose_answers: bool,
+    /// True while answers carry the id of another request.
+    pub wrong_request_ids: bool,
+    /// True while answers have no `server-stamp` header.
+    pub unsigned: bool,
+    /// Id of the last event that streams send; after it they stall without ending.
+    pub silent_after: Option<u64>,
+    /// Prompt part, as in the `prompt-prefix` header, that crashes the process when it begins to
+    /// answer a request with it; the last part of a request has no such effect.
+    pub crash_on_part: Option<String>,
+    /// Body of a request that crashes the process when it begins to answer it.
+    pub crash_on_body: Option<Bytes>,
+    /// Time from a crash to the start of the next process.
+    pub restart_time: Option<Duration>,
+    /// Requests a second that the process takes from all entries together, as its answers name them
+    /// in `server-limit`. It takes more all the same.
+    pub limit: Option<String>,
+    /// True while reports name the limit too.
+    pub limit_in_reports: bool,
+    /// When set, answers have neither a length nor chunks and end with their connection. A reset
+    /// one has half of its body, or as many events as `break_after` says and no part of the next.
+    pub without_length: Option<ConnectionEnd>,
+    /// Bytes that callers' requests are answered with.
+    pub flood: Option<Flood>,
+    /// Bytes that the report, orders and reads from the staging area are answered with.
+    pub admin_flood: Option<Flood>,
+}
+
+impl SiteEngineFaults {
+    /// Adds the limit of the process to an answer.
+    pub(super) fn name_limit(&self, answer: &mut Response<Body>) {
+        let limit = self.limit.as_ref().and_then(|limit| limit.parse().ok());
+        if let Some(limit) = limit {
+            answer.headers_mut().insert("server-limit", limit);
+        }
+    }
+}
--- a/fakes/src/site/mod.rs
+++ b/fakes/src/site/mod.rs
@@ -4,9 +4,11 @@
 //! limpetloom processes run against them with the settings that the platform would give them.
 
 mod engine;
+mod faults;
 mod origin;
 mod store;
 
-pub use engine::{SiteEngine, SiteEngineFaults, SiteEngineKind, SiteRun};
+pub use engine::{SiteEngine, SiteEngineKind, SiteRun};
+pub use faults::SiteEngineFaults;
 pub use origin::{SiteOrigin, piece};
 pub use store::SiteStore;
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -2,6 +2,7 @@
 
 mod assign;
 mod crashes;
+mod limits;
 mod outcome;
 
 use std::collections::{BTreeSet, HashMap};
@@ -20,13 +21,12 @@
 use super::crash_watch::{CrashWatch, EndpointProcess};
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::fleet::{Fleet, VersionUpdate};
-use super::limit::LimitChange;
 use super::notice::{CrashSign, Notice};
 use super::patterns::{
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
-use super::statement::{LimitStatement, Statement, StatementSource};
+use super::statement::StatementSource;
 
 /// Number of entries assumed to share the fleet until agents report it.
 const DEFAULT_ENTRY_COUNT: u32 = 4;
@@ -269,51 +269,6 @@
         true
     }
 
-    /// Applies what the endpoint of a request's running attempt says of itself in its answer.
-    pub fn record_statement(&mut self, now: Instant, ticket: TicketId, statement: &Statement) {
-        let running = self.requests.get(&ticket).and_then(|r| r.running.as_ref());
-        let Some(running) = running else { return };
-        let endpoint = self.fleet.get(&running.endpoint);
-        // An earlier incarnation does not speak for the current one.
-        if endpoint.is_some_and(|e| e.process() == running.process) {
-            let id = running.endpoint.clone();
-            self.record_limit(now, &id, StatementSource::Answer, &statement.limit);
-        }
-    }
-
-    fn record_limit(
-        &mut self,
-        now: Instant,
-        id: &EndpointId,
-        source: StatementSource,
-        statement: &LimitStatement,
-    ) {
-        let Some(endpoint) = self.fleet.get_mut(id) else {
-            return;
-        };
-        let entries = self.entries;
-        let phase = || self.rng.random_range(0.0..1.0);
-        let change = endpoint
-            .limit
-            .record(now, source, statement, entries, phase);
-        let notice = match change {
-            Some(LimitChange::InForce(limit)) => Notice::LimitChanged {
-                endpoint: id.clone(),
-                incarnation: endpoint.listed.incarnation,
-                limit,
-                source,
-                entries,
-            },
-            Some(LimitChange::Invalid(text)) => Notice::LimitInvalid {
-                endpoint: id.clone(),
-                text,
-                source,
-            },
-            None => return,
-        };
-        self.notify(notice);
-    }
-
     /// Sets the number of entries that share the fleet.
     pub fn set_entry_count(&mut self, now: Instant, entries: u32) {
         let entries = entries.max(1);
