Stand-ins: serve connections after being offline for an instant

A server that went offline and back online before its listener noticed closed every later connection at once, since each of them took over a change that was not seen yet.

--- a/fakes/src/server.rs
+++ b/fakes/src/server.rs
@@ -121,7 +121,12 @@
             () = &mut offline => return,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(serve(stream, is_online.clone(), Arc::clone(handler)));
+                    // Only later changes close the connection: the server may have gone offline and
+                    // back online at once since the listener began to accept.
+                    let mut is_online = is_online.clone();
+                    if *is_online.borrow_and_update() {
+                        tokio::spawn(serve(stream, is_online, Arc::clone(handler)));
+                    }
                 }
                 Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
             },
