Test again that an agent forwards a crash once that it has heard twice

The assertion was dropped with the list of pairs that it read, when requests became suspects; it now reads the suspects' crashes and is as strict as before.

--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -20,6 +20,16 @@
     }
 }
 
+fn crash() -> SuspectCrash {
+    SuspectCrash {
+        suspect: Suspect::Request(7),
+        instance: 9,
+        is_cleared: false,
+        age_ms: 0,
+        answered_ms: None,
+    }
+}
+
 fn plan(revision: u64, version: u64, age_ms: u64) -> Plan {
     plan_of_era(1, revision, version, age_ms)
 }
@@ -53,11 +63,12 @@
     let now = Instant::now();
     let mut entries = Entries::default();
     let addrs = ["127.0.0.1:1", "127.0.0.1:2"].map(|addr| addr.parse().unwrap());
-    assert!(entries.record_heartbeat(now, addrs[0], &heartbeat(1, Vec::new())));
-    assert!(!entries.record_heartbeat(now, addrs[0], &heartbeat(1, Vec::new())));
+    assert!(entries.record_heartbeat(now, addrs[0], &heartbeat(1, vec![crash()])));
+    assert!(!entries.record_heartbeat(now, addrs[0], &heartbeat(1, vec![crash()])));
     let later = now + Duration::from_secs(1);
     assert!(entries.record_heartbeat(later, addrs[1], &heartbeat(2, Vec::new())));
     assert_eq!(entries.open_count(), 2);
+    assert_eq!(entries.crashes(now), [crash()]);
     assert_eq!(entries.expire(now + Duration::from_secs(2)), [addrs[0]]);
     assert_eq!(entries.addrs(), [addrs[1]]);
 }
@@ -169,14 +180,7 @@
 #[test]
 fn invalid_bytes_are_not_decoded() {
     assert_eq!(decode::<AgentHeartbeat>(&[0xff; 40]), None);
-    let crash = SuspectCrash {
-        suspect: Suspect::Request(1),
-        instance: 2,
-        is_cleared: false,
-        age_ms: 3,
-        answered_ms: None,
-    };
-    let heartbeat = heartbeat(3, vec![crash]);
+    let heartbeat = heartbeat(3, vec![crash()]);
     assert_eq!(decode(&encode(&heartbeat)), Some(heartbeat));
 }
 
