Log why a stream that is cut was not continued

Callers saw streams that ended in the middle. Event 403 named how the last attempt ended, and nothing told why no other endpoint went on with it: no endpoint of the version, no room, no retry budget and a changed configuration looked alike.

The line now carries the code of the refusal (-1 without one) and the inputs of the decision with the version of the configuration, under the names that event 400 uses. No decision changes.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -6,7 +6,8 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 
-use crate::dispatch::{Assignment, AttemptOutcome, Decision, NextStep, Repeat};
+use crate::codes::Code;
+use crate::dispatch::{Assignment, AttemptOutcome, Decision, DecisionInputs, NextStep, Repeat};
 use crate::http::{AnswerBody, BodySender, channel};
 use crate::log_fields;
 use crate::telemetry::{Event, RequestResult};
@@ -40,6 +41,9 @@
     has_ended: bool,
 }
 
+/// Why a stream is not continued: code and inputs of the refusal, if the core gave any.
+type Refused = Option<(Code, DecisionInputs)>;
+
 /// Result of reading from a stream.
 enum Read {
     Event(StreamEvent),
@@ -178,13 +182,13 @@
                     return;
                 }
                 (_, NextStep::Wait) if self.last_event_id.is_some() => {}
-                _ => return self.abort(outcome),
+                (_, step) => return self.abort(outcome, refused_step(step)),
             }
             tokio::select! {
-                () = tx.closed() => return self.abort(AttemptOutcome::CallerGone),
+                () = tx.closed() => return self.abort(AttemptOutcome::CallerGone, None),
                 resumed = self.resume() => match resumed {
-                    Some(resumed) => reader = resumed,
-                    None => return self.abort(outcome),
+                    Ok(resumed) => reader = resumed,
+                    Err(refused) => return self.abort(outcome, refused),
                 },
             }
         }
@@ -192,19 +196,26 @@
 
     /// Counts and logs a stream that ends early. The caller sees an incomplete body, because its
     /// sender is dropped without being finished.
-    fn abort(&self, outcome: AttemptOutcome) {
+    fn abort(&self, outcome: AttemptOutcome, refused: Refused) {
         let relay = &self.ticket.relay;
         relay.core().finish(Instant::now(), self.ticket.id);
         let result = match outcome {
             AttemptOutcome::CallerGone => RequestResult::CallerGone,
-            _ => RequestResult::Refused(crate::Code::AnswerBroken),
+            _ => RequestResult::Refused(Code::AnswerBroken),
         };
         relay.count_result(&self.admitted, result);
+        let (code, inputs) = refused.unzip();
+        let inputs = inputs.unwrap_or_default();
         log_fields!(Event::StreamCut, {
             request: &*self.admitted.caller.request_id,
             endpoint: &*self.assignment.endpoint,
             end: format!("{outcome:?}"),
             events: self.events,
+            code: code.map_or(-1, |code| i32::from(code.number())),
+            config: inputs.configuration,
+            fitting: inputs.eligible,
+            best_ms: inputs.predicted_start.map_or(-1, |start| start.as_millis() as i64),
+            room_ms: inputs.start_budget.map_or(-1, |budget| budget.as_millis() as i64),
             took_ms: self.admitted.arrived.elapsed().as_millis() as u64
         });
     }
@@ -276,14 +287,13 @@
         }
     }
 
-    /// Continues the stream at another endpoint, after the last forwarded event; `None` when that
-    /// fails.
-    async fn resume(&mut self) -> Option<EventReader> {
+    /// Continues the stream at another endpoint, after the last forwarded event.
+    async fn resume(&mut self) -> Result<EventReader, Refused> {
         let relay = self.ticket.relay.clone();
         loop {
             self.assignment = match relay.await_decision(self.ticket.id).await {
                 Decision::Send(assignment) => assignment,
-                Decision::Refuse(..) => return None,
+                Decision::Refuse(refusal, inputs) => return Err(Some((refusal.code, inputs))),
             };
             let resume = ResumePoint {
                 last_event_id: self.last_event_id,
@@ -297,7 +307,7 @@
                     relay
                         .core()
                         .attempt_started(Instant::now(), self.ticket.id, self.version);
-                    return Some(EventReader::new(opened.body));
+                    return Ok(EventReader::new(opened.body));
                 }
                 Ok(_) => AttemptOutcome::Failed,
                 Err(outcome) => apply_deadline(outcome, self.admitted.deadline),
@@ -308,8 +318,15 @@
                 .attempt_ended(Instant::now(), self.ticket.id, outcome);
             relay.dispatch_waiting();
             if step != NextStep::Wait {
-                return None;
+                return Err(refused_step(step));
             }
         }
     }
 }
+
+fn refused_step(step: NextStep) -> Refused {
+    match step {
+        NextStep::Refuse(refusal) => Some((refusal.code, DecisionInputs::default())),
+        NextStep::Finish | NextStep::Wait => None,
+    }
+}
