Failing tests: a silent endpoint ends answers that it would have completed

A sound endpoint may fall silent for a second or so and go on. An entry drops such an attempt after 4.5 goals before the first event, and after three gap goals in a stream; where no other endpoint can go on, the caller's answer ends.

The stand-in can be silent for a time before the head of an answer, before its first event, inside a stream and inside a whole answer, and counts the answers that are open. Of the nine new cases seven fail:

- a stream, before the head and before the first event: 502 instead of 200
- inside a stream, alone and beside a change of the configuration: events 1 to 4 of 12, connection closed
- a whole answer, before the head and inside it: 502 instead of 200
- two silent engines: the stream is cut before its caller leaves

The two cases in which another engine takes over pass.

--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -79,6 +79,8 @@
     floods: u64,
     /// Cloned by each flood whose connection is open.
     open_floods: Arc<()>,
+    /// Cloned by the body of each answer that is not sent to its end.
+    open_answers: Arc<()>,
 }
 
 /// Running stand-in for a model engine or a plain service; dropping it stops it.
@@ -108,6 +110,7 @@
             crash_tx,
             floods: 0,
             open_floods: Arc::default(),
+            open_answers: Arc::default(),
         }));
         let shared = state.clone();
         let server = Server::spawn(addr, move |req| serve(shared.clone(), kind, req))?;
@@ -200,6 +203,12 @@
         Arc::strong_count(&self.lock().open_floods) - 1
     }
 
+    /// Number of answers that have begun, whose connection is open and which are not sent to their
+    /// end.
+    pub fn open_answers(&self) -> usize {
+        Arc::strong_count(&self.lock().open_answers) - 1
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
@@ -335,7 +344,7 @@
     let headers = req.headers().clone();
     let path = req.uri().path_and_query()?.to_string();
     let body = read_body(req).await?;
-    let (mut faults, version, id) = {
+    let (mut faults, version, id, open) = {
         let mut state = lock(state);
         if !expected_id.is_empty() && expected_id != state.id {
             return Some(answer(StatusCode::MISDIRECTED_REQUEST, ""));
@@ -358,8 +367,10 @@
             body: body.clone(),
             path,
         });
-        (state.faults.clone(), state.version, state.id.clone())
+        let open = state.open_answers.clone();
+        (state.faults.clone(), state.version, state.id.clone(), open)
     };
+    tokio::time::sleep(faults.silent_before_head).await;
     let has_part = |part: &String| shared_parts(&prefix).any(|shared| shared == part);
     let is_harmful =
         faults.crash_on_part.as_ref().is_some_and(has_part) || faults.crash_on_body == Some(body);
@@ -372,9 +383,12 @@
         return None;
     }
     let mut answer = match kind {
-        SiteEngineKind::Plain => answer(StatusCode::OK, plain_text(&id)),
+        SiteEngineKind::Plain => match faults.silent_for {
+            Some(pause) => Response::new(paused_body(&plain_text(&id), pause, open)),
+            None => answer(StatusCode::OK, plain_text(&id)),
+        },
         SiteEngineKind::Model { events, .. } => {
-            Response::new(stream_body(events, last_event, &faults))
+            Response::new(stream_body(events, last_event, &faults, open))
         }
     };
     faults.name_limit(&mut answer);
@@ -440,16 +454,32 @@
     text
 }
 
+/// Body with a text whose second half comes after a pause.
+fn paused_body(text: &str, pause: Duration, open: Arc<()>) -> Body {
+    let (first, second) = text.split_at(text.len() / 2);
+    let parts = [(Duration::ZERO, first), (pause, second)];
+    let parts = parts.map(|(wait, part)| (wait, Bytes::from(part.to_owned())));
+    let frames = stream::unfold((parts.into_iter(), open), |(mut parts, open)| async move {
+        let (wait, part) = parts.next()?;
+        tokio::time::sleep(wait).await;
+        Some((Ok(Frame::data(part)), (parts, open)))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(frames))
+}
+
 /// Body with the events after number `last_event`, up to number `events`.
-fn stream_body(events: u64, last_event: u64, faults: &SiteEngineFaults) -> Body {
+fn stream_body(events: u64, last_event: u64, faults: &SiteEngineFaults, open: Arc<()>) -> Body {
     let (break_after, silent_after) = (faults.break_after, faults.silent_after);
-    let frames = stream::unfold(last_event + 1, move |id| async move {
+    let silent_for = faults.silent_for;
+    let frames = stream::unfold((last_event + 1, open), move |(id, open)| async move {
         if id > events {
             return None;
         }
         tokio::time::sleep(EVENT_INTERVAL).await;
-        if silent_after.is_some_and(|last| id > last) {
-            std::future::pending::<()>().await;
+        match silent_for {
+            Some(pause) if silent_after == Some(id - 1) => tokio::time::sleep(pause).await,
+            None if silent_after.is_some_and(|last| id > last) => std::future::pending().await,
+            _ => {}
         }
         let event = event_text(id);
         let frame = match break_after {
@@ -462,7 +492,7 @@
             }
             _ => Ok(Frame::data(Bytes::from(event))),
         };
-        Some((frame, id + 1))
+        Some((frame, (id + 1, open)))
     });
     BodyExt::boxed_unsync(StreamBody::new(frames))
 }
--- a/fakes/src/site/faults.rs
+++ b/fakes/src/site/faults.rs
@@ -24,6 +24,11 @@
     pub unsigned: bool,
     /// Id of the last event that streams send; after it they stall without ending.
     pub silent_after: Option<u64>,
+    /// Time after which stalled streams go on. A plain service is silent for so long in the middle of
+    /// its answer.
+    pub silent_for: Option<Duration>,
+    /// Time for which the process is silent before the head of an answer.
+    pub silent_before_head: Duration,
     /// Prompt part, as in the `prompt-prefix` header, that crashes the process when it begins to
     /// answer a request with it; the last part of a request has no such effect.
     pub crash_on_part: Option<String>,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod lifecycle;
 mod limits;
 mod metrics;
+mod silence;
 mod site;
 mod store_era;
 mod weights;
