Test that requests keep to versions when a newer configuration drops their target

A request is assigned with the declaration of its target in the newest configuration. When that has no such target, the request counts as one for a plain service: no version and no rate of cold endpoints is checked. The tests fail with Some(Send(..)) to e1 with version 1, 7 s after version 2 was named, to e2 with version 2 for a stream that began on version 1, and with more than the cold rate. The table of other changes of a configuration beside admitted requests (route gone or moved, key gone, time-out shortened or lengthened, other regions) passes.

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempts;
+mod configurations;
 mod crashes;
 mod endpoint_state;
 mod fixture;
