Keep the declaration of a request's target from its admission on

Callers whose request waited, or whose stream was to be continued, while a configuration dropped or redeclared its target got answers of an older version, or of two versions. Cause: the engine model was looked up in the newest configuration only, and without one no version is checked. A request now holds the declaration of its admission, which applies where the newest one has none; the cold rate of the target follows it in the same way.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -35,8 +35,12 @@
                 decision => decision,
             });
         }
-        let target = configuration.targets.get(&request.target);
-        let engine = target.and_then(|target| target.engine.as_ref());
+        let admitted = request.admitted_target.as_ref();
+        let target = configuration.targets.get(&request.target).or(admitted);
+        // Without an engine model, versions would not be checked.
+        let engine = [target, admitted]
+            .into_iter()
+            .find_map(|target| target?.engine.as_ref());
         let query = EndpointQuery {
             target: &request.target,
             model: request.model.as_deref(),
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -326,6 +326,7 @@
         let first_attempt_at = first.unwrap_or(now);
         let request = RequestState {
             target: target.clone(),
+            admitted_target: configuration.targets.get(&target).cloned(),
             customer,
             model: req.model.clone(),
             prompt_tokens: req.prompt_tokens,
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -7,7 +7,7 @@
 use crate::delivery::{Attempts, Suspect};
 use crate::types::{CustomerId, EndpointId, PromptPart, TargetId};
 
-use super::configuration::{Customer, Route};
+use super::configuration::{Customer, Route, Target};
 use super::crash_watch::EndpointProcess;
 
 /// Identifies a request within this process.
@@ -117,6 +117,9 @@
 pub(super) struct RequestState {
     pub route: Arc<Route>,
     pub target: TargetId,
+    /// Declaration of the target when the request was admitted; applies where newer configurations
+    /// no longer declare the target.
+    pub admitted_target: Option<Arc<Target>>,
     pub customer: Option<Arc<Customer>>,
     pub model: Option<Arc<str>>,
     pub prompt_tokens: u32,
