Test connections of the listener on streams in memory

Connections move into a file of their own, over any stream, without a change of behaviour. Tests: hyper's time limit for a head begins at accept and after each answer and does not run beside a request; a drain answers what is being read (a first head in part, a whole request, a body that arrives, HTTP/1.0) and closes idle connections at once.

--- /dev/null
+++ b/src/http/connection.rs
@@ -0,0 +1,51 @@
+//! One connection of a traffic listener.
+
+use std::convert::Infallible;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::sync::CancellationToken;
+
+use super::{AnswerBody, ListenerLimits};
+
+/// A connection that is being served.
+pub(super) struct Connection {
+    pub limits: ListenerLimits,
+    pub drain: CancellationToken,
+    pub kill: CancellationToken,
+}
+
+impl Connection {
+    /// Serves requests until the connection ends, `drain` is cancelled while it idles, or `kill` is
+    /// cancelled.
+    pub async fn serve<S, H, F>(self, stream: S, handler: H)
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let service = service_fn(move |req| {
+            let answer = handler(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.header_timeout)
+            .max_buf_size(self.limits.header_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = self.kill.cancelled() => return,
+            () = self.drain.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+        tokio::select! {
+            _ = connection => {}
+            () = self.kill.cancelled() => {}
+        }
+    }
+}
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -1,16 +1,12 @@
 //! Traffic listener: limits its connections and can be drained.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -19,6 +15,7 @@
 use crate::settings::LimitsSettings;
 
 use super::AnswerBody;
+use super::connection::Connection;
 
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -96,13 +93,18 @@
     {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
         while let Some((stream, permit)) = self.accept(&permits).await {
+            // When this fails, small writes are delayed but the connection works.
+            let _ = stream.set_nodelay(true);
             let connection = Connection {
                 limits: self.limits,
                 drain: self.drain.clone(),
                 kill: self.kill.clone(),
-                _permit: permit,
             };
-            self.tasks.spawn(connection.serve(stream, handler.clone()));
+            let serving = connection.serve(stream, handler.clone());
+            self.tasks.spawn(async move {
+                serving.await;
+                drop(permit);
+            });
         }
         self.tasks.close();
         self.tasks.wait().await;
@@ -131,40 +133,3 @@
         }
     }
 }
-
-struct Connection {
-    limits: ListenerLimits,
-    drain: CancellationToken,
-    kill: CancellationToken,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl Connection {
-    async fn serve<H, F>(self, stream: TcpStream, handler: H)
-    where
-        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-        F: Future<Output = Response<AnswerBody>> + Send + 'static,
-    {
-        // When this fails, small writes are delayed but the connection works.
-        let _ = stream.set_nodelay(true);
-        let service = service_fn(move |req| {
-            let answer = handler(req);
-            async move { Ok::<_, Infallible>(answer.await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.header_timeout)
-            .max_buf_size(self.limits.header_bytes)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = self.kill.cancelled() => return,
-            () = self.drain.cancelled() => connection.as_mut().graceful_shutdown(),
-        }
-        tokio::select! {
-            _ = connection => {}
-            () = self.kill.cancelled() => {}
-        }
-    }
-}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,12 +3,15 @@
 mod body;
 mod client;
 mod connect;
+mod connection;
 mod headers;
 mod interim;
 mod listener;
 mod metrics;
 mod read;
 mod refusal;
+#[cfg(test)]
+mod tests;
 
 pub use body::{AnswerBody, BodyError, BodySender, channel, empty, full};
 pub use client::{TrafficClient, traffic_client};
--- /dev/null
+++ b/src/http/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of connections, on streams in memory and with paused time.
+
+mod connection;
