Test that idle connections follow the configured time

The idle time of the configuration is read and used nowhere: the listener closes connections after 60 s. Callers that may reuse them for longer meet a closed one. The listener takes the time from a watch channel, read at accept only so far.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of a traffic listener.
 
 use std::convert::Infallible;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -8,6 +9,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use super::{AnswerBody, ListenerLimits};
@@ -15,6 +17,8 @@
 /// A connection that is being served.
 pub(super) struct Connection {
     pub limits: ListenerLimits,
+    /// Time for which it may idle, including the arrival of the next head.
+    pub head_timeout: watch::Receiver<Duration>,
     pub drain: CancellationToken,
     pub kill: CancellationToken,
 }
@@ -34,7 +38,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.header_timeout)
+            .header_read_timeout(*self.head_timeout.borrow())
             .max_buf_size(self.limits.header_bytes)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -27,7 +27,8 @@
     pub connections: usize,
     /// Largest head of a request, in bytes.
     pub header_bytes: usize,
-    /// Timeout for the arrival of a request's head.
+    /// Timeout for the arrival of a request's head, counted from the time at which its connection
+    /// began to idle. [`Listener::head_timeout`] changes it.
     pub header_timeout: Duration,
 }
 
@@ -47,6 +48,7 @@
 pub struct Listener {
     tcp: TcpListener,
     limits: ListenerLimits,
+    head_timeout: watch::Sender<Duration>,
     drain: CancellationToken,
     kill: CancellationToken,
     tasks: TaskTracker,
@@ -69,12 +71,18 @@
         Ok(Self {
             tcp,
             limits,
+            head_timeout: watch::Sender::new(limits.header_timeout),
             drain,
             kill,
             tasks: TaskTracker::new(),
         })
     }
 
+    /// Sender of the timeout for a request's head, which replaces the one in the limits.
+    pub fn head_timeout(&self) -> watch::Sender<Duration> {
+        self.head_timeout.clone()
+    }
+
     /// Address that the listener is bound to.
     ///
     /// # Errors
@@ -97,6 +105,7 @@
             let _ = stream.set_nodelay(true);
             let connection = Connection {
                 limits: self.limits,
+                head_timeout: self.head_timeout.subscribe(),
                 drain: self.drain.clone(),
                 kill: self.kill.clone(),
             };
--- a/src/http/tests/connection.rs
+++ b/src/http/tests/connection.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -18,20 +19,23 @@
 /// The caller's side of a served connection.
 struct Caller {
     stream: DuplexStream,
+    head_timeout: watch::Sender<Duration>,
     drain: CancellationToken,
     serving: JoinHandle<()>,
 }
 
 impl Caller {
-    fn connect(header_timeout: Duration) -> Self {
+    fn connect(timeout: Duration) -> Self {
         let (stream, served) = tokio::io::duplex(STREAM_BYTES);
+        let head_timeout = watch::Sender::new(timeout);
         let drain = CancellationToken::new();
         let connection = Connection {
             limits: ListenerLimits {
                 connections: 1,
                 header_bytes: 16 * 1024,
-                header_timeout,
+                header_timeout: timeout,
             },
+            head_timeout: head_timeout.subscribe(),
             drain: drain.clone(),
             kill: CancellationToken::new(),
         };
@@ -41,6 +45,7 @@
         }));
         Self {
             stream,
+            head_timeout,
             drain,
             serving,
         }
@@ -125,3 +130,55 @@
     assert!(caller.time_to_close().await < Duration::from_secs(1));
     caller.serving.await.unwrap();
 }
+
+const fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+// Guards against idle connections that are closed while their callers may still use them, because
+// the time for which they may idle was changed.
+#[rstest]
+#[case::unchanged(20, &[], 20)]
+#[case::longer(20, &[(5, 80)], 80)]
+#[case::longer_at_the_last_moment(20, &[(19, 80)], 80)]
+#[case::shorter(80, &[(5, 20)], 80)]
+#[case::longer_for_a_while(20, &[(5, 80), (6, 20)], 80)]
+#[case::shorter_for_a_while(80, &[(5, 20), (6, 80)], 80)]
+#[case::without_end(20, &[(5, u64::MAX), (6, 20)], u64::MAX)]
+#[tokio::test(start_paused = true)]
+async fn an_idle_connection_follows_the_longest_time_that_it_was_allowed(
+    #[case] first: u64,
+    #[case] changes: &[(u64, u64)],
+    #[case] expected: u64,
+    #[values(false, true)] is_used: bool,
+) {
+    let mut caller = Caller::connect(secs(first));
+    if is_used {
+        assert!(caller.call().await.is_some());
+    }
+    let start = Instant::now();
+    for (at, timeout) in changes {
+        tokio::time::sleep_until(start + secs(*at)).await;
+        caller.head_timeout.send_replace(secs(*timeout));
+    }
+    const LONG: Duration = Duration::from_secs(100_000);
+    let closed = tokio::time::timeout(LONG, caller.time_to_close()).await;
+    match closed {
+        Ok(_) => assert_eq!(start.elapsed().as_secs(), expected),
+        Err(_) => assert_eq!(expected, u64::MAX, "the connection is still open"),
+    }
+}
+
+// Guards against open connections that keep the time that was in force when they were accepted.
+#[rstest]
+#[case::longer(20, 80)]
+#[case::shorter(80, 20)]
+#[tokio::test(start_paused = true)]
+async fn a_change_applies_to_open_connections(#[case] before: u64, #[case] after: u64) {
+    let mut caller = Caller::connect(secs(before));
+    caller.stream.write_all(REQUEST).await.unwrap();
+    sleep(HANDLER_TIME / 2).await;
+    caller.head_timeout.send_replace(secs(after));
+    assert!(caller.read_answer().await.is_some());
+    assert_eq!(caller.time_to_close().await, secs(after));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod answers;
+mod connections;
 mod crashes;
 mod faults;
 mod lifecycle;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -132,6 +132,11 @@
 
     /// Writes a configuration whose only customer has these keys.
     pub fn declare(&self, version: u64, keys: &[&str]) {
+        self.declare_edited(version, keys, |_| {});
+    }
+
+    /// The same after `edit` has changed the configuration.
+    pub fn declare_edited(&self, version: u64, keys: &[&str], edit: impl FnOnce(&mut Value)) {
         let route = |name: &str, kind: &str, service: &str| {
             json!({
                 "name": name, "host": "site.example", "pathPrefix": format!("/{name}/"),
@@ -146,7 +151,7 @@
             "step_ms": 6.73, "per_seq_ms": 0.02, "read_per_s": 30_600.0, "layers": 16,
             "usual": {"prompt": 964, "answer": 119},
         });
-        let config = json!({
+        let mut config = json!({
             "version": version,
             "routes": [
                 route("chat", "streaming", "engines"),
@@ -164,6 +169,7 @@
             "tenants": [{"name": "customer-1", "apiKeys": keys, "priority": 1,
                          "allowedRegions": []}],
         });
+        edit(&mut config);
         self.store.put("config", "main", config);
     }
 
