Let connections of callers idle as long as the configuration allows

Callers that used a connection again after more than 60 s met a closed one, whatever the configuration said: the listener had a constant. Entries now pass the idle time and the time for a head to the listener; open connections follow a change, and while one idles the longest time in force applies, since callers may rely on any of them. hyper starts the timer at accept and after each answer and looks for data before the timer, so a request that has arrived is never dropped by it.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -7,11 +7,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use super::head_timer::HeadTimer;
 use super::{AnswerBody, ListenerLimits};
 
 /// A connection that is being served.
@@ -37,8 +38,8 @@
             async move { Ok::<_, Infallible>(answer.await) }
         });
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(*self.head_timeout.borrow())
+            .timer(HeadTimer::new(self.head_timeout))
+            .header_read_timeout(Duration::ZERO)
             .max_buf_size(self.limits.header_bytes)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -28,7 +28,7 @@
     /// Largest head of a request, in bytes.
     pub header_bytes: usize,
     /// Timeout for the arrival of a request's head, counted from the time at which its connection
-    /// began to idle. [`Listener::head_timeout`] changes it.
+    /// began to idle. [`Listener::with_head_timeout`] replaces it.
     pub header_timeout: Duration,
 }
 
@@ -48,7 +48,7 @@
 pub struct Listener {
     tcp: TcpListener,
     limits: ListenerLimits,
-    head_timeout: watch::Sender<Duration>,
+    head_timeout: watch::Receiver<Duration>,
     drain: CancellationToken,
     kill: CancellationToken,
     tasks: TaskTracker,
@@ -71,16 +71,18 @@
         Ok(Self {
             tcp,
             limits,
-            head_timeout: watch::Sender::new(limits.header_timeout),
+            head_timeout: watch::channel(limits.header_timeout).1,
             drain,
             kill,
             tasks: TaskTracker::new(),
         })
     }
 
-    /// Sender of the timeout for a request's head, which replaces the one in the limits.
-    pub fn head_timeout(&self) -> watch::Sender<Duration> {
-        self.head_timeout.clone()
+    /// Replaces the timeout for a request's head by one that may change. While a connection idles, the
+    /// longest value applies.
+    pub fn with_head_timeout(mut self, timeout: watch::Receiver<Duration>) -> Self {
+        self.head_timeout = timeout;
+        self
     }
 
     /// Address that the listener is bound to.
@@ -105,7 +107,7 @@
             let _ = stream.set_nodelay(true);
             let connection = Connection {
                 limits: self.limits,
-                head_timeout: self.head_timeout.subscribe(),
+                head_timeout: self.head_timeout.clone(),
                 drain: self.drain.clone(),
                 kill: self.kill.clone(),
             };
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connect;
 mod connection;
+mod head_timer;
 mod headers;
 mod interim;
 mod listener;
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -20,10 +20,10 @@
     loop {
         let text = String::from_utf8_lossy(&answer).into_owned();
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let lengths = head
+            let mut lengths = head
                 .lines()
                 .filter_map(|line| line.strip_prefix("content-length: "));
-            let length: usize = lengths.last().unwrap().parse().unwrap();
+            let length: usize = lengths.next_back().unwrap().parse().unwrap();
             if body.len() >= length {
                 return Some(text);
             }
@@ -66,12 +66,15 @@
         config["limits"]["headerMs"] = json!(500);
     });
     adopted(&site, 2).await;
-    let mut opened_after = TcpStream::connect(site.caller_addr()).await.unwrap();
-    for stream in [&mut opened_before, &mut opened_after] {
-        for _ in 0..2 {
-            tokio::time::sleep(Duration::from_millis(800)).await;
-            assert!(call(stream).await.is_some());
-        }
-        wait_until_closed(stream).await;
+    use_and_idle(opened_before).await;
+    use_and_idle(TcpStream::connect(site.caller_addr()).await.unwrap()).await;
+}
+
+/// Uses a connection again after most of the idle time of 1 s, then waits for its end.
+async fn use_and_idle(mut stream: TcpStream) {
+    for _ in 0..2 {
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        assert!(call(&mut stream).await.is_some());
     }
+    wait_until_closed(&mut stream).await;
 }
