Fuzz the dispatcher with configurations that drop what admitted requests need

Configurations of the fuzzing drop routes, keys and targets beside requests that wait, run or are to be continued. Oracle: each admitted request ends once, by an answer, a refusal or its caller's departure, and none is sent after its end. The injected fault, a configuration without routes that ends admitted requests, is found.

--- a/src/dispatch/tests/configurations.rs
+++ b/src/dispatch/tests/configurations.rs
@@ -170,14 +170,7 @@
     let targets = all.targets.values().map(|target| Target::clone(target));
     let customers = match change {
         Change::KeyGone => Vec::new(),
-        _ => vec![(
-            Customer {
-                id: "studio".into(),
-                priority: None,
-                regions: Vec::new(),
-            },
-            vec!["key-1".into()],
-        )],
+        _ => customers(),
     };
     let next = Configuration::new(2, next, Some(customers), targets.collect(), all.limits);
     assert!(core.set_configuration(Arc::new(next)));
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -45,19 +45,23 @@
     }
 }
 
-pub fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
+/// Customers with their keys: key-1 for all regions and key-2 for the south only.
+pub fn customers() -> Vec<(Customer, Vec<Arc<str>>)> {
     let customer = |name: &str, regions: Vec<Arc<str>>| Customer {
         id: name.into(),
         priority: None,
         regions,
     };
-    let customers = vec![
+    vec![
         (customer("studio", Vec::new()), vec!["key-1".into()]),
         (
             customer("southern", vec!["south".into()]),
             vec!["key-2".into()],
         ),
-    ];
+    ]
+}
+
+pub fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
     let target = |id: &str, engine: Option<EngineModel>, models: Vec<Arc<str>>| Target {
         id: id.into(),
         engine,
@@ -73,7 +77,7 @@
     Configuration::new(
         version,
         routes,
-        Some(customers),
+        Some(customers()),
         vec![
             target("engines", Some(engine_model()), vec![MODEL.into()]),
             target("desk", None, Vec::new()),
--- a/src/dispatch/tests/fuzz.rs
+++ b/src/dispatch/tests/fuzz.rs
@@ -28,6 +28,23 @@
     ("d2", "desk", 12, "south"),
 ];
 const ROUTES: [&str; 3] = ["chat", "look", "hold"];
+/// Number of variants of a configuration.
+const VARIANTS: u8 = 8;
+
+/// A configuration; each bit of `variant` drops something that admitted requests may need: the routes,
+/// the customers' keys, and the targets.
+fn configuration_variant(version: u64, variant: u8) -> Configuration {
+    let has = |bit: u8| variant & bit == 0;
+    let all = configuration(version, Vec::new());
+    let targets = all.targets.values().filter(|_| has(4));
+    Configuration::new(
+        version,
+        routes().into_iter().filter(|_| has(1)).collect(),
+        Some(customers().into_iter().filter(|_| has(2)).collect()),
+        targets.map(|target| Target::clone(target)).collect(),
+        all.limits,
+    )
+}
 
 /// Operation of a sequence; endpoints, routes and running requests are given by index.
 #[derive(Clone, Debug)]
@@ -43,7 +60,8 @@
     SetWantedVersion(u64),
     /// A wanted version is reported again, with a time that is later by so many milliseconds.
     RepeatWantedVersion(u64, u16),
-    Configure(u64),
+    /// A configuration with this version, and a number of [`configuration_variant`].
+    Configure(u64, u8),
 }
 
 fn outcome() -> impl Strategy<Value = AttemptOutcome> {
@@ -61,6 +79,11 @@
     ]
 }
 
+/// Variant of a configuration; most drop nothing, so that requests are admitted.
+fn variant() -> impl Strategy<Value = u8> {
+    prop_oneof![6 => Just(0), 1 => 1..VARIANTS]
+}
+
 fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
         4 => (0u16..400).prop_map(Op::Advance),
@@ -73,7 +96,7 @@
         3 => (0usize..3, 0u32..30, 1u64..4).prop_map(|(host, n, v)| Op::Load(host, n, v)),
         1 => (1u64..4).prop_map(Op::SetWantedVersion),
         2 => (1u64..4, 0u16..8_000).prop_map(|(v, late)| Op::RepeatWantedVersion(v, late)),
-        1 => (1u64..9).prop_map(Op::Configure),
+        1 => (1u64..60, variant()).prop_map(|(v, variant)| Op::Configure(v, variant)),
     ]
 }
 
@@ -90,6 +113,8 @@
     VersionReportedLate,
     /// Older configurations replace newer ones.
     OlderConfigurationApplied,
+    /// A configuration without routes ends the requests that were admitted before.
+    AdmittedRequestsDropped,
 }
 
 #[derive(Clone, Debug)]
@@ -117,6 +142,10 @@
     configuration: u64,
     /// Requests and repeated attempts, for the desk and for the engines.
     counts: [(u32, u32); 2],
+    /// Number of requests that were admitted, and of those that have ended by an answer, a refusal or
+    /// the caller's departure.
+    admitted: u32,
+    ended: u32,
 }
 
 type Check = Result<(), TestCaseError>;
@@ -136,6 +165,8 @@
             wanted_versions: BTreeMap::new(),
             configuration: 1,
             counts: [(0, 0); 2],
+            admitted: 0,
+            ended: 0,
         }
         .joined()
     }
@@ -217,18 +248,21 @@
                         .set_wanted_version(MODEL, *version, ChangeTime::At(since));
                 }
             }
-            Op::Configure(version) => {
+            Op::Configure(version, variant) => {
+                let next = Arc::new(configuration_variant(*version, *variant));
                 if self.fault == InjectedFault::OlderConfigurationApplied
                     && *version < self.configuration
                 {
-                    let older = Arc::new(configuration(*version, routes()));
                     // A dispatcher that restarts from a stale configuration.
                     self.core = core(self.now);
-                    self.core.set_configuration(older);
-                } else {
-                    self.core
-                        .set_configuration(Arc::new(configuration(*version, routes())));
                 }
+                let drops = self.fault == InjectedFault::AdmittedRequestsDropped;
+                if drops && next.route_count() == 0 {
+                    for ticket in self.tickets.keys() {
+                        self.core.finish(self.now, *ticket);
+                    }
+                }
+                self.core.set_configuration(next);
                 self.configuration = self.configuration.max(*version);
                 let in_force = self
                     .core
@@ -277,6 +311,7 @@
                 may_have_run: false,
                 running_at: None,
             };
+            self.admitted += 1;
             self.tickets.insert(ticket, request);
         }
         Ok(())
@@ -305,16 +340,30 @@
             NextStep::Wait => Ok(()),
             NextStep::KeepSilent => Err(TestCaseError::fail("no attempt is silent here")),
             NextStep::Finish => {
-                self.tickets.remove(&ticket);
-                Ok(())
+                // Without an outcome to forward, nothing reaches the caller.
+                let is_final = matches!(
+                    reported,
+                    AttemptOutcome::Answered
+                        | AttemptOutcome::Rejected
+                        | AttemptOutcome::Failed
+                        | AttemptOutcome::CallerGone
+                );
+                prop_assert!(is_final, "a request ends without an answer");
+                self.end_request(ticket).map(|_| ())
             }
             NextStep::Refuse(refusal) => self.refused(ticket, refusal.code.run_state()),
         }
     }
 
-    fn refused(&mut self, ticket: TicketId, run: RunState) -> Check {
+    /// Removes a request that has ended, which happens once.
+    fn end_request(&mut self, ticket: TicketId) -> Result<TrackedRequest, TestCaseError> {
+        self.ended += 1;
         let request = self.tickets.remove(&ticket);
-        let ran = request.is_some_and(|request| request.may_have_run);
+        request.ok_or_else(|| TestCaseError::fail("a request ends twice"))
+    }
+
+    fn refused(&mut self, ticket: TicketId, run: RunState) -> Check {
+        let ran = self.end_request(ticket)?.may_have_run;
         prop_assert!(
             !ran || run != RunState::NotRun,
             "a request that may have run is refused as not run"
@@ -341,8 +390,9 @@
             .position(|host| host.0 == &*assignment.endpoint);
         let host = host.unwrap_or(usize::MAX);
         let Some(request) = self.tickets.get_mut(&ticket) else {
-            return Ok(());
+            return Err(TestCaseError::fail("a request is sent after its end"));
         };
+        prop_assert!(request.running_at.is_none(), "two attempts run at once");
         let (_, target, _, region) = HOSTS[host];
         let is_chat = request.route == 0;
         prop_assert_eq!(target == "engines", is_chat, "sent to another target");
@@ -392,9 +442,11 @@
             .filter(|request| request.running_at.is_none());
         prop_assert_eq!(waiting.count(), 0, "a request still waits");
         while let Some(ticket) = self.running(0) {
-            self.tickets.remove(&ticket);
-            self.core.finish(self.now, ticket);
+            self.end_request(ticket)?;
+            let departure = self.core.finish(self.now, ticket);
+            prop_assert!(departure.is_some(), "a running request is unknown");
         }
+        prop_assert_eq!(self.admitted, self.ended, "a request has not ended");
         let left = self.core.snapshot(self.now);
         prop_assert_eq!((left.requests, left.waiting), (0, 0));
         prop_assert!(
@@ -432,6 +484,7 @@
 #[case::version_not_applied(InjectedFault::VersionNotApplied)]
 #[case::version_reported_late(InjectedFault::VersionReportedLate)]
 #[case::older_configuration_applied(InjectedFault::OlderConfigurationApplied)]
+#[case::admitted_requests_dropped(InjectedFault::AdmittedRequestsDropped)]
 fn an_injected_fault_is_detected(#[case] fault: InjectedFault) {
     assert!(run_sequences(fault).is_err());
 }
