Failing tests: requests that wait at an engine begin on a version that has ended

A stand-in of an engine lets requests wait before they begin. With a wait of one second, requests that the entry sends in the time that it allows for an older version begin after the version's end. Without sockets: an attempt that waits at an engine has no wake-up time, an engine whose load is unknown counts as empty, and a request whose target a newer configuration no longer has is sent without a check of the version.

--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -54,6 +54,10 @@
     pub body: Bytes,
     /// Path and query of the request.
     pub path: String,
+    /// Time at which it began to run.
+    pub begun_at: Instant,
+    /// Version of the weights with which it began; `None` for a plain service.
+    pub version: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -344,6 +348,10 @@
     let headers = req.headers().clone();
     let path = req.uri().path_and_query()?.to_string();
     let body = read_body(req).await?;
+    let queue_time = lock(state).faults.queue_time;
+    if let Some(queue_time) = queue_time {
+        tokio::time::sleep(queue_time).await;
+    }
     let (mut faults, version, id, open) = {
         let mut state = lock(state);
         if !expected_id.is_empty() && expected_id != state.id {
@@ -361,11 +369,14 @@
         if is_model && state.version.is_none() {
             return Some(answer(StatusCode::MISDIRECTED_REQUEST, ""));
         }
+        let version = state.version;
         state.runs.push(SiteRun {
             request_id: request_id.clone(),
             headers,
             body: body.clone(),
             path,
+            begun_at: Instant::now(),
+            version,
         });
         let open = state.open_answers.clone();
         (state.faults.clone(), state.version, state.id.clone(), open)
--- a/fakes/src/site/faults.rs
+++ b/fakes/src/site/faults.rs
@@ -34,6 +34,9 @@
     pub crash_on_part: Option<String>,
     /// Body of a request that crashes the process when it begins to answer it.
     pub crash_on_body: Option<Bytes>,
+    /// Time for which a request waits before it begins to run. One whose connection closes meanwhile is
+    /// dropped.
+    pub queue_time: Option<Duration>,
     /// Time from a crash to the start of the next process.
     pub restart_time: Option<Duration>,
     /// Requests a second that the process takes from all entries together, as its answers name them
--- a/fakes/src/site/origin.rs
+++ b/fakes/src/site/origin.rs
@@ -66,6 +66,11 @@
         })
     }
 
+    /// Takes the origin off the network, or back onto it.
+    pub fn set_online(&self, online: bool) {
+        self.server.set_online(online);
+    }
+
     /// Address of the origin.
     pub fn addr(&self) -> SocketAddr {
         self.server.addr()
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -12,6 +12,7 @@
 mod overload;
 mod prompt_parts;
 mod prompt_parts_fuzz;
+mod recall;
 mod silence;
 mod silence_fuzz;
 mod versions;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod limits;
 mod metrics;
+mod recall;
 mod silence;
 mod site;
 mod store_era;
