Take attempts back that have not begun when their engine's version ends

Nothing bounded how long an engine lets a request wait. An engine that is listed again while its agent stands still counts as empty at each entry, and all entries filled it in the same instant.

Each attempt at an engine now has a time by which it must have begun. It is computed anew when a version is named or dated better, or the engine has a newer version by then. An attempt without a first event at that time is taken back: its connection is closed, and the request goes on elsewhere if it may be repeated, else it ends with an unknown outcome, as it may have run. Engines whose version ends are sent a request only if twice the predicted time to the first event, and the age of their load report, fit before that time; an unknown load counts as a full queue.

In `endpoint_state` and `versions` the engines now report their load before the end of a version, since an engine with an unknown load is no longer sent anything then; what these tests assert is unchanged.

--- a/examples/patterns/sim/fleet.rs
+++ b/examples/patterns/sim/fleet.rs
@@ -85,6 +85,7 @@
             COLD_RATE_LIMIT.1 * COLD_RATE_SHARE,
         ),
         version_grace: Duration::from_millis(7_300),
+        version_start_grace: Duration::from_millis(7_700),
         mitigations,
         seed,
     });
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -51,9 +51,11 @@
             customer_regions: request.customer.as_ref().map_or(&[], |c| &c.regions),
             tried: &request.tried,
         };
+        let predict = |e: &Endpoint| e.predict(now, engine, request.prompt_tokens, self.entries);
         let eligible: Vec<&Endpoint> = self
             .fleet
             .eligible(now, query, self.cfg.version_grace)
+            .filter(|e| self.starts_in_time(now, e, query.model, || predict(e)))
             .collect();
         let mut inputs = DecisionInputs {
             configuration: configuration.version,
@@ -76,7 +78,7 @@
         let best = candidates
             .into_iter()
             .map(|e| {
-                let predicted = e.predict(now, engine, request.prompt_tokens, self.entries);
+                let predicted = predict(e);
                 (predicted, self.cost(e, predicted, goal), e)
             })
             .min_by_key(|(_, cost, _)| *cost);
@@ -158,6 +160,7 @@
         };
         endpoint.sent(now, request.prompt_tokens);
         endpoint.limit.sent(now, entries);
+        let version = assignment.version;
         request.is_waiting = false;
         request.tried.push(id.clone());
         request.attempts.sent += 1;
@@ -168,7 +171,11 @@
             predicted,
             started: false,
             was_silent: false,
+            version,
+            start_bound: None,
+            recalled_at: None,
         });
+        self.update_start_bound(now, ticket);
         Some(assignment)
     }
 
--- a/src/dispatch/dispatcher/crashes.rs
+++ b/src/dispatch/dispatcher/crashes.rs
@@ -78,6 +78,7 @@
             | AttemptOutcome::Failed
             | AttemptOutcome::Silent
             | AttemptOutcome::Superseded
+            | AttemptOutcome::Recalled
             | AttemptOutcome::CallerGone
             | AttemptOutcome::TimedOut => AttemptEnd::Other,
         };
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod limits;
 mod outcome;
+mod recall;
 mod silence;
 
 use std::collections::{BTreeSet, HashMap};
@@ -29,6 +30,9 @@
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
 use super::statement::StatementSource;
 
+pub use recall::Recall;
+use recall::StartBounds;
+
 /// Number of entries assumed to share the fleet until agents report it.
 const DEFAULT_ENTRY_COUNT: u32 = 4;
 /// Maximum number of notices kept for a driver that does not take them; later ones are dropped.
@@ -46,8 +50,12 @@
     /// Factor on a cold endpoint's declared request rate, and requests per second added to it; both
     /// include the safety margin.
     pub cold_rate_adjustment: (f64, f64),
-    /// Time after a version became the wanted one from which older ones start no request.
+    /// Time after a version became the wanted one from which nothing is sent to older ones.
     pub version_grace: Duration,
+    /// Time after a version became the wanted one by which an attempt on an older one must have begun;
+    /// it is taken back otherwise. The rest of what is allowed covers the way of the close to the
+    /// engine.
+    pub version_start_grace: Duration,
     /// Load patterns that are mitigated.
     pub mitigations: Mitigations,
     /// Seed of the random choices.
@@ -145,6 +153,7 @@
     configuration: Option<Arc<Configuration>>,
     fleet: Fleet,
     requests: HashMap<TicketId, RequestState>,
+    start_bounds: StartBounds,
     /// Waiting requests as (is returning, time of first attempt, ticket): callers that return after
     /// a refusal come last; otherwise the oldest comes first. A request that waits again after a
     /// failed attempt does not count as returning.
@@ -172,6 +181,7 @@
             cfg,
             configuration: None,
             requests: HashMap::new(),
+            start_bounds: StartBounds::new(),
             queue: BTreeSet::new(),
             last_ticket: 0,
             retry_budgets: HashMap::new(),
@@ -252,11 +262,16 @@
     /// Records a report on the time at which a version became the wanted one of a model.
     pub fn set_wanted_version(
         &mut self,
+        now: Instant,
         model: &str,
         version: u64,
         named: ChangeTime,
     ) -> VersionUpdate {
-        self.fleet.set_wanted_version(model, version, named)
+        let update = self.fleet.set_wanted_version(model, version, named);
+        if update.is_changed {
+            self.update_start_bounds(now);
+        }
+        update
     }
 
     /// Applies a load report from the agent of a host. Returns false when no endpoint is listed
@@ -341,6 +356,7 @@
             attempts: Attempts::default(),
             version: None,
             running: None,
+            start_bound: None,
             silent: None,
             is_waiting: true,
             route,
@@ -375,15 +391,16 @@
         decided
     }
 
-    /// Latest time at which [`Self::dispatch_waiting`] must be called again.
+    /// Latest time at which [`Self::dispatch_waiting`] and [`Self::recall_overdue`] must be called
+    /// again.
     pub fn next_wakeup(&self) -> Option<Instant> {
         let waiting = self
             .queue
             .iter()
             .filter_map(|key| self.requests.get(&key.2));
-        waiting
-            .map(|request| request.queue_deadline.min(request.deadline))
-            .min()
+        let deadlines = waiting.map(|request| request.queue_deadline.min(request.deadline));
+        let bound = self.start_bounds.first().map(|(at, _)| *at);
+        deadlines.chain(bound).min()
     }
 
     /// Deadline for the whole answer of a request.
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -26,6 +26,7 @@
             return;
         };
         running.started = true;
+        running.recalled_at = None;
         let took = now.saturating_duration_since(running.since);
         if let Some(endpoint) = self.fleet.get_mut(&running.endpoint) {
             endpoint.started(request.prompt_tokens);
@@ -33,6 +34,7 @@
                 endpoint.record_start_time(took, running.predicted);
             }
         }
+        self.update_start_bound(now, ticket);
     }
 
     /// Records the outcome of the running attempt. The request has ended too, with its silent attempt,
@@ -66,7 +68,8 @@
             | AttemptOutcome::NotRun { .. }
             | AttemptOutcome::NotSent
             | AttemptOutcome::Broken
-            | AttemptOutcome::Silent => self.retry_or_finish(now, ticket, outcome),
+            | AttemptOutcome::Silent
+            | AttemptOutcome::Recalled => self.retry_or_finish(now, ticket, outcome),
         }
     }
 
@@ -87,6 +90,7 @@
             _ => request.attempts.may_have_run = true,
         }
         let (prompt, suspects) = (request.prompt_tokens, request.suspects.clone());
+        self.update_start_bound(now, ticket);
         self.record_outcome(now, attempt, prompt, outcome);
         self.record_ended(now, attempt, &suspects, outcome);
     }
@@ -114,6 +118,7 @@
             AttemptOutcome::NotRun { is_full: true } => endpoint.health.was_full(now),
             AttemptOutcome::NotRun { is_full: false }
             | AttemptOutcome::Superseded
+            | AttemptOutcome::Recalled
             | AttemptOutcome::CallerGone
             | AttemptOutcome::TimedOut
             | AttemptOutcome::Failed => {}
@@ -199,6 +204,7 @@
     /// Removes a request; its attempts end with [`AttemptOutcome::CallerGone`]. Returns `None` when
     /// the request has ended before.
     pub fn finish(&mut self, now: Instant, ticket: TicketId) -> Option<Departure> {
+        self.clear_start_bound(ticket);
         let request = self.requests.remove(&ticket)?;
         self.unqueue(ticket, &request);
         let gone = AttemptOutcome::CallerGone;
--- /dev/null
+++ b/src/dispatch/dispatcher/recall.rs
@@ -0,0 +1,155 @@
+//! Recall of attempts that wait at an engine until its version ends.
+//!
+//! Whether an engine has begun an attempt is known from its first event only. One without it may have
+//! run, and is repeated or refused as such.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use crate::dispatch::endpoint::Endpoint;
+use crate::dispatch::fleet::Fleet;
+use crate::dispatch::request::{RunningAttempt, TicketId};
+use crate::types::EndpointId;
+
+use super::Dispatcher;
+
+/// Factor on the predicted time to the first event, for an engine whose version ends: a prediction that
+/// is too short costs an attempt.
+const START_UNCERTAINTY: u32 = 2;
+/// Assumed wait at an engine whose load is not known: a full queue takes about as long.
+const UNKNOWN_WAIT: Duration = Duration::from_secs(2);
+
+/// An attempt that was taken back because its engine's version ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recall {
+    /// Engine that has not begun it.
+    pub endpoint: EndpointId,
+    /// Version that the engine is believed to serve.
+    pub version: Option<u64>,
+    /// Time for which the attempt has waited.
+    pub waited: Duration,
+    /// Time from its sending until it had to begin; zero when that was already past.
+    pub allowed: Duration,
+}
+
+/// Requests with attempts that have to begin by some time, earliest first.
+///
+/// Invariant: contains exactly the requests with
+/// [`start_bound`](crate::dispatch::request::RequestState::start_bound) set.
+pub(super) type StartBounds = BTreeSet<(Instant, TicketId)>;
+
+impl Dispatcher {
+    /// Takes back the attempts that have not begun by the time at which they must have, and returns
+    /// their requests. The driver closes their connections and ends each with
+    /// [`AttemptOutcome::Recalled`](crate::dispatch::AttemptOutcome::Recalled).
+    pub fn recall_overdue(&mut self, now: Instant) -> Vec<TicketId> {
+        let mut recalled = Vec::new();
+        while let Some((_, ticket)) = self.start_bounds.first().filter(|(at, _)| *at <= now) {
+            let ticket = *ticket;
+            // The engine may have changed its version since.
+            self.update_start_bound(now, ticket);
+            let Some(request) = self.requests.get_mut(&ticket) else {
+                continue;
+            };
+            let is_overdue = |attempt: &&mut RunningAttempt| {
+                attempt.may_be_queued() && attempt.start_bound.is_some_and(|at| at <= now)
+            };
+            let overdue = request.open_attempts_mut().filter(is_overdue);
+            if overdue.map(|a| a.recalled_at = Some(now)).count() > 0 {
+                recalled.push(ticket);
+                self.update_start_bound(now, ticket);
+            }
+        }
+        recalled
+    }
+
+    /// An attempt of a request that was taken back and has not ended; `None` without one.
+    pub fn recall(&self, ticket: TicketId) -> Option<Recall> {
+        let mut attempts = self.requests.get(&ticket)?.open_attempts();
+        attempts.find_map(|attempt| {
+            let at = attempt.recalled_at?;
+            Some(Recall {
+                endpoint: attempt.endpoint.clone(),
+                version: attempt.version,
+                waited: at.saturating_duration_since(attempt.since),
+                allowed: attempt.start_bound.map_or(Duration::ZERO, |bound| {
+                    bound.saturating_duration_since(attempt.since)
+                }),
+            })
+        })
+    }
+
+    /// Computes the bounds of all attempts anew, as another naming time of a version is known.
+    pub(super) fn update_start_bounds(&mut self, now: Instant) {
+        let open = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.open_attempts().any(RunningAttempt::may_be_queued));
+        let open: Vec<TicketId> = open.map(|(ticket, _)| *ticket).collect();
+        for ticket in open {
+            self.update_start_bound(now, ticket);
+        }
+    }
+
+    /// Computes by when the attempts of a request must have begun.
+    pub(super) fn update_start_bound(&mut self, now: Instant, ticket: TicketId) {
+        self.clear_start_bound(ticket);
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let model = request.model.clone();
+        let (fleet, grace) = (&self.fleet, self.cfg.version_start_grace);
+        let queued = request.open_attempts_mut().filter(|a| a.may_be_queued());
+        let bounds = queued.filter_map(|attempt| {
+            attempt.start_bound = start_bound(fleet, now, attempt, model.as_deref(), grace);
+            attempt.start_bound
+        });
+        request.start_bound = bounds.min();
+        if let Some(bound) = request.start_bound {
+            self.start_bounds.insert((bound, ticket));
+        }
+    }
+
+    /// Removes the bound of a request, if any.
+    pub(super) fn clear_start_bound(&mut self, ticket: TicketId) {
+        let request = self.requests.get_mut(&ticket);
+        if let Some(bound) = request.and_then(|request| request.start_bound.take()) {
+            self.start_bounds.remove(&(bound, ticket));
+        }
+    }
+
+    /// True when an engine is expected to begin a request before its version ends, `predicted` being
+    /// the predicted time to the first event.
+    pub(super) fn starts_in_time(
+        &self,
+        now: Instant,
+        endpoint: &Endpoint,
+        model: Option<&str>,
+        predicted: impl FnOnce() -> Duration,
+    ) -> bool {
+        let version = endpoint.model(model).zip(endpoint.version(model));
+        let grace = self.cfg.version_start_grace;
+        let end =
+            version.and_then(|(model, version)| self.fleet.version_end(now, model, version, grace));
+        end.is_none_or(|end| {
+            let uncertainty = endpoint.load_age(now).unwrap_or(UNKNOWN_WAIT);
+            now + predicted() * START_UNCERTAINTY + uncertainty < end
+        })
+    }
+}
+
+/// Time by which an attempt must have begun; `None` for no bound.
+fn start_bound(
+    fleet: &Fleet,
+    now: Instant,
+    attempt: &mut RunningAttempt,
+    model: Option<&str>,
+    grace: Duration,
+) -> Option<Instant> {
+    let endpoint = fleet.get(&attempt.endpoint)?;
+    if endpoint.process() == attempt.process {
+        // A queued request begins on the version that the engine has by then.
+        attempt.version = attempt.version.max(endpoint.version(model));
+    }
+    fleet.version_end(now, endpoint.model(model)?, attempt.version?, grace)
+}
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -198,6 +198,11 @@
         load.switch_in.filter(|_| is_fresh).map(|left| *at + left)
     }
 
+    /// A model, or its first one when `model` is `None`; `None` for a plain service.
+    pub(super) fn model<'a>(&'a self, model: Option<&'a str>) -> Option<&'a str> {
+        model.or_else(|| self.listed.models.first().map(|(name, _)| &**name))
+    }
+
     /// Version that it serves of a model; of its first model when `model` is `None`.
     pub fn version(&self, model: Option<&str>) -> Option<u64> {
         let mut models = self.listed.models.iter();
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,8 @@
     pub named: ChangeTime,
     /// True when `named` was set for the first time or has changed noticeably.
     pub is_dated: bool,
+    /// True when `named` was set for the first time or has changed at all.
+    pub is_changed: bool,
 }
 
 /// Endpoints known to an entry, with evacuated zones and wanted weight versions.
@@ -182,6 +185,7 @@
             is_newest,
             named: refined,
             is_dated: before.is_none() || is_moved,
+            is_changed: before != Some(refined),
         }
     }
 
@@ -193,19 +197,20 @@
         })
     }
 
-    /// Oldest version of a model that may start a request: older ones are excluded `grace` after a
-    /// newer one may have become the wanted version. A version wanted since an unknown time counts
-    /// as past `grace`.
-    pub fn oldest_allowed_version(&self, now: Instant, model: &str, grace: Duration) -> u64 {
-        let due = self.wanted_versions.get(model).into_iter().flatten();
-        let is_due = |named: ChangeTime| {
-            let age = named.earliest().map(|at| now.saturating_duration_since(at));
-            age.is_none_or(|age| age >= grace)
-        };
-        due.filter(|(_, named)| is_due(**named))
-            .map(|(version, _)| *version)
-            .max()
-            .unwrap_or(0)
+    /// Time at which a version of a model ends: `grace` after a newer one may have become the wanted
+    /// version. That is `now` where the time is not known, and `None` while no newer one is wanted.
+    pub fn version_end(
+        &self,
+        now: Instant,
+        model: &str,
+        version: u64,
+        grace: Duration,
+    ) -> Option<Instant> {
+        let newer = (Bound::Excluded(version), Bound::Unbounded);
+        let newer = self.wanted_versions.get(model)?.range(newer);
+        newer
+            .map(|(_, named)| named.earliest().map_or(now, |at| at + grace))
+            .min()
     }
 
     /// Endpoints that may run a request now, regardless of their load.
@@ -245,14 +250,12 @@
         if self.mitigations.push && endpoint.is_switching(now) {
             return false;
         }
-        let model = query
-            .model
-            .or_else(|| endpoint.listed.models.first().map(|(name, _)| &**name));
+        let model = endpoint.model(query.model);
         let Some((model, version)) = model.zip(endpoint.version(query.model)) else {
             return false;
         };
-        query.version.is_none_or(|wanted| wanted == version)
-            && version >= self.oldest_allowed_version(now, model, grace)
+        let end = self.version_end(now, model, version, grace);
+        query.version.is_none_or(|wanted| wanted == version) && end.is_none_or(|end| now < end)
     }
 
     /// False when the request would delay an engine that is about to switch its version.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -20,7 +20,7 @@
 pub use configuration::{CallerLimits, Configuration, Customer, Repeat, Route, Target};
 pub use crash_watch::{EndpointProcess, EndpointSight};
 pub use dispatcher::{
-    Decision, DecisionInputs, DispatchConfig, Dispatcher, EndpointView, NextStep, Snapshot,
+    Decision, DecisionInputs, DispatchConfig, Dispatcher, EndpointView, NextStep, Recall, Snapshot,
 };
 pub use endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 pub use estimate::EngineModel;
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -68,6 +68,8 @@
     Silent,
     /// Another attempt of the same request went on first.
     Superseded,
+    /// It was taken back before its first event, since the version of its engine ends.
+    Recalled,
     /// The caller disconnected.
     CallerGone,
     /// The deadline for the whole answer passed.
@@ -145,6 +147,8 @@
     pub running: Option<RunningAttempt>,
     /// Attempt that has been silent for so long that another one is sent beside it.
     pub silent: Option<RunningAttempt>,
+    /// Time by which the first of its attempts must have begun; `None` without one.
+    pub start_bound: Option<Instant>,
     /// True while it is in the dispatcher's queue.
     pub is_waiting: bool,
 }
@@ -154,6 +158,10 @@
     pub fn open_attempts(&self) -> impl Iterator<Item = &RunningAttempt> {
         self.running.iter().chain(&self.silent)
     }
+
+    pub fn open_attempts_mut(&mut self) -> impl Iterator<Item = &mut RunningAttempt> {
+        self.running.iter_mut().chain(&mut self.silent)
+    }
 }
 
 /// Attempt in progress.
@@ -169,4 +177,17 @@
     pub started: bool,
     /// True once it has counted as silent; its times then tell nothing of the endpoint's speed.
     pub was_silent: bool,
+    /// Version that the endpoint is believed to begin it on; `None` for a plain service.
+    pub version: Option<u64>,
+    /// Time by which it must have begun; `None` without one.
+    pub start_bound: Option<Instant>,
+    /// Time at which it was taken back.
+    pub recalled_at: Option<Instant>,
+}
+
+impl RunningAttempt {
+    /// True while it may wait at the endpoint without having begun.
+    pub fn may_be_queued(&self) -> bool {
+        !self.started && self.recalled_at.is_none()
+    }
 }
--- a/src/dispatch/tests/configurations.rs
+++ b/src/dispatch/tests/configurations.rs
@@ -52,7 +52,7 @@
 fn a_waiting_request_keeps_to_versions_when_its_target_changes(#[case] change: TargetChange) {
     let named_at = Instant::now();
     let mut core = core(named_at);
-    core.set_wanted_version(MODEL, 2, ChangeTime::At(named_at));
+    core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at));
     let now = named_at + ms(7_000);
     set_out_of_service(&mut core, true);
     let ticket = core.admit(now, &request("chat")).unwrap();
--- a/src/dispatch/tests/endpoint_state.rs
+++ b/src/dispatch/tests/endpoint_state.rs
@@ -101,7 +101,10 @@
     let mut newer = load(0);
     newer.models = vec![(MODEL.into(), 2)];
     core.update_load(now, ip(3), newer.clone());
-    core.set_wanted_version(MODEL, 2, ChangeTime::At(now));
+    core.set_wanted_version(now, MODEL, 2, ChangeTime::At(now));
+    for host in [1, 2] {
+        core.update_load(now + ms(6_900), ip(host), load(0));
+    }
     assert!(chosen_endpoints(&mut core, now + ms(6_900), "chat").contains("e1"));
     core.update_load(now + ms(7_000), ip(3), newer);
     assert_eq!(
@@ -114,11 +117,11 @@
 fn a_version_wanted_since_before_the_start_counts_as_overdue_until_its_time_is_known() {
     let now = Instant::now();
     let mut core = core(now);
-    core.set_wanted_version(MODEL, 3, ChangeTime::Unknown);
+    core.set_wanted_version(now, MODEL, 3, ChangeTime::Unknown);
     assert!(chosen_endpoints(&mut core, now, "chat").is_empty());
     // Agents report that version 2 is overdue and version 3 is not.
-    core.set_wanted_version(MODEL, 2, ChangeTime::At(now - ms(9_000)));
-    core.set_wanted_version(MODEL, 3, ChangeTime::At(now));
+    core.set_wanted_version(now, MODEL, 2, ChangeTime::At(now - ms(9_000)));
+    core.set_wanted_version(now, MODEL, 3, ChangeTime::At(now));
     assert!(chosen_endpoints(&mut core, now, "chat").is_empty());
     let mut second = load(0);
     second.models = vec![(MODEL.into(), 2)];
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -157,6 +157,7 @@
         },
         cold_rate_adjustment: (1.0, 0.0),
         version_grace: ms(7_000),
+        version_start_grace: ms(7_500),
         mitigations: Mitigations::default(),
         seed,
     })
--- a/src/dispatch/tests/fuzz.rs
+++ b/src/dispatch/tests/fuzz.rs
@@ -235,8 +235,12 @@
                         _ => Some(self.now),
                     };
                     if let Some(since) = reported {
-                        self.core
-                            .set_wanted_version(MODEL, *version, ChangeTime::At(since));
+                        self.core.set_wanted_version(
+                            self.now,
+                            MODEL,
+                            *version,
+                            ChangeTime::At(since),
+                        );
                     }
                 }
             }
@@ -245,7 +249,7 @@
                 if let Some(named_at) = named_at.filter(|_| self.reports_versions()) {
                     let since = *named_at + Duration::from_millis(u64::from(*late));
                     self.core
-                        .set_wanted_version(MODEL, *version, ChangeTime::At(since));
+                        .set_wanted_version(self.now, MODEL, *version, ChangeTime::At(since));
                 }
             }
             Op::Configure(version, variant) => {
--- a/src/dispatch/tests/recall.rs
+++ b/src/dispatch/tests/recall.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 
 use super::fixture::*;
+use crate::codes::Code;
 use crate::dispatch::*;
 use crate::types::ChangeTime;
 
@@ -23,7 +24,7 @@
             true => ChangeTime::At(at),
             false => ChangeTime::After(at),
         };
-        core.set_wanted_version(MODEL, 2, named);
+        core.set_wanted_version(named_at, MODEL, 2, named);
     }
 }
 
@@ -59,7 +60,7 @@
 ) {
     let named_at = Instant::now();
     let mut core = core(named_at);
-    core.set_wanted_version(MODEL, 2, ChangeTime::At(named_at));
+    core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at));
     for host in [1, 2, 3] {
         if let Some(reported) = reported_ms {
             core.update_load(named_at + ms(reported), ip(host), load(0));
@@ -81,6 +82,129 @@
     let mut without = configuration(2, routes());
     without.targets.clear();
     core.set_configuration(Arc::new(without));
-    core.set_wanted_version(MODEL, 2, ChangeTime::At(now - ms(9_000)));
+    core.set_wanted_version(now, MODEL, 2, ChangeTime::At(now - ms(9_000)));
     assert_eq!(decide(&mut core, now, ticket), None);
 }
+
+/// Time after the naming of a version by which an attempt on an older one must have begun.
+const START_GRACE_MS: u64 = 7_500;
+
+/// What happens to an attempt while it waits at its engine.
+#[derive(Clone, Copy, Debug)]
+enum Meanwhile {
+    Nothing,
+    FirstEvent,
+    /// The engine reports that it serves the newer version.
+    NewerVersionThere,
+    /// The caller leaves.
+    CallerLeaves,
+}
+
+#[rstest]
+#[case::still_queued(Meanwhile::Nothing, true)]
+#[case::started(Meanwhile::FirstEvent, false)]
+#[case::begins_on_the_newer_version(Meanwhile::NewerVersionThere, false)]
+#[case::caller_gone(Meanwhile::CallerLeaves, false)]
+fn an_attempt_that_has_not_begun_when_its_version_ends_is_taken_back(
+    #[case] meanwhile: Meanwhile,
+    #[case] is_recalled: bool,
+) {
+    let named_at = Instant::now();
+    let mut core = core(named_at);
+    core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at));
+    let sent_at = named_at + ms(4_000);
+    let (ticket, assignment) = send(&mut core, sent_at, &request("chat"));
+    match meanwhile {
+        Meanwhile::Nothing => {}
+        Meanwhile::FirstEvent => core.attempt_started(sent_at + ms(90), ticket, Some(1)),
+        Meanwhile::NewerVersionThere => {
+            for host in [1, 2, 3] {
+                let mut load = load(0);
+                load.models = vec![(MODEL.into(), 2)];
+                core.update_load(sent_at + ms(90), ip(host), load);
+            }
+        }
+        Meanwhile::CallerLeaves => drop(core.finish(sent_at + ms(90), ticket)),
+    }
+    let bound = named_at + ms(START_GRACE_MS);
+    assert!(core.recall_overdue(bound - ms(1)).is_empty());
+    assert_eq!(core.recall(ticket), None);
+    let expected = Recall {
+        endpoint: assignment.endpoint,
+        version: Some(1),
+        waited: ms(3_500),
+        allowed: ms(3_500),
+    };
+    let expected = is_recalled.then_some(expected);
+    assert_eq!(core.recall_overdue(bound).len(), usize::from(is_recalled));
+    assert_eq!(core.recall(ticket), expected);
+    // Each attempt is taken back once.
+    assert!(core.recall_overdue(bound + ms(1)).is_empty());
+    assert_eq!(core.next_wakeup(), None);
+}
+
+#[test]
+fn a_version_that_proves_to_be_overdue_recalls_what_waits() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let (ticket, _) = send(&mut core, now, &request("chat"));
+    core.set_wanted_version(now, MODEL, 2, ChangeTime::At(now - ms(9_000)));
+    assert_eq!(core.recall_overdue(now), [ticket]);
+    let recall = core.recall(ticket).unwrap();
+    assert_eq!((recall.waited, recall.allowed), (ms(0), ms(0)));
+}
+
+#[test]
+fn attempts_at_plain_services_are_not_recalled() {
+    let now = Instant::now();
+    let mut core = core(now);
+    send(&mut core, now, &request("look"));
+    core.set_wanted_version(now, MODEL, 2, ChangeTime::Unknown);
+    assert!(core.recall_overdue(now + ms(9_000)).is_empty());
+}
+
+// Guards against requests that run twice, or are refused as not run, after an attempt that may have
+// begun was taken back.
+#[rstest]
+#[case::resumable(Repeat::Resumable, true)]
+#[case::safe(Repeat::Safe, true)]
+#[case::never(Repeat::Never, false)]
+fn a_recalled_request_is_sent_on_only_if_it_may_be_repeated(
+    #[case] repeat: Repeat,
+    #[case] is_sent_on: bool,
+) {
+    let named_at = Instant::now();
+    let mut core = core(named_at);
+    let routes = vec![route("chat", "engines", repeat)];
+    core.set_configuration(Arc::new(configuration(2, routes)));
+    core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at));
+    core.remove_endpoint(named_at, "e3", false);
+    let (ticket, first) = send(&mut core, named_at + ms(5_000), &request("chat"));
+    core.update_endpoint(named_at, listed("e3", "engines", 3, "south"));
+    let bound = named_at + ms(START_GRACE_MS);
+    let mut newer = load(0);
+    newer.models = vec![(MODEL.into(), 2)];
+    core.update_load(bound, ip(3), newer);
+    assert_eq!(core.recall_overdue(bound), [ticket]);
+    let step = core.attempt_ended(bound, ticket, AttemptOutcome::Recalled);
+    let failing = |core: &Dispatcher| {
+        let views = core.snapshot(bound).endpoints;
+        views
+            .iter()
+            .find(|e| e.id == first.endpoint)
+            .map(|e| (e.failing, e.own))
+    };
+    // The endpoint has done nothing wrong.
+    assert_eq!(failing(&core), Some((0.0, 0)));
+    match (step, is_sent_on) {
+        (NextStep::Wait, true) => {
+            let decision = decide(&mut core, bound, ticket);
+            match decision {
+                Some(Decision::Send(next)) => assert_eq!(&*next.endpoint, "e3"),
+                other => panic!("{other:?}"),
+            }
+        }
+        (NextStep::Refuse(refusal), false) => assert_eq!(refusal.code, Code::OutcomeUnknown),
+        (step, _) => panic!("{step:?}"),
+    }
+}
--- a/src/dispatch/tests/versions.rs
+++ b/src/dispatch/tests/versions.rs
@@ -10,6 +10,9 @@
 
 /// True when a request is sent to an engine that serves version 1.
 fn starts_on_version_1(core: &mut Dispatcher, now: Instant) -> bool {
+    for host in [1, 2, 3] {
+        core.update_load(now, ip(host), load(0));
+    }
     let ticket = core.admit(now, &request("chat")).unwrap();
     let decision = decide(core, now, ticket);
     core.finish(now, ticket);
@@ -30,7 +33,7 @@
     let named_at = Instant::now();
     let mut core = core(named_at);
     for since in reported_ms {
-        core.set_wanted_version(MODEL, 2, ChangeTime::At(named_at + ms(*since)));
+        core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at + ms(*since)));
     }
     let deadline = named_at + ms(wanted_since_ms + 7_000);
     assert!(starts_on_version_1(&mut core, deadline - ms(1)));
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -62,6 +62,8 @@
     pending: Mutex<PendingDecisions>,
     /// Notified when the core's next wake-up time may have changed.
     wakeup_changed: Notify,
+    /// Wakes the requests when the core takes back an attempt of some of them.
+    pub recalled: Notify,
     pub body_reader: BodyReader,
     pub metrics: Metrics,
 }
@@ -88,6 +90,7 @@
             core: Mutex::new(core),
             pending: Mutex::new(PendingDecisions::new()),
             wakeup_changed: Notify::new(),
+            recalled: Notify::new(),
             body_reader: BodyReader::default(),
             metrics,
         };
@@ -129,11 +132,16 @@
         changed
     }
 
-    /// Lets the core decide on waiting requests and delivers the decisions to the requests' tasks.
+    /// Lets the core decide on waiting requests and take back attempts, and delivers the decisions to
+    /// the requests' tasks.
     pub fn dispatch_waiting(&self) {
         let notices = {
+            let now = Instant::now();
             let mut core = self.core();
-            let decisions = core.dispatch_waiting(Instant::now());
+            if !core.recall_overdue(now).is_empty() {
+                self.inner.recalled.notify_waiters();
+            }
+            let decisions = core.dispatch_waiting(now);
             // The core stays locked, so that no task discards a decision before it is here.
             let mut pending = self.lock_pending();
             for (ticket, decision) in decisions {
@@ -350,6 +358,7 @@
             AttemptOutcome::Broken => Self::Broken,
             AttemptOutcome::Silent => Self::Silent,
             AttemptOutcome::Superseded => Self::Superseded,
+            AttemptOutcome::Recalled => Self::Recalled,
             AttemptOutcome::CallerGone => Self::CallerGone,
             AttemptOutcome::TimedOut => Self::TimedOut,
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod handle;
 mod notice;
 mod race;
+mod recall;
 mod refusal;
 mod stream;
 #[cfg(test)]
--- a/src/relay/race.rs
+++ b/src/relay/race.rs
@@ -8,7 +8,9 @@
 
 use crate::codes::Code;
 use crate::delivery::RetryDenied;
-use crate::dispatch::{Assignment, AttemptOutcome, Decision, DecisionInputs, NextStep, Repeat};
+use crate::dispatch::{
+    Assignment, AttemptOutcome, Decision, DecisionInputs, NextStep, Recall, Repeat,
+};
 use crate::http::AnswerBody;
 use crate::log_fields;
 use crate::telemetry::Event;
@@ -91,6 +93,8 @@
 
 /// What a race waits for.
 enum Input {
+    /// The core takes an attempt back.
+    Recalled(Recall),
     Decided(Decision),
     Running(Received),
     Silent(Received),
@@ -133,6 +137,7 @@
     pub async fn next(&mut self) -> Progress {
         loop {
             let progress = match self.wait().await {
+                Input::Recalled(recall) => self.end_recalled(&recall),
                 Input::Decided(decision) => self.decided(decision),
                 Input::Running(Received::Head(statement)) => {
                     self.silent_at = self.silence_deadline();
@@ -181,6 +186,7 @@
         let silent_at = self.silent_at.filter(|_| self.running.is_some());
         tokio::select! {
             biased;
+            recall = self.relay.recalled(self.ticket.id) => Input::Recalled(recall),
             decision = receive(&mut self.decision) => Input::Decided(decision),
             received = next_of(&mut self.running) => Input::Running(received),
             received = next_of(&mut self.silent) => Input::Silent(received),
@@ -321,6 +327,18 @@
         self.end_running(outcome)
     }
 
+    /// Ends an attempt that the core takes back; `None` when the request goes on.
+    fn end_recalled(&mut self, recall: &Recall) -> Option<Progress> {
+        self.ticket.log_recall(recall);
+        let outcome = AttemptOutcome::Recalled;
+        match &self.running {
+            Some(attempt) if attempt.assignment.endpoint == recall.endpoint => {
+                self.end_running(outcome)
+            }
+            _ => self.end_silent(outcome),
+        }
+    }
+
     /// Logs the end of an attempt and closes its connection, before another endpoint gets the request.
     fn close(&mut self, attempt: Attempt<D>, outcome: AttemptOutcome) {
         self.relay
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -61,6 +61,8 @@
     AttemptSilent = 407,
     /// no endpoint could be tried beside a silent one, which the request goes on to wait for
     SecondAttemptRefused = 408,
+    /// an attempt was taken back, since the engine has not begun it and its version ends
+    AttemptRecalled = 409,
     /// endpoint changed state
     EndpointState = 500,
     /// endpoint restarted
@@ -141,6 +143,7 @@
             Self::CallerLeft => log::Level::Info,
             Self::AttemptSilent => log::Level::Info,
             Self::SecondAttemptRefused => log::Level::Info,
+            Self::AttemptRecalled => log::Level::Info,
             Self::EndpointState => log::Level::Info,
             Self::EndpointRestarted => log::Level::Warn,
             Self::RequestSuspected => log::Level::Warn,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -50,6 +50,8 @@
     Superseded,
     /// The answer was not complete in time.
     TimedOut,
+    /// It was taken back, since the version of its engine ends.
+    Recalled,
     /// The caller went away.
     CallerGone,
 }
@@ -183,6 +185,7 @@
             AttemptResult::Silent => ("silent", 0),
             AttemptResult::Superseded => ("superseded", 0),
             AttemptResult::TimedOut => ("timed out", 0),
+            AttemptResult::Recalled => ("recalled", 0),
             AttemptResult::CallerGone => ("caller gone", 0),
         };
         let labels = [
