--- a/src/dispatch/tests/configurations.rs
+++ b/src/dispatch/tests/configurations.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 
 use super::fixture::*;
+use crate::codes::Code;
 use crate::dispatch::*;
 use crate::types::ChangeTime;
 
@@ -91,6 +92,20 @@
     assert_eq!(decide(&mut core, now, ticket), None);
 }
 
+// Guards against requests that begin on a version after its deadline because the configuration has a
+// route to a target that it does not declare.
+#[test]
+fn a_request_to_an_undeclared_target_is_refused() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let all = configuration(2, Vec::new());
+    let next = Configuration::new(2, routes(), None, Vec::new(), all.limits);
+    assert!(core.set_configuration(Arc::new(next)));
+    let refusal = core.admit(now, &request("chat")).unwrap_err();
+    assert_eq!(refusal.code, Code::NoEndpoint);
+    assert!(refusal.retry_after.is_some());
+}
+
 /// Number of waiting requests that are sent to the only endpoint, a cold one.
 fn sent_to_cold_endpoint(change: TargetChange) -> usize {
     let now = Instant::now();
