Refuse requests to a target that the configuration does not declare

Such a request was sent to whatever is listed under the name, without a check of versions and cold rate. It gets a refusal with a time to return now, and the declaration of a request's target always exists.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -35,12 +35,11 @@
                 decision => decision,
             });
         }
-        let admitted = request.admitted_target.as_ref();
-        let target = configuration.targets.get(&request.target).or(admitted);
+        let admitted = &request.admitted_target;
+        let target = configuration.targets.get(&request.target);
+        let target = target.unwrap_or(admitted);
         // Without an engine model, versions would not be checked.
-        let engine = [target, admitted]
-            .into_iter()
-            .find_map(|target| target?.engine.as_ref());
+        let engine = target.engine.as_ref().or(admitted.engine.as_ref());
         let query = EndpointQuery {
             target: &request.target,
             model: request.model.as_deref(),
@@ -101,7 +100,7 @@
             return is_expired.then(|| self.reject(now, ticket, Code::DeadlineUnreachable, inputs));
         }
         let id = endpoint.listed.id.clone();
-        let rate = target.map_or(0.0, |target| target.cold_rate);
+        let rate = target.cold_rate;
         if !self.cold_rate_admits(now, &id, rate) {
             return is_expired.then(|| self.reject(now, ticket, Code::NoEndpoint, inputs));
         }
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -334,6 +334,9 @@
             return Err(refusal.with_prompt_parts(prompt_parts(&blamed)));
         }
         let target = self.choose_target(&route);
+        let Some(admitted_target) = configuration.targets.get(&target).cloned() else {
+            return Err(self.refuse_unavailable(Code::NoEndpoint));
+        };
         let timeout = req.timeout.unwrap_or(route.timeout);
         let first = self.refused_callers.take(now, req.fingerprint);
         let first = first.filter(|_| self.cfg.mitigations.retry_abuse);
@@ -341,7 +344,7 @@
         let first_attempt_at = first.unwrap_or(now);
         let request = RequestState {
             target: target.clone(),
-            admitted_target: configuration.targets.get(&target).cloned(),
+            admitted_target,
             customer,
             model: req.model.clone(),
             prompt_tokens: req.prompt_tokens,
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -121,7 +121,7 @@
     pub target: TargetId,
     /// Declaration of the target when the request was admitted; applies where newer configurations
     /// no longer declare the target.
-    pub admitted_target: Option<Arc<Target>>,
+    pub admitted_target: Arc<Target>,
     pub customer: Option<Arc<Customer>>,
     pub model: Option<Arc<str>>,
     pub prompt_tokens: u32,
