Test requests whose bodies arrive beside signals and configurations

A request whose body arrives beside SIGHUP, SIGTERM, the stop of the listener, smaller limits or an outage of the store is answered.

--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -78,3 +79,91 @@
     }
     wait_until_closed(&mut stream).await;
 }
+
+/// Sends the head and half of the body of a request on a new connection.
+async fn send_half(site: &Site) -> TcpStream {
+    let mut stream = TcpStream::connect(site.caller_addr()).await.unwrap();
+    let head = "POST /write/x HTTP/1.1\r\nhost: site.example\r\nrequest-id: halves\r\n\
+                deadline-ms: 20000\r\nauthorization: Token key-1\r\ncontent-length: 8\r\n\r\nhalf";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    // The entry reads the head meanwhile.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    stream
+}
+
+/// Sends the rest of the body, and returns the answer.
+async fn send_rest(mut stream: TcpStream) -> Option<String> {
+    stream.write_all(b"half").await.ok()?;
+    read_answer(&mut stream).await
+}
+
+// Guards against requests that are refused, and their connections reset, while their bodies arrive
+// within the time that the configuration allows.
+#[tokio::test]
+async fn a_body_may_take_as_long_as_the_configuration_allows() {
+    let site = Site::start_serving(181, 1).await;
+    site.declare_edited(2, &["key-1"], |config| {
+        config["limits"]["headerMs"] = json!(20_000);
+    });
+    adopted(&site, 2).await;
+    let stream = send_half(&site).await;
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let answer = send_rest(stream).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// What happens while the body of a request arrives.
+#[derive(Clone, Copy, Debug)]
+enum Interruption {
+    Hangup,
+    Terminate,
+    /// Smaller limits, under which the request would be refused.
+    Limits,
+    /// The store is away.
+    Outage,
+}
+
+// Guards against requests that get no answer because of a signal or a configuration while their bodies
+// arrive.
+#[rstest]
+#[case::hangup(182, Interruption::Hangup)]
+#[case::terminate(183, Interruption::Terminate)]
+#[case::limits(184, Interruption::Limits)]
+#[case::outage(185, Interruption::Outage)]
+#[tokio::test]
+async fn a_request_is_answered_whose_body_arrives_beside(
+    #[case] network: u8,
+    #[case] interruption: Interruption,
+) {
+    let site = Site::start_serving(network, 1).await;
+    let stream = send_half(&site).await;
+    match interruption {
+        Interruption::Hangup => site.signal_entry("-HUP").await,
+        Interruption::Terminate => site.signal_entry("-TERM").await,
+        Interruption::Limits => {
+            site.declare_edited(2, &["key-1"], |config| {
+                config["limits"] = json!({"headerBytes": 16_384, "bodyBytes": 1,
+                                          "headerMs": 1, "idleMs": 1});
+            });
+            adopted(&site, 2).await;
+        }
+        Interruption::Outage => site.store.set_online(false),
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answer = send_rest(stream).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let closes = answer.contains("connection: close");
+    assert_eq!(closes, matches!(interruption, Interruption::Terminate));
+}
+
+// Guards against a drain that cuts requests which are read at its end, 3 s after the signal.
+#[tokio::test]
+async fn a_request_is_answered_whose_body_arrives_while_the_listener_stops() {
+    let site = Site::start_serving(186, 1).await;
+    site.signal_entry("-TERM").await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let stream = send_half(&site).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let answer = send_rest(stream).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
