Let a body arrive for as long as the configuration allows

A caller whose body took longer than 3 s got 408, although headerMs bounds heads and bodies and was longer: the timeout of bodies was a constant. It now follows the configuration where that allows more; a shorter one leaves 3 s, since a body is also delayed on its way. connections::a_body_may_take_as_long_as_the_configuration_allows failed before and passes.

--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -26,7 +26,7 @@
 use super::stream;
 use super::ticket::Ticket;
 
-/// Limits of a request body. A configuration replaces the size and keeps the timeout.
+/// Limits of a request body. A configuration replaces the size, and may lengthen the timeout.
 const DEFAULT_BODY_LIMITS: BodyLimits = BodyLimits {
     bytes: 4 << 20,
     timeout: Duration::from_secs(3),
@@ -190,7 +190,10 @@
             .configuration()
             .map_or(DEFAULT_BODY_LIMITS, |configuration| BodyLimits {
                 bytes: configuration.limits.body_bytes,
-                timeout: DEFAULT_BODY_LIMITS.timeout,
+                // Bodies are also delayed on their way, which callers do not see.
+                timeout: DEFAULT_BODY_LIMITS
+                    .timeout
+                    .max(configuration.limits.header_timeout),
             });
         let body = match read_body(body, limits).await {
             Ok(body) => body,
