Test that a drain answers a request that has arrived

When a whole request and the drain come before a connection is served again, tokio::select! takes either first, and a drain taken first closes the idle connection with the request unread. The test fails at the first of 50 connections.

--- a/src/http/tests/connection.rs
+++ b/src/http/tests/connection.rs
@@ -182,3 +182,16 @@
     assert!(caller.read_answer().await.is_some());
     assert_eq!(caller.time_to_close().await, secs(after));
 }
+
+// Guards against a drain that closes a used connection on which a request has arrived.
+#[tokio::test(start_paused = true)]
+async fn a_drain_answers_a_request_that_has_arrived() {
+    for n in 0..50 {
+        let mut caller = Caller::connect(secs(60));
+        assert!(caller.call().await.is_some());
+        caller.stream.write_all(REQUEST).await.unwrap();
+        caller.drain.cancel();
+        assert!(caller.read_answer().await.is_some(), "{n}");
+        caller.serving.await.unwrap();
+    }
+}
