Read a request that has arrived before a drain closes its connection

Callers whose request arrived in the same moment as the drain of a stopping entry had their connection closed and had to send it again. The connection is now polled before the drain is looked at, so that what has arrived is read and answered. The test that failed at the first of 50 connections passes for all.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -44,6 +44,8 @@
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         tokio::select! {
+            // A request that has arrived is read before a drain closes an idle connection.
+            biased;
             _ = connection.as_mut() => return,
             () = self.kill.cancelled() => return,
             () = self.drain.cancelled() => connection.as_mut().graceful_shutdown(),
