Test unusual requests on connections of callers

Requests without a deadline or with the largest one, with the largest token counts, over HTTP/1.0, with a body on GET, in chunks, two at once, and with a body that is sent only when asked for are answered; no fault was found.

--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -167,3 +167,46 @@
     let answer = send_rest(stream).await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+// Guards against handlers that end without an answer for unusual but valid requests.
+#[tokio::test]
+async fn unusual_requests_are_answered() {
+    let site = Site::start_serving(187, 1).await;
+    let head = |protocol: &str, headers: &str| {
+        format!(
+            "GET /read/x {protocol}\r\nhost: site.example\r\nrequest-id: unusual\r\n\
+             authorization: Token key-1\r\n{headers}\r\n"
+        )
+    };
+    let requests = [
+        head("HTTP/1.1", ""),
+        head("HTTP/1.1", "deadline-ms: 18446744073709551615\r\n"),
+        head("HTTP/1.1", "token-usage: 4294967295,4294967295\r\n"),
+        head("HTTP/1.0", "deadline-ms: 6000\r\n"),
+        head("HTTP/1.1", "content-length: 4\r\n") + "body",
+        head("HTTP/1.1", "transfer-encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n",
+    ];
+    for req in requests {
+        let mut stream = TcpStream::connect(site.caller_addr()).await.unwrap();
+        stream.write_all(req.as_bytes()).await.unwrap();
+        let answer = read_answer(&mut stream).await.expect(&req);
+        assert_eq!(answer.split(' ').nth(1), Some("200"), "{req}{answer}");
+    }
+    // The second of two requests that are sent at once.
+    let mut stream = TcpStream::connect(site.caller_addr()).await.unwrap();
+    stream
+        .write_all(REQUEST.repeat(2).as_bytes())
+        .await
+        .unwrap();
+    assert!(read_answer(&mut stream).await.is_some());
+    assert!(read_answer(&mut stream).await.is_some());
+    // A body that is sent only once it is asked for.
+    let mut stream = TcpStream::connect(site.caller_addr()).await.unwrap();
+    let req = head("HTTP/1.1", "expect: 100-continue\r\ncontent-length: 4\r\n");
+    stream.write_all(req.as_bytes()).await.unwrap();
+    let mut asked = [0; 25];
+    stream.read_exact(&mut asked).await.unwrap();
+    assert_eq!(&asked, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"body").await.unwrap();
+    assert!(read_answer(&mut stream).await.is_some());
+}
