--- a/src/http/tests/connection.rs
+++ b/src/http/tests/connection.rs
@@ -195,3 +195,13 @@
         caller.serving.await.unwrap();
     }
 }
+
+/// Over TCP, a caller that closes its side looks like one that has left; its request is ended.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_closes_its_side_has_left() {
+    let mut caller = Caller::connect(secs(60));
+    caller.stream.write_all(REQUEST).await.unwrap();
+    sleep(secs(1)).await;
+    caller.stream.shutdown().await.unwrap();
+    assert!(caller.time_to_close().await < HANDLER_TIME);
+}
