--- /dev/null
+++ b/src/dispatch/tests/fuzz/ops.rs
@@ -0,0 +1,55 @@
+//! Operations of a sequence.
+
+use proptest::prelude::*;
+
+use crate::dispatch::AttemptOutcome;
+
+/// Operation of a sequence; endpoints, routes and running requests are given by index.
+#[derive(Clone, Debug)]
+pub(super) enum Op {
+    Advance(u16),
+    Admit(usize, bool),
+    EndAttempt(usize, AttemptOutcome),
+    StartAnswer(usize),
+    Leave(usize),
+    Join(usize),
+    Evacuate(bool),
+    Load(usize, u32, u64),
+    SetWantedVersion(u64),
+    /// A wanted version is reported again, with a time that is later by so many milliseconds.
+    RepeatWantedVersion(u64, u16),
+    Configure(u64),
+}
+
+fn outcome() -> impl Strategy<Value = AttemptOutcome> {
+    prop_oneof![
+        4 => Just(AttemptOutcome::Answered),
+        1 => Just(AttemptOutcome::Failed),
+        1 => Just(AttemptOutcome::Rejected),
+        2 => Just(AttemptOutcome::NotRun { is_full: true }),
+        1 => Just(AttemptOutcome::NotRun { is_full: false }),
+        2 => Just(AttemptOutcome::NotSent),
+        2 => Just(AttemptOutcome::Broken),
+        1 => Just(AttemptOutcome::Silent),
+        1 => Just(AttemptOutcome::CallerGone),
+        1 => Just(AttemptOutcome::TimedOut),
+    ]
+}
+
+pub(super) fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => (0u16..400).prop_map(Op::Advance),
+        // Attempts wait at endpoints for up to their deadline.
+        1 => (400u16..6_000).prop_map(Op::Advance),
+        6 => (0usize..3, any::<bool>()).prop_map(|(route, south)| Op::Admit(route, south)),
+        6 => (0usize..8, outcome()).prop_map(|(at, end)| Op::EndAttempt(at, end)),
+        2 => (0usize..8).prop_map(Op::StartAnswer),
+        1 => (0usize..5).prop_map(Op::Leave),
+        2 => (0usize..5).prop_map(Op::Join),
+        1 => any::<bool>().prop_map(Op::Evacuate),
+        3 => (0usize..3, 0u32..30, 1u64..4).prop_map(|(host, n, v)| Op::Load(host, n, v)),
+        1 => (1u64..4).prop_map(Op::SetWantedVersion),
+        2 => (1u64..4, 0u16..8_000).prop_map(|(v, late)| Op::RepeatWantedVersion(v, late)),
+        1 => (1u64..9).prop_map(Op::Configure),
+    ]
+}
