Count what other entries may send to an engine whose version ends

Shortly before a version ends, an entry now assumes that each other entry has sent to the engine as much since its last load report as itself.

entries_that_send_at_once_leave_an_engine_whose_version_ends_time_to_begin failed before (40 sent by five entries, the last beginning after 3.39 s where 0.77 s were left) and passes now.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -54,7 +54,7 @@
         let eligible: Vec<&Endpoint> = self
             .fleet
             .eligible(now, query, self.cfg.version_grace)
-            .filter(|e| self.starts_in_time(now, e, query.model, || predict(e)))
+            .filter(|e| self.starts_in_time(now, e, engine, request))
             .collect();
         let mut inputs = DecisionInputs {
             configuration: configuration.version,
--- a/src/dispatch/dispatcher/recall.rs
+++ b/src/dispatch/dispatcher/recall.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use crate::dispatch::endpoint::Endpoint;
+use crate::dispatch::estimate::EngineModel;
 use crate::dispatch::fleet::Fleet;
-use crate::dispatch::request::{RunningAttempt, TicketId};
+use crate::dispatch::request::{RequestState, RunningAttempt, TicketId};
 use crate::types::EndpointId;
 
 use super::Dispatcher;
@@ -118,23 +119,26 @@
         }
     }
 
-    /// True when an engine is expected to begin a request before its version ends, `predicted` being
-    /// the predicted time to the first event.
+    /// True when an engine is expected to begin a request before its version ends, though the other
+    /// entries may send to it at the same time.
     pub(super) fn starts_in_time(
         &self,
         now: Instant,
         endpoint: &Endpoint,
-        model: Option<&str>,
-        predicted: impl FnOnce() -> Duration,
+        engine: Option<&EngineModel>,
+        request: &RequestState,
     ) -> bool {
+        let model = request.model.as_deref();
         let version = endpoint.model(model).zip(endpoint.version(model));
         let grace = self.cfg.version_start_grace;
         let end =
             version.and_then(|(model, version)| self.fleet.version_end(now, model, version, grace));
-        end.is_none_or(|end| {
-            let uncertainty = endpoint.load_age(now).unwrap_or(UNKNOWN_WAIT);
-            now + predicted() * START_UNCERTAINTY + uncertainty < end
-        })
+        let Some((end, engine)) = end.zip(engine) else {
+            return true;
+        };
+        let predicted = endpoint.predict_crowded(now, engine, request.prompt_tokens, self.entries);
+        let uncertainty = endpoint.load_age(now).unwrap_or(UNKNOWN_WAIT);
+        now + predicted * START_UNCERTAINTY + uncertainty < end
     }
 }
 
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -222,18 +222,13 @@
     ) -> Duration {
         let in_system = self.in_system(now, entries);
         let modelled = match engine {
-            Some(engine) => {
-                let slowdown = self
-                    .fresh_report(now)
-                    .map_or(1.0, |load| load.slowdown.max(0.1));
-                engine
-                    .time_to_first_event(
-                        in_system,
-                        self.occupancy.pending_prefill(),
-                        f64::from(prompt),
-                    )
-                    .mul_f64(slowdown)
-            }
+            Some(engine) => self.modelled_start(
+                now,
+                engine,
+                in_system,
+                self.occupancy.pending_prefill(),
+                prompt,
+            ),
             None => {
                 let slots = self.listed.slots.max(1);
                 let ahead = (in_system + 1).saturating_sub(slots);
@@ -244,6 +239,38 @@
         modelled.mul_f64(self.bias)
     }
 
+    /// Predicted time to the first event if each of `entries` entries has sent as much since the last
+    /// load report as this one.
+    pub(super) fn predict_crowded(
+        &self,
+        now: Instant,
+        engine: &EngineModel,
+        prompt: u32,
+        entries: u32,
+    ) -> Duration {
+        let others = entries.saturating_sub(1);
+        let in_system = self.in_system(now, entries) + others * self.occupancy.since_report();
+        let pending = self.occupancy.pending_prefill() * f64::from(entries);
+        self.modelled_start(now, engine, in_system, pending, prompt)
+            .mul_f64(self.bias)
+    }
+
+    fn modelled_start(
+        &self,
+        now: Instant,
+        engine: &EngineModel,
+        in_system: u32,
+        pending_prefill: f64,
+        prompt: u32,
+    ) -> Duration {
+        let slowdown = self
+            .fresh_report(now)
+            .map_or(1.0, |load| load.slowdown.max(0.1));
+        engine
+            .time_to_first_event(in_system, pending_prefill, f64::from(prompt))
+            .mul_f64(slowdown)
+    }
+
     /// Estimated requests per slot; above 1 when requests are queued.
     pub fn load(&self, now: Instant, entries: u32) -> f64 {
         f64::from(self.in_system(now, entries)) / f64::from(self.listed.slots.max(1))
--- a/src/dispatch/patterns/departures.rs
+++ b/src/dispatch/patterns/departures.rs
@@ -33,6 +33,11 @@
         self.pending_prefill
     }
 
+    /// Requests sent minus requests ended since the last load report.
+    pub fn since_report(&self) -> u32 {
+        u32::try_from(self.since_report).unwrap_or(0)
+    }
+
     /// Estimate from the last load report, which counted `reported` requests.
     pub fn with_report(&self, reported: u32) -> u32 {
         let estimate = i64::from(reported) + self.since_report;
--- a/src/dispatch/tests/recall.rs
+++ b/src/dispatch/tests/recall.rs
@@ -72,6 +72,35 @@
     assert!(!matches!(decision, Some(Decision::Send(_))), "{decision:?}");
 }
 
+// Guards against attempts that are taken back in numbers, because each entry sends to an engine that
+// has just reported that it is idle as if no other did.
+#[test]
+fn entries_that_send_at_once_leave_an_engine_whose_version_ends_time_to_begin() {
+    const ENTRIES: u32 = 5;
+    let named_at = Instant::now();
+    let now = named_at + ms(6_730);
+    let mut sent = 0;
+    for seed in 0..ENTRIES {
+        let mut core = core_with_seed(named_at, u64::from(seed));
+        core.set_entry_count(named_at, ENTRIES);
+        core.remove_endpoint(named_at, "e2", false);
+        core.remove_endpoint(named_at, "e3", false);
+        core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at));
+        core.update_load(now, ip(1), load(0));
+        for _ in 0..16 {
+            core.admit(now, &request("chat")).unwrap();
+        }
+        sent += core.dispatch_waiting(now).len() as u32;
+    }
+    let prompt = f64::from(request("chat").prompt_tokens);
+    let queued = f64::from(sent - 1) * prompt;
+    let last = engine_model().time_to_first_event(sent - 1, queued, prompt);
+    assert!(
+        now + last <= named_at + ms(START_GRACE_MS),
+        "{sent} sent, {last:?}"
+    );
+}
+
 // Guards against requests on a version that has ended, because a newer configuration no longer has
 // their target and nothing tells that its endpoints are engines.
 #[test]
