--- a/src/dispatch/tests/fuzz/mod.rs
+++ b/src/dispatch/tests/fuzz/mod.rs
@@ -19,7 +19,7 @@
 use crate::fuzz_config::fuzz_config;
 use crate::types::ChangeTime;
 
-use ops::{Op, op};
+use ops::{Op, configuration_variant, op};
 
 /// Number of generated sequences per run.
 const CASES: u32 = 256;
@@ -52,6 +52,8 @@
     VersionReportedLate,
     /// Older configurations replace newer ones.
     OlderConfigurationApplied,
+    /// A configuration without routes ends the requests that were admitted before.
+    AdmittedRequestsDropped,
     /// Attempts that are taken back stay at their endpoints.
     RecallIgnored,
     /// Attempts are taken back at the next operation only.
@@ -87,6 +89,10 @@
     configuration: u64,
     /// Requests and repeated attempts, for the desk and for the engines.
     counts: [(u32, u32); 2],
+    /// Number of requests that were admitted, and of those that have ended by an answer, a refusal or
+    /// the caller's departure.
+    admitted: u32,
+    ended: u32,
 }
 
 type Check = Result<(), TestCaseError>;
@@ -106,6 +112,8 @@
             wanted_versions: BTreeMap::new(),
             configuration: 1,
             counts: [(0, 0); 2],
+            admitted: 0,
+            ended: 0,
         }
         .joined()
     }
@@ -199,18 +207,21 @@
                         .set_wanted_version(self.now, MODEL, *version, ChangeTime::At(since));
                 }
             }
-            Op::Configure(version) => {
+            Op::Configure(version, variant) => {
+                let next = Arc::new(configuration_variant(*version, *variant));
                 if self.fault == InjectedFault::OlderConfigurationApplied
                     && *version < self.configuration
                 {
-                    let older = Arc::new(configuration(*version, routes()));
                     // A dispatcher that restarts from a stale configuration.
                     self.core = core(self.now);
-                    self.core.set_configuration(older);
-                } else {
-                    self.core
-                        .set_configuration(Arc::new(configuration(*version, routes())));
                 }
+                let drops = self.fault == InjectedFault::AdmittedRequestsDropped;
+                if drops && next.route_count() == 0 {
+                    for ticket in self.tickets.keys() {
+                        self.core.finish(self.now, *ticket);
+                    }
+                }
+                self.core.set_configuration(next);
                 self.configuration = self.configuration.max(*version);
                 let in_force = self
                     .core
@@ -301,6 +312,7 @@
             ..request(ROUTES[route])
         };
         if let Ok(ticket) = self.core.admit(self.now, &req) {
+            self.admitted += 1;
             self.counts[usize::from(route == 0)].0 += 1;
             let request = TrackedRequest {
                 route,
@@ -341,17 +353,32 @@
         };
         match self.core.attempt_ended(self.now, ticket, reported) {
             NextStep::Wait => Ok(()),
+            NextStep::KeepSilent => Err(TestCaseError::fail("no attempt is silent here")),
             NextStep::Finish => {
-                self.tickets.remove(&ticket);
-                Ok(())
+                // Without an outcome to forward, nothing reaches the caller.
+                let is_final = matches!(
+                    reported,
+                    AttemptOutcome::Answered
+                        | AttemptOutcome::Rejected
+                        | AttemptOutcome::Failed
+                        | AttemptOutcome::CallerGone
+                );
+                prop_assert!(is_final, "a request ends without an answer");
+                self.end_request(ticket).map(|_| ())
             }
             NextStep::Refuse(refusal) => self.refused(ticket, refusal.code.run_state()),
         }
     }
 
-    fn refused(&mut self, ticket: TicketId, run: RunState) -> Check {
+    /// Removes a request that has ended, which happens once.
+    fn end_request(&mut self, ticket: TicketId) -> Result<TrackedRequest, TestCaseError> {
+        self.ended += 1;
         let request = self.tickets.remove(&ticket);
-        let ran = request.is_some_and(|request| request.may_have_run);
+        request.ok_or_else(|| TestCaseError::fail("a request ends twice"))
+    }
+
+    fn refused(&mut self, ticket: TicketId, run: RunState) -> Check {
+        let ran = self.end_request(ticket)?.may_have_run;
         prop_assert!(
             !ran || run != RunState::NotRun,
             "a request that may have run is refused as not run"
@@ -364,6 +391,9 @@
             match decision {
                 Decision::Refuse(refusal, _) => self.refused(ticket, refusal.code.run_state())?,
                 Decision::Send(assignment) => self.sent(ticket, &assignment)?,
+                Decision::KeepSilent(..) => {
+                    return Err(TestCaseError::fail("no attempt is silent here"));
+                }
             }
         }
         Ok(())
@@ -376,8 +406,9 @@
         let host = host.unwrap_or(usize::MAX);
         let overdue = self.version_named_before(SEND_GRACE);
         let Some(request) = self.tickets.get_mut(&ticket) else {
-            return Ok(());
+            return Err(TestCaseError::fail("a request is sent after its end"));
         };
+        prop_assert!(request.running_at.is_none(), "two attempts run at once");
         let (_, target, _, region) = HOSTS[host];
         let is_chat = request.route == 0;
         prop_assert_eq!(target == "engines", is_chat, "sent to another target");
@@ -430,9 +461,11 @@
             .filter(|request| request.running_at.is_none());
         prop_assert_eq!(waiting.count(), 0, "a request still waits");
         while let Some(ticket) = self.running(0) {
-            self.tickets.remove(&ticket);
-            self.core.finish(self.now, ticket);
+            self.end_request(ticket)?;
+            let departure = self.core.finish(self.now, ticket);
+            prop_assert!(departure.is_some(), "a running request is unknown");
         }
+        prop_assert_eq!(self.admitted, self.ended, "a request has not ended");
         let left = self.core.snapshot(self.now);
         prop_assert_eq!((left.requests, left.waiting), (0, 0));
         prop_assert!(
@@ -470,6 +503,7 @@
 #[case::version_not_applied(InjectedFault::VersionNotApplied)]
 #[case::version_reported_late(InjectedFault::VersionReportedLate)]
 #[case::older_configuration_applied(InjectedFault::OlderConfigurationApplied)]
+#[case::admitted_requests_dropped(InjectedFault::AdmittedRequestsDropped)]
 #[case::recall_ignored(InjectedFault::RecallIgnored)]
 #[case::wakeup_ignored(InjectedFault::WakeupIgnored)]
 fn an_injected_fault_is_detected(#[case] fault: InjectedFault) {
--- a/src/dispatch/tests/fuzz/ops.rs
+++ b/src/dispatch/tests/fuzz/ops.rs
@@ -2,7 +2,26 @@
 
 use proptest::prelude::*;
 
-use crate::dispatch::AttemptOutcome;
+use crate::dispatch::tests::fixture::{configuration, customers, routes};
+use crate::dispatch::{AttemptOutcome, Configuration, Target};
+
+/// Number of variants of a configuration.
+const VARIANTS: u8 = 8;
+
+/// A configuration; each bit of `variant` drops something that admitted requests may need: the routes,
+/// the customers' keys, and the targets.
+pub(super) fn configuration_variant(version: u64, variant: u8) -> Configuration {
+    let has = |bit: u8| variant & bit == 0;
+    let all = configuration(version, Vec::new());
+    let targets = all.targets.values().filter(|_| has(4));
+    Configuration::new(
+        version,
+        routes().into_iter().filter(|_| has(1)).collect(),
+        Some(customers().into_iter().filter(|_| has(2)).collect()),
+        targets.map(|target| Target::clone(target)).collect(),
+        all.limits,
+    )
+}
 
 /// Operation of a sequence; endpoints, routes and running requests are given by index.
 #[derive(Clone, Debug)]
@@ -18,7 +37,8 @@
     SetWantedVersion(u64),
     /// A wanted version is reported again, with a time that is later by so many milliseconds.
     RepeatWantedVersion(u64, u16),
-    Configure(u64),
+    /// A configuration with this version, and a number of [`configuration_variant`].
+    Configure(u64, u8),
 }
 
 fn outcome() -> impl Strategy<Value = AttemptOutcome> {
@@ -36,6 +56,11 @@
     ]
 }
 
+/// Variant of a configuration; most drop nothing, so that requests are admitted.
+fn variant() -> impl Strategy<Value = u8> {
+    prop_oneof![6 => Just(0), 1 => 1..VARIANTS]
+}
+
 pub(super) fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
         4 => (0u16..400).prop_map(Op::Advance),
@@ -50,6 +75,6 @@
         3 => (0usize..3, 0u32..30, 1u64..4).prop_map(|(host, n, v)| Op::Load(host, n, v)),
         1 => (1u64..4).prop_map(Op::SetWantedVersion),
         2 => (1u64..4, 0u16..8_000).prop_map(|(v, late)| Op::RepeatWantedVersion(v, late)),
-        1 => (1u64..9).prop_map(Op::Configure),
+        1 => (1u64..60, variant()).prop_map(|(v, variant)| Op::Configure(v, variant)),
     ]
 }
