Keep model and version with an attempt, so that its time to begin outlives the listing

The model was looked up in the engine's listing whenever the time was computed anew. An engine that is listed without a whole model, or leaves the list, while an attempt waits there would have taken the time away (by reading, not seen). How an attempt was taken back is kept in one value.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -1,5 +1,6 @@
 //! Selection of an endpoint for a waiting request.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::codes::Code;
@@ -160,6 +161,7 @@
         endpoint.sent(now, request.prompt_tokens);
         endpoint.limit.sent(now, entries);
         let version = assignment.version;
+        let model = endpoint.model(request.model.as_deref()).map(Arc::from);
         request.is_waiting = false;
         request.tried.push(id.clone());
         request.attempts.sent += 1;
@@ -170,9 +172,10 @@
             predicted,
             started: false,
             was_silent: false,
+            model,
             version,
             start_bound: None,
-            recalled_at: None,
+            recall: None,
         });
         self.update_start_bound(now, ticket);
         Some(assignment)
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -30,7 +30,6 @@
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
 use super::statement::StatementSource;
 
-pub use recall::Recall;
 use recall::StartBounds;
 
 /// Number of entries assumed to share the fleet until agents report it.
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -26,7 +26,7 @@
             return;
         };
         running.started = true;
-        running.recalled_at = None;
+        running.recall = None;
         let took = now.saturating_duration_since(running.since);
         if let Some(endpoint) = self.fleet.get_mut(&running.endpoint) {
             endpoint.started(request.prompt_tokens);
--- a/src/dispatch/dispatcher/recall.rs
+++ b/src/dispatch/dispatcher/recall.rs
@@ -9,8 +9,7 @@
 use crate::dispatch::endpoint::Endpoint;
 use crate::dispatch::estimate::EngineModel;
 use crate::dispatch::fleet::Fleet;
-use crate::dispatch::request::{RequestState, RunningAttempt, TicketId};
-use crate::types::EndpointId;
+use crate::dispatch::request::{Recall, RequestState, RunningAttempt, TicketId};
 
 use super::Dispatcher;
 
@@ -20,19 +19,6 @@
 /// Assumed wait at an engine whose load is not known: a full queue takes about as long.
 const UNKNOWN_WAIT: Duration = Duration::from_secs(2);
 
-/// An attempt that was taken back because its engine's version ends.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Recall {
-    /// Engine that has not begun it.
-    pub endpoint: EndpointId,
-    /// Version that the engine is believed to serve.
-    pub version: Option<u64>,
-    /// Time for which the attempt has waited.
-    pub waited: Duration,
-    /// Time from its sending until it had to begin; zero when that was already past.
-    pub allowed: Duration,
-}
-
 /// Requests with attempts that have to begin by some time, earliest first.
 ///
 /// Invariant: contains exactly the requests with
@@ -52,11 +38,19 @@
             let Some(request) = self.requests.get_mut(&ticket) else {
                 continue;
             };
-            let is_overdue = |attempt: &&mut RunningAttempt| {
-                attempt.may_be_queued() && attempt.start_bound.is_some_and(|at| at <= now)
-            };
-            let overdue = request.open_attempts_mut().filter(is_overdue);
-            if overdue.map(|a| a.recalled_at = Some(now)).count() > 0 {
+            let mut is_recalled = false;
+            for attempt in request.open_attempts_mut().filter(|a| a.may_be_queued()) {
+                if let Some(bound) = attempt.start_bound.filter(|bound| *bound <= now) {
+                    attempt.recall = Some(Recall {
+                        endpoint: attempt.endpoint.clone(),
+                        version: attempt.version,
+                        waited: now.saturating_duration_since(attempt.since),
+                        allowed: bound.saturating_duration_since(attempt.since),
+                    });
+                    is_recalled = true;
+                }
+            }
+            if is_recalled {
                 recalled.push(ticket);
                 self.update_start_bound(now, ticket);
             }
@@ -64,20 +58,10 @@
         recalled
     }
 
-    /// An attempt of a request that was taken back and has not ended; `None` without one.
+    /// How an attempt of a request was taken back that has not ended since; `None` without one.
     pub fn recall(&self, ticket: TicketId) -> Option<Recall> {
         let mut attempts = self.requests.get(&ticket)?.open_attempts();
-        attempts.find_map(|attempt| {
-            let at = attempt.recalled_at?;
-            Some(Recall {
-                endpoint: attempt.endpoint.clone(),
-                version: attempt.version,
-                waited: at.saturating_duration_since(attempt.since),
-                allowed: attempt.start_bound.map_or(Duration::ZERO, |bound| {
-                    bound.saturating_duration_since(attempt.since)
-                }),
-            })
-        })
+        attempts.find_map(|attempt| attempt.recall.clone())
     }
 
     /// Computes the bounds of all attempts anew, as another naming time of a version is known.
@@ -98,11 +82,10 @@
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let model = request.model.clone();
         let (fleet, grace) = (&self.fleet, self.cfg.version_start_grace);
         let queued = request.open_attempts_mut().filter(|a| a.may_be_queued());
         let bounds = queued.filter_map(|attempt| {
-            attempt.start_bound = start_bound(fleet, now, attempt, model.as_deref(), grace);
+            attempt.start_bound = start_bound(fleet, now, attempt, grace);
             attempt.start_bound
         });
         request.start_bound = bounds.min();
@@ -147,13 +130,14 @@
     fleet: &Fleet,
     now: Instant,
     attempt: &mut RunningAttempt,
-    model: Option<&str>,
     grace: Duration,
 ) -> Option<Instant> {
-    let endpoint = fleet.get(&attempt.endpoint)?;
-    if endpoint.process() == attempt.process {
+    let endpoint = fleet.get(&attempt.endpoint);
+    if let Some(endpoint) = endpoint.filter(|e| e.process() == attempt.process) {
         // A queued request begins on the version that the engine has by then.
-        attempt.version = attempt.version.max(endpoint.version(model));
+        let version = endpoint.version(attempt.model.as_deref());
+        attempt.version = attempt.version.max(version);
     }
-    fleet.version_end(now, endpoint.model(model)?, attempt.version?, grace)
+    let (model, version) = attempt.model.as_deref().zip(attempt.version)?;
+    fleet.version_end(now, model, version, grace)
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -20,12 +20,12 @@
 pub use configuration::{CallerLimits, Configuration, Customer, Repeat, Route, Target};
 pub use crash_watch::{EndpointProcess, EndpointSight};
 pub use dispatcher::{
-    Decision, DecisionInputs, DispatchConfig, Dispatcher, EndpointView, NextStep, Recall, Snapshot,
+    Decision, DecisionInputs, DispatchConfig, Dispatcher, EndpointView, NextStep, Snapshot,
 };
 pub use endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 pub use estimate::EngineModel;
 pub use fleet::{Fleet, VersionUpdate};
 pub use notice::{BlameSource, CrashSign, Notice};
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
-pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, TicketId};
+pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, Recall, TicketId};
 pub use statement::{LimitStatement, Statement, StatementSource};
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -110,6 +110,19 @@
     pub version: Option<u64>,
 }
 
+/// An attempt that was taken back because its engine's version ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recall {
+    /// Engine that has not begun it.
+    pub endpoint: EndpointId,
+    /// Version that the engine is believed to serve.
+    pub version: Option<u64>,
+    /// Time for which the attempt has waited.
+    pub waited: Duration,
+    /// Time from its sending until it had to begin; zero when that was already past.
+    pub allowed: Duration,
+}
+
 /// State of an admitted request.
 ///
 /// Invariants: at most two attempts run at a time, `running` and `silent`, at different endpoints; a
@@ -177,17 +190,19 @@
     pub started: bool,
     /// True once it has counted as silent; its times then tell nothing of the endpoint's speed.
     pub was_silent: bool,
+    /// Model that serves it; `None` for a plain service.
+    pub model: Option<Arc<str>>,
     /// Version that the endpoint is believed to begin it on; `None` for a plain service.
     pub version: Option<u64>,
     /// Time by which it must have begun; `None` without one.
     pub start_bound: Option<Instant>,
-    /// Time at which it was taken back.
-    pub recalled_at: Option<Instant>,
+    /// How it was taken back; `None` while it goes on.
+    pub recall: Option<Recall>,
 }
 
 impl RunningAttempt {
     /// True while it may wait at the endpoint without having begun.
     pub fn may_be_queued(&self) -> bool {
-        !self.started && self.recalled_at.is_none()
+        !self.started && self.recall.is_none()
     }
 }
--- a/src/dispatch/tests/recall.rs
+++ b/src/dispatch/tests/recall.rs
@@ -125,6 +125,8 @@
     FirstEvent,
     /// The engine reports that it serves the newer version.
     NewerVersionThere,
+    /// The engine is listed with no whole model, and leaves the list.
+    EngineUnlisted,
     /// The caller leaves.
     CallerLeaves,
 }
@@ -133,6 +135,7 @@
 #[case::still_queued(Meanwhile::Nothing, true)]
 #[case::started(Meanwhile::FirstEvent, false)]
 #[case::begins_on_the_newer_version(Meanwhile::NewerVersionThere, false)]
+#[case::engine_unlisted(Meanwhile::EngineUnlisted, true)]
 #[case::caller_gone(Meanwhile::CallerLeaves, false)]
 fn an_attempt_that_has_not_begun_when_its_version_ends_is_taken_back(
     #[case] meanwhile: Meanwhile,
@@ -153,6 +156,14 @@
                 core.update_load(sent_at + ms(90), ip(host), load);
             }
         }
+        Meanwhile::EngineUnlisted => {
+            for (id, host, region) in [("e1", 1, "north"), ("e2", 2, "north"), ("e3", 3, "south")] {
+                let mut entry = listed(id, "engines", host, region);
+                entry.models = Vec::new();
+                core.update_endpoint(sent_at + ms(90), entry);
+                core.remove_endpoint(sent_at + ms(90), id, false);
+            }
+        }
         Meanwhile::CallerLeaves => drop(core.finish(sent_at + ms(90), ticket)),
     }
     let bound = named_at + ms(START_GRACE_MS);
