Ask again whether an attempt is allowed once its connection stands

Requests began on an older version 0.1 to 0.3 s after they had reached the engine: they were assigned in time and sent late, since the entry stood still in between.

Cause: what a decision rests on was not looked at again before the sending, after the time that the connection takes and after a stall. The core is now asked once the connection stands: whether the version still starts requests there, and whether the engine is listed, stays, and its zone is in service. If not, the attempt is withdrawn: nothing was sent, the endpoint is not at fault, and the request waits for another one.

an_assigned_attempt_is_sent_only_while_its_engine_is_allowed holds the cases; the code before had nothing to ask.

--- a/src/dispatch/dispatcher/crashes.rs
+++ b/src/dispatch/dispatcher/crashes.rs
@@ -71,7 +71,9 @@
         outcome: AttemptOutcome,
     ) {
         let end = match outcome {
-            AttemptOutcome::NotRun { .. } | AttemptOutcome::NotSent => return,
+            AttemptOutcome::NotRun { .. } | AttemptOutcome::NotSent | AttemptOutcome::Withdrawn => {
+                return;
+            }
             AttemptOutcome::Answered => AttemptEnd::Answered,
             AttemptOutcome::Broken => AttemptEnd::Broken,
             AttemptOutcome::Rejected
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -67,6 +67,7 @@
             AttemptOutcome::Failed
             | AttemptOutcome::NotRun { .. }
             | AttemptOutcome::NotSent
+            | AttemptOutcome::Withdrawn
             | AttemptOutcome::Broken
             | AttemptOutcome::Silent
             | AttemptOutcome::Recalled => self.retry_or_finish(now, ticket, outcome),
@@ -86,7 +87,7 @@
         };
         match outcome {
             AttemptOutcome::NotRun { .. } => {}
-            AttemptOutcome::NotSent => request.attempts.sent -= 1,
+            AttemptOutcome::NotSent | AttemptOutcome::Withdrawn => request.attempts.sent -= 1,
             _ => request.attempts.may_have_run = true,
         }
         let (prompt, suspects) = (request.prompt_tokens, request.suspects.clone());
@@ -117,6 +118,7 @@
             }
             AttemptOutcome::NotRun { is_full: true } => endpoint.health.was_full(now),
             AttemptOutcome::NotRun { is_full: false }
+            | AttemptOutcome::Withdrawn
             | AttemptOutcome::Superseded
             | AttemptOutcome::Recalled
             | AttemptOutcome::CallerGone
--- a/src/dispatch/dispatcher/recall.rs
+++ b/src/dispatch/dispatcher/recall.rs
@@ -64,6 +64,28 @@
         attempts.find_map(|attempt| attempt.recall.clone())
     }
 
+    /// True when an attempt that was assigned to an endpoint may still be sent there. The process may have
+    /// stood still since, and the connection takes time.
+    pub fn may_send(&self, now: Instant, ticket: TicketId, endpoint: &str) -> bool {
+        let request = self.requests.get(&ticket);
+        let attempt = request.and_then(|request| {
+            let mut attempts = request.open_attempts();
+            attempts.find(|attempt| *attempt.endpoint == *endpoint)
+        });
+        let Some(attempt) = attempt else {
+            return false;
+        };
+        let listed = self.fleet.get(endpoint);
+        let version = attempt.model.as_deref().zip(attempt.version);
+        let end = version.and_then(|(model, version)| {
+            let grace = self.cfg.version_grace;
+            self.fleet.version_end(now, model, version, grace)
+        });
+        attempt.recall.is_none()
+            && end.is_none_or(|end| now < end)
+            && listed.is_some_and(|e| self.fleet.is_in_service(now, e))
+    }
+
     /// Computes the bounds of all attempts anew, as another naming time of a version is known.
     pub(super) fn update_start_bounds(&mut self, now: Instant) {
         let open = self
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -224,11 +224,8 @@
             regions.is_empty() || regions.contains(region)
         };
         self.endpoints.values().filter(move |e| {
-            !e.is_unlisted
-                && e.grace_deadline.is_none_or(|until| now < until)
+            self.is_in_service(now, e)
                 && e.listed.target == *query.target
-                && !e.listed.is_leaving
-                && !self.evacuated.contains(&e.listed.zone)
                 && allows(query.route_regions, &e.listed.region)
                 && allows(query.customer_regions, &e.listed.region)
                 && !query.tried.contains(&e.listed.id)
@@ -240,6 +237,14 @@
         })
     }
 
+    /// True while an endpoint gets new requests: it is listed, stays, and its zone is in service.
+    pub(super) fn is_in_service(&self, now: Instant, endpoint: &Endpoint) -> bool {
+        !endpoint.is_unlisted
+            && endpoint.grace_deadline.is_none_or(|until| now < until)
+            && !endpoint.listed.is_leaving
+            && !self.evacuated.contains(&endpoint.listed.zone)
+    }
+
     fn has_version(
         &self,
         now: Instant,
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -62,6 +62,8 @@
     },
     /// The connection could not be established, so nothing was sent.
     NotSent,
+    /// The endpoint was no longer allowed once the connection stood, so nothing was sent.
+    Withdrawn,
     /// The connection broke, or the answer was incomplete or not the endpoint's own.
     Broken,
     /// The endpoint sent nothing for so long that the attempt was abandoned.
--- a/src/dispatch/tests/recall.rs
+++ b/src/dispatch/tests/recall.rs
@@ -248,3 +248,61 @@
         (step, _) => panic!("{step:?}"),
     }
 }
+
+/// What happens between the assignment of an attempt and the time at which its connection stands.
+#[derive(Clone, Copy, Debug)]
+enum Delay {
+    Short,
+    PastLastSending,
+    EngineLeaves,
+    ZoneTakenOut,
+    Unlisted,
+}
+
+// Guards against requests that begin on a version after its end, because the entry stood still between
+// the decision and the sending.
+#[rstest]
+#[case::short(Delay::Short, true)]
+#[case::past_last_sending(Delay::PastLastSending, false)]
+#[case::engine_leaves(Delay::EngineLeaves, false)]
+#[case::zone_taken_out(Delay::ZoneTakenOut, false)]
+#[case::unlisted(Delay::Unlisted, false)]
+fn an_assigned_attempt_is_sent_only_while_its_engine_is_allowed(
+    #[case] delay: Delay,
+    #[case] may_send: bool,
+) {
+    let named_at = Instant::now();
+    let mut core = core(named_at);
+    core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at));
+    let sent_at = named_at + ms(6_600);
+    for host in [1, 2, 3] {
+        core.update_load(sent_at, ip(host), load(0));
+    }
+    let (ticket, assignment) = send(&mut core, sent_at, &request("chat"));
+    let id = assignment.endpoint;
+    let now = match delay {
+        Delay::PastLastSending => named_at + ms(7_100),
+        _ => sent_at + ms(100),
+    };
+    match delay {
+        Delay::EngineLeaves => {
+            let all = [("e1", 1), ("e2", 2), ("e3", 3)];
+            let (name, host) = *all.iter().find(|(name, _)| *name == &*id).unwrap();
+            let mut leaving = listed(name, "engines", host, "north");
+            leaving.is_leaving = true;
+            core.update_endpoint(now, leaving);
+        }
+        Delay::ZoneTakenOut => {
+            core.set_evacuated_zones(["north-a", "south-a"].map(Into::into).into());
+        }
+        Delay::Unlisted => core.remove_endpoint(now, &id, false),
+        Delay::Short | Delay::PastLastSending => {}
+    }
+    assert_eq!(core.may_send(now, ticket, &id), may_send);
+    let step = core.attempt_ended(now, ticket, AttemptOutcome::Withdrawn);
+    assert_eq!(step, NextStep::Wait);
+    // Nothing was sent, and the endpoint has done nothing wrong.
+    let views = core.snapshot(now).endpoints;
+    let view = views.iter().find(|e| e.id == id);
+    assert!(view.is_none_or(|e| (e.failing, e.own) == (0.0, 0)));
+}
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -61,13 +61,15 @@
     }
 }
 
-/// Sends the request `request_id` to an endpoint and waits for the head of the answer.
+/// Sends the request `request_id` to an endpoint and waits for the head of the answer. `may_send` is asked
+/// once the connection stands.
 pub(super) async fn send_attempt<D: Dialect>(
     dialect: &D,
     request: &OutgoingRequest,
     headers: HeaderMap,
     addr: SocketAddr,
     request_id: &str,
+    may_send: impl FnOnce() -> bool,
 ) -> Result<OpenedAnswer, AttemptOutcome> {
     let stream = connect(addr, CONNECT_TIMEOUT)
         .await
@@ -77,6 +79,9 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| AttemptOutcome::NotSent)?;
+    if !may_send() {
+        return Err(AttemptOutcome::Withdrawn);
+    }
     // The connection closes, and the task ends, when the sender and the body are dropped.
     tokio::spawn(connection);
     let mut req = Request::new(Full::new(request.body.clone()));
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 
-use crate::dispatch::{Assignment, AttemptOutcome, Statement};
+use crate::dispatch::{Assignment, AttemptOutcome, Statement, TicketId};
 use crate::http::{AnswerBody, full};
 
 use super::answer::{OpenedAnswer, send_attempt};
@@ -64,6 +64,7 @@
     /// Sends a request to the endpoint that the core has assigned.
     pub fn start(
         relay: &Relay<D>,
+        ticket: TicketId,
         admitted: &Arc<AdmittedRequest>,
         assignment: Assignment,
         resume: ResumePoint,
@@ -74,10 +75,12 @@
             .saturating_duration_since(Instant::now());
         let dialect = relay.dialect();
         let headers = dialect.attempt_headers(&admitted.headers, &assignment, time_left, resume);
-        let (sender, req, addr) = (relay.clone(), admitted.clone(), assignment.addr);
+        let (sender, req) = (relay.clone(), admitted.clone());
+        let (addr, endpoint) = (assignment.addr, assignment.endpoint.clone());
         let opening = async move {
             let id = &req.caller.request_id;
-            send_attempt(sender.dialect(), &req.outgoing, headers, addr, id).await
+            let may_send = || sender.core().may_send(Instant::now(), ticket, &endpoint);
+            send_attempt(sender.dialect(), &req.outgoing, headers, addr, id, may_send).await
         };
         Self {
             assignment,
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -357,7 +357,7 @@
             AttemptOutcome::Failed => Self::Failed,
             AttemptOutcome::NotRun { is_full: true } => Self::Refused(Code::EndpointFull),
             AttemptOutcome::NotRun { is_full: false } => Self::Refused(Code::EndpointLeaving),
-            AttemptOutcome::NotSent => Self::NotSent,
+            AttemptOutcome::NotSent | AttemptOutcome::Withdrawn => Self::NotSent,
             AttemptOutcome::Broken => Self::Broken,
             AttemptOutcome::Silent => Self::Silent,
             AttemptOutcome::Superseded => Self::Superseded,
--- a/src/relay/race.rs
+++ b/src/relay/race.rs
@@ -229,6 +229,7 @@
         };
         Attempt::start(
             &self.relay,
+            self.ticket.id,
             &self.admitted,
             assignment,
             resume,
