Send a second attempt where a broken stream would be continued

The test a_second_attempt_is_sent_at_a_load_that_delays_new_requests fails without the change (no decision: None).

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -89,7 +89,7 @@
         let waiting = WaitingRequest {
             goal,
             deadline: request.deadline,
-            is_resumed: request.version.is_some(),
+            is_continued: request.version.is_some() || request.silent.is_some(),
             is_retry: request.is_returning || !request.tried.is_empty(),
         };
         let start_budget = waiting.start_budget(now);
--- a/src/dispatch/patterns/burst.rs
+++ b/src/dispatch/patterns/burst.rs
@@ -13,8 +13,8 @@
 /// The same share for a retried request, which is already late. It is lower because an answer on
 /// time is worth four late ones.
 const LATE_START_SHARE: f64 = 0.5;
-/// Predicted time to the first event up to which a broken stream is resumed elsewhere; its caller
-/// disconnects after two seconds without an event.
+/// Predicted time to the first event up to which a request whose attempt broke off or is silent is
+/// continued elsewhere; its caller disconnects after two seconds without an event.
 const RESUME_START_BUDGET: Duration = Duration::from_millis(1_200);
 /// Share of the goal for which a request may wait for an endpoint before it is refused. It can
 /// still start on time after that, as the mean predicted time to the first event is a third of the
@@ -30,10 +30,9 @@
     pub goal: Duration,
     /// Deadline for the whole answer.
     pub deadline: Instant,
-    /// True when it resumes a broken stream.
-    pub is_resumed: bool,
-    /// True when it was refused before, or an attempt has failed; always true when it resumes a
-    /// stream.
+    /// True when it resumes a broken stream, or when an attempt of it is silent.
+    pub is_continued: bool,
+    /// True when it was refused before, or an attempt has failed; always true when it is continued.
     pub is_retry: bool,
 }
 
@@ -45,7 +44,7 @@
                 is_retry: false, ..
             } => self.goal.mul_f64(START_SHARE),
             Self {
-                is_resumed: true, ..
+                is_continued: true, ..
             } => RESUME_START_BUDGET,
             _ => self.goal.mul_f64(LATE_START_SHARE),
         };
--- a/src/dispatch/tests/silence.rs
+++ b/src/dispatch/tests/silence.rs
@@ -220,6 +220,25 @@
     assert_eq!((left.requests, left.waiting), (0, 0));
 }
 
+/// Guards against callers that leave a dead endpoint, whose work goes on when it wakes, although others
+/// could have answered in time.
+#[test]
+fn a_second_attempt_is_sent_at_a_load_that_delays_new_requests() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let (ticket, first) = send(&mut core, now, &request("chat"));
+    for host in [1, 2, 3] {
+        core.update_load(now, ip(host), load(20));
+    }
+    assert_eq!(core.attempt_silent(now, ticket), Ok(()));
+    match decide(&mut core, now, ticket) {
+        Some(Decision::Send(second)) => assert_ne!(second.endpoint, first.endpoint),
+        other => panic!("{other:?}"),
+    }
+    let fresh = core.admit(now, &request("chat")).unwrap();
+    assert_eq!(decide(&mut core, now, fresh), None);
+}
+
 /// Guards against endpoints that count as slow for long because they were silent once.
 #[rstest]
 #[case::stream("chat", &["e2", "e3"])]
