End a recalled attempt that its task does not know yet

A request whose attempt was taken back before its task had received the decision to send it was never answered: the task found no attempt to end, and asked again without a pause.

Decisions are now received before recalls, and a recall ends the attempt at the endpoint that it names. Answers that have arrived come before recalls too, so an answer that has begun is not taken back by an entry that stood still. What was not sent yet ends as withdrawn and not as a possible run. The silence timer is set again when a silent attempt ends beside another one.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -15,7 +15,7 @@
 mod request;
 mod statement;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use configuration::{CallerLimits, Configuration, Customer, Repeat, Route, Target};
 pub use crash_watch::{EndpointProcess, EndpointSight};
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -95,8 +95,9 @@
     ]
 }
 
+/// Address of an endpoint. It is on loopback, since tests of the relay connect to it.
 pub fn addr(host: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, host], 8_000))
+    SocketAddr::from(([127, 199, 0, host], 8_000))
 }
 
 pub fn ip(host: u8) -> IpAddr {
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -5,7 +5,7 @@
 mod configurations;
 mod crashes;
 mod endpoint_state;
-mod fixture;
+pub(crate) mod fixture;
 mod fuzz;
 mod limits;
 mod limits_fuzz;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at an endpoint.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use futures_util::future::BoxFuture;
@@ -31,6 +32,8 @@
     pub head: Option<response::Parts>,
     /// Weight version with which the answer started.
     pub version: Option<u64>,
+    /// Set once the request may be on its way.
+    is_sent: Arc<AtomicBool>,
     /// True once the core knows that the answer has started.
     pub is_started: bool,
     /// Number of events that the caller has already and that were sent again.
@@ -76,10 +79,16 @@
         let dialect = relay.dialect();
         let headers = dialect.attempt_headers(&admitted.headers, &assignment, time_left, resume);
         let (sender, req) = (relay.clone(), admitted.clone());
+        let is_sent = Arc::new(AtomicBool::new(false));
+        let sent = is_sent.clone();
         let (addr, endpoint) = (assignment.addr, assignment.endpoint.clone());
         let opening = async move {
             let id = &req.caller.request_id;
-            let may_send = || sender.core().may_send(Instant::now(), ticket, &endpoint);
+            let may_send = || {
+                let may_send = sender.core().may_send(Instant::now(), ticket, &endpoint);
+                sent.store(may_send, Ordering::Relaxed);
+                may_send
+            };
             send_attempt(sender.dialect(), &req.outgoing, headers, addr, id, may_send).await
         };
         Self {
@@ -91,11 +100,20 @@
             is_continuation,
             head: None,
             version: None,
+            is_sent,
             is_started: false,
             repeated: 0,
         }
     }
 
+    /// How it ends when the core takes it back: the endpoint may have run what was sent.
+    pub fn recalled(&self) -> AttemptOutcome {
+        match self.is_sent.load(Ordering::Relaxed) {
+            true => AttemptOutcome::Recalled,
+            false => AttemptOutcome::Withdrawn,
+        }
+    }
+
     /// Waits for the next part of the answer. Cancelling it loses nothing.
     pub async fn next(&mut self) -> Received {
         loop {
--- a/src/relay/race.rs
+++ b/src/relay/race.rs
@@ -186,10 +186,12 @@
         let silent_at = self.silent_at.filter(|_| self.running.is_some());
         tokio::select! {
             biased;
-            recall = self.relay.recalled(self.ticket.id) => Input::Recalled(recall),
+            // An attempt that is taken back may not be known here before its decision is received.
             decision = receive(&mut self.decision) => Input::Decided(decision),
+            // An answer that has begun is not taken back.
             received = next_of(&mut self.running) => Input::Running(received),
             received = next_of(&mut self.silent) => Input::Silent(received),
+            recall = self.relay.recalled(self.ticket.id) => Input::Recalled(recall),
             () = sleep_until(silent_at) => Input::Silence,
             () = sleep_until(deadline) => Input::Deadline,
         }
@@ -319,6 +321,8 @@
                 .silent_attempt_ended(Instant::now(), self.ticket.id, outcome);
         if is_silent {
             self.close(attempt, outcome);
+            // Another attempt may be sent beside the running one again.
+            self.silent_at = self.silent_at.or_else(|| self.silence_deadline());
             self.relay.dispatch_waiting();
             return None;
         }
@@ -331,13 +335,12 @@
     /// Ends an attempt that the core takes back; `None` when the request goes on.
     fn end_recalled(&mut self, recall: &Recall) -> Option<Progress> {
         self.ticket.log_recall(recall);
-        let outcome = AttemptOutcome::Recalled;
-        match &self.running {
-            Some(attempt) if attempt.assignment.endpoint == recall.endpoint => {
-                self.end_running(outcome)
-            }
-            _ => self.end_silent(outcome),
+        let is_recalled = |attempt: &&Attempt<D>| attempt.assignment.endpoint == recall.endpoint;
+        if let Some(attempt) = self.running.as_ref().filter(is_recalled) {
+            return self.end_running(attempt.recalled());
         }
+        let attempt = self.silent.as_ref().filter(is_recalled)?;
+        self.end_silent(attempt.recalled())
     }
 
     /// Logs the end of an attempt and closes its connection, before another endpoint gets the request.
--- a/src/relay/tests.rs
+++ b/src/relay/tests/mod.rs
@@ -1,8 +1,10 @@
-//! Tests of the splitting of event streams.
+//! Tests of the relay without processes.
+
+mod race;
 
 use rstest::rstest;
 
-use super::{EventSplitter, StreamEvent};
+use crate::relay::{EventSplitter, StreamEvent};
 
 const STREAM: &[u8] =
     b"weight-versions: 2\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
