Keep a live second attempt when the silent one ends without an event

A silent attempt whose answer ended empty counted as one that goes on, so the live attempt beside it was closed and the request refused with 502. An attempt that ends without an event is broken, and the other one stays.

--- a/src/relay/race.rs
+++ b/src/relay/race.rs
@@ -160,6 +160,10 @@
                     self.failure = Some(answer);
                     self.end_silent(AttemptOutcome::Failed)
                 }
+                // It has no event, so it does not go on.
+                Input::Silent(Received::End) if self.events == 0 => {
+                    self.end_silent(AttemptOutcome::Broken)
+                }
                 Input::Silent(received) => {
                     self.resume_silent();
                     self.received(received)
--- a/src/relay/tests/race.rs
+++ b/src/relay/tests/race.rs
@@ -169,3 +169,22 @@
     // Nothing was sent.
     assert_eq!(refused, Ok(Some(Code::NoEndpoint)));
 }
+
+/// Guards against a second attempt that is closed because the silent one beside it ends without an event.
+#[tokio::test]
+async fn a_silent_attempt_that_ends_without_an_event_leaves_the_other_one() {
+    serve_engines(async |mut stream: TcpStream, number| {
+        stream.write_all(HEAD).await.unwrap();
+        let (delay, rest) = match number {
+            0 => (Duration::from_millis(2_600), BODY_END),
+            _ => (Duration::from_millis(1_400), EVENT),
+        };
+        tokio::time::sleep(delay).await;
+        let _ = stream.write_all(rest).await;
+        tokio::time::sleep(DEADLINE).await;
+    })
+    .await;
+    let relay = relay();
+    let mut race = race(&relay);
+    assert!(matches!(progress(&mut race).await, Progress::Event(_)));
+}
