--- a/tests/platform/recall.rs
+++ b/tests/platform/recall.rs
@@ -18,8 +18,8 @@
 /// Guards against requests that begin on a version after its end, because they wait at an engine for
 /// longer than the entry allows when it sends them.
 #[rstest]
-#[case::first_attempts(150, false)]
-#[case::continued_streams(151, true)]
+#[case::first_attempts(158, false)]
+#[case::continued_streams(159, true)]
 #[tokio::test]
 async fn no_request_that_waits_at_an_engine_begins_on_a_version_that_has_ended(
     #[case] network: u8,
