Failing tests: engines that ask for rest get requests all the same

An engine that turns a request away may ask the entry for rest, by status 503 with Retry-After; the rule allows two requests from half a second on. The stand-in's engine asks for rest now, with or without the marker that the request has not run, announces leaving, and keeps the times at which requests arrive.

Before any change of logic, 3 s of rest named: 61 requests by first attempts and repeats, 80 by continuations of streams; refused callers get code 2017 after attempts at resting engines. A 503 without the marker passes already, since the pause after failures is longer than the test.

--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::raw::{ConnectionEnd, Flood, RawAnswer, event_text};
 use crate::reply::{Body, Reply, answer, header, json as json_answer, query_number, read_body};
@@ -71,6 +72,8 @@
     /// Staged pieces of weights, by index.
     staged: BTreeMap<u64, Bytes>,
     faults: SiteEngineFaults,
+    /// Times at which requests arrived, also those that were refused, in their order.
+    arrivals: Vec<Instant>,
     /// Requests run so far, in their order.
     runs: Vec<SiteRun>,
     /// Number of load orders accepted so far.
@@ -108,6 +111,7 @@
             version: None,
             staged: BTreeMap::new(),
             faults: SiteEngineFaults::default(),
+            arrivals: Vec::new(),
             runs: Vec::new(),
             orders: 0,
             crashes: 0,
@@ -187,6 +191,11 @@
         self.lock().staged.clone()
     }
 
+    /// Times at which requests arrived, also those that were refused, in their order.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Requests that the back end ran, in their order.
     pub fn runs(&self) -> Vec<SiteRun> {
         self.lock().runs.clone()
@@ -285,9 +294,7 @@
         "/limpetloom/report" => {
             let state = lock(&state);
             let mut answer = json_answer(&report(&state));
-            if state.faults.limit_in_reports {
-                state.faults.name_limit(&mut answer);
-            }
+            state.faults.describe_process_in_report(&mut answer);
             Some(answer)
         }
         "/limpetloom/order" => handle_order(&state, kind, req).await,
@@ -354,16 +361,12 @@
     }
     let (mut faults, version, id, open) = {
         let mut state = lock(state);
+        state.arrivals.push(Instant::now());
         if !expected_id.is_empty() && expected_id != state.id {
             return Some(answer(StatusCode::MISDIRECTED_REQUEST, ""));
         }
         if state.faults.shed_requests {
-            let mut refusal = answer(StatusCode::SERVICE_UNAVAILABLE, "");
-            refusal
-                .headers_mut()
-                .insert("not-executed", "1".parse().ok()?);
-            state.faults.name_limit(&mut refusal);
-            return Some(refusal);
+            return Some(state.faults.refusal());
         }
         let is_model = matches!(kind, SiteEngineKind::Model { .. });
         if is_model && state.version.is_none() {
@@ -402,7 +405,7 @@
             Response::new(stream_body(events, last_event, &faults, open))
         }
     };
-    faults.name_limit(&mut answer);
+    faults.describe_process(&mut answer);
     let headers = answer.headers_mut();
     let echoed_id = match faults.wrong_request_ids {
         true => "another",
--- a/fakes/src/site/faults.rs
+++ b/fakes/src/site/faults.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::Response;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
 
 use crate::raw::{ConnectionEnd, Flood};
-use crate::reply::Body;
+use crate::reply::{Body, answer};
 
 /// Injected faults of a back end, which a test can change at any time.
 #[derive(Clone, Debug, Default)]
@@ -44,6 +45,15 @@
     pub limit: Option<String>,
     /// True while reports name the limit too.
     pub limit_in_reports: bool,
+    /// Value of `retry-after` in the refusals of `shed_requests`: the time in seconds for which the
+    /// process wants no further request from that entry.
+    pub rest: Option<String>,
+    /// True while those refusals leave out `not-executed`.
+    pub unmarked_refusals: bool,
+    /// True while answers to requests say that the process is leaving. It takes requests all the same.
+    pub leaving: bool,
+    /// True while reports say so.
+    pub leaving_in_reports: bool,
     /// When set, answers have neither a length nor chunks and end with their connection. A reset
     /// one has half of its body, or as many events as `break_after` says and no part of the next.
     pub without_length: Option<ConnectionEnd>,
@@ -54,11 +64,48 @@
 }
 
 impl SiteEngineFaults {
-    /// Adds the limit of the process to an answer.
-    pub(super) fn name_limit(&self, answer: &mut Response<Body>) {
+    /// Adds what the process says of itself to an answer to a request.
+    pub(super) fn describe_process(&self, answer: &mut Response<Body>) {
+        self.name_limit(answer);
+        if self.leaving {
+            name_leaving(answer);
+        }
+    }
+
+    /// Adds what the process says of itself to a report.
+    pub(super) fn describe_process_in_report(&self, report: &mut Response<Body>) {
+        if self.limit_in_reports {
+            self.name_limit(report);
+        }
+        if self.leaving_in_reports {
+            name_leaving(report);
+        }
+    }
+
+    /// A refusal that says that the request has not run.
+    pub(super) fn refusal(&self) -> Response<Body> {
+        let mut refusal = answer(StatusCode::SERVICE_UNAVAILABLE, "");
+        let headers = refusal.headers_mut();
+        if !self.unmarked_refusals {
+            headers.insert("not-executed", HeaderValue::from_static("1"));
+        }
+        let rest = self.rest.as_ref().and_then(|rest| rest.parse().ok());
+        if let Some(rest) = rest {
+            headers.insert(RETRY_AFTER, rest);
+        }
+        self.describe_process(&mut refusal);
+        refusal
+    }
+
+    fn name_limit(&self, answer: &mut Response<Body>) {
         let limit = self.limit.as_ref().and_then(|limit| limit.parse().ok());
         if let Some(limit) = limit {
             answer.headers_mut().insert("server-limit", limit);
         }
     }
 }
+
+fn name_leaving(answer: &mut Response<Body>) {
+    let headers = answer.headers_mut();
+    headers.insert("server-leaving", HeaderValue::from_static("1"));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod recall;
 mod silence;
+mod rest;
 mod site;
 mod store_era;
 mod weights;
