Failing test: engines that announce leaving get requests until the store tells

An engine that leaves says so in all its answers. With the store away, 80 requests reached it from half a second on after its answers to requests had said so, 72 after its refusals, 80 after its reports to the agent.

--- a/tests/platform/rest.rs
+++ b/tests/platform/rest.rs
@@ -136,3 +136,36 @@
         assert_eq!(arrivals(engine, told, Instant::now()), 0);
     }
 }
+
+/// Guards against an announcement of leaving that is passed on and not heeded until the store tells.
+#[rstest]
+#[case::in_answers(177, SiteEngineFaults { leaving: true, ..Default::default() })]
+#[case::in_refusals(178, SiteEngineFaults { leaving: true, ..shedding() })]
+#[case::in_reports(179, SiteEngineFaults { leaving_in_reports: true, ..Default::default() })]
+#[tokio::test]
+async fn no_request_reaches_an_engine_that_has_announced_leaving(
+    #[case] network: u8,
+    #[case] faults: SiteEngineFaults,
+) {
+    let site = Site::start_serving(network, 2).await;
+    let engine = &site.engines[0];
+    site.engines[1].set_faults(shedding());
+    site.store.set_online(false);
+    let begin = Instant::now();
+    engine.set_faults(faults.clone());
+    if !faults.leaving_in_reports {
+        send_until_arrived(&site, engine, begin).await;
+    }
+    // Longer than the agent takes to read and pass on a report, and than streams take that run there.
+    tokio::time::sleep(GRACE).await;
+    let told = Instant::now();
+    send_bursts(site.caller_addr()).await;
+    assert_eq!(arrivals(engine, told, Instant::now()), 0);
+
+    // The next process takes requests again once its agent reports it.
+    engine.set_faults(SiteEngineFaults::default());
+    let restarted = Instant::now();
+    engine.restart();
+    send_until_arrived(&site, engine, restarted).await;
+    site.wait_until_answered("chat").await;
+}
