Log the rests that endpoints ask for, and announcements of leaving

No line told that an endpoint had asked for rest or had announced that it leaves, so the record could not show what an entry knew. Events 512 to 515, `rest_ms` in /state and endpoint_signals_total tell of them; choices do not heed them yet. The move of dispatcher/limits.rs to statements.rs is a rename.

--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -13,7 +13,6 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::raw::{ConnectionEnd, Flood, RawAnswer, event_text};
 use crate::reply::{Body, Reply, answer, header, json as json_answer, query_number, read_body};
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -2,10 +2,10 @@
 
 mod assign;
 mod crashes;
-mod limits;
 mod outcome;
 mod recall;
 mod silence;
+mod statements;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
@@ -28,7 +28,6 @@
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
-use super::statement::StatementSource;
 
 use recall::StartBounds;
 
@@ -143,6 +142,9 @@
     pub failing: f64,
     /// Requests per second that it takes from all entries together; `None` without a limit.
     pub limit: Option<f64>,
+    /// Time left in milliseconds in which it wants no request of this entry; `None` when it has not asked for
+    /// rest.
+    pub rest_ms: Option<u64>,
 }
 
 /// Sans-IO dispatcher for the requests of one entry.
@@ -283,7 +285,7 @@
         let (id, current) = (endpoint.listed.id.clone(), endpoint.listed.incarnation);
         // An earlier incarnation does not speak for the current one.
         if incarnation == current {
-            self.record_limit(now, &id, StatementSource::Agent, &statement.limit);
+            self.record_report(now, &id, &statement);
         }
         true
     }
@@ -382,6 +384,7 @@
     /// long.
     pub fn dispatch_waiting(&mut self, now: Instant) -> Vec<(TicketId, Decision)> {
         self.settle_answers(now);
+        self.end_rests(now);
         let queue: Vec<_> = self.queue.iter().copied().collect();
         let mut decided = Vec::new();
         for key in queue {
@@ -456,9 +459,14 @@
             own: e.occupancy.own(),
             load_age_ms: e.load_age(now).map(|age| age.as_millis() as u64),
             version: e.version(None),
-            is_leaving: e.listed.is_leaving,
+            is_leaving: e.listed.is_leaving || self.fleet.leaving.contains(&e.key()),
             failing: e.health.failing(),
             limit: e.limit.rate(now),
+            rest_ms: self
+                .fleet
+                .rests
+                .until(now, &e.key())
+                .map(|until| until.saturating_duration_since(now).as_millis() as u64),
         };
         Snapshot {
             configuration: self
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::types::{EndpointId, RegionId, TargetId, ZoneId};
+use crate::types::{EndpointId, InstanceId, RegionId, TargetId, ZoneId};
 
 use super::crash_watch::EndpointProcess;
 use super::estimate::EngineModel;
@@ -21,6 +21,9 @@
 /// Assumed answer time of a plain service before its first answer.
 const INITIAL_WORK_TIME: Duration = Duration::from_millis(30);
 
+/// A process of an endpoint: its incarnation and the endpoint's name. Those that started first come first.
+pub(super) type EndpointKey = (InstanceId, EndpointId);
+
 /// An endpoint as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedEndpoint {
@@ -137,6 +140,11 @@
         }
     }
 
+    /// The same process by the endpoint's name.
+    pub(super) fn key(&self) -> EndpointKey {
+        (self.listed.incarnation, self.listed.id.clone())
+    }
+
     fn update_cold_deadline(&mut self, now: Instant) {
         if !self.listed.cold_left.is_zero() {
             self.cold_deadline = Some(now + self.listed.cold_left);
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -10,7 +10,9 @@
 
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::estimate::EngineModel;
+use super::leaving::Leaving;
 use super::patterns::{Mitigations, ends_before_change};
+use super::rest::Rests;
 
 /// Time for which an endpoint whose lease expired during a store outage is still used. Live
 /// endpoints are back on the list within two seconds.
@@ -41,6 +43,9 @@
 pub struct Fleet {
     mitigations: Mitigations,
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Rests that endpoints have asked of this entry.
+    pub(super) rests: Rests,
+    pub(super) leaving: Leaving,
     /// Zones whose endpoints get no new requests.
     evacuated: BTreeSet<ZoneId>,
     /// Versions that became the wanted version of each model, with the time at which each did.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -9,10 +9,12 @@
 mod endpoint;
 mod estimate;
 mod fleet;
+mod leaving;
 mod limit;
 mod notice;
 mod patterns;
 mod request;
+mod rest;
 mod statement;
 #[cfg(test)]
 pub(crate) mod tests;
@@ -28,4 +30,4 @@
 pub use notice::{BlameSource, CrashSign, Notice};
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
 pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, Recall, TicketId};
-pub use statement::{LimitStatement, Statement, StatementSource};
+pub use statement::{LimitStatement, RestStatement, Statement, StatementSource};
--- a/src/dispatch/notice.rs
+++ b/src/dispatch/notice.rs
@@ -1,6 +1,7 @@
 //! Notices of the dispatcher for the log.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::delivery::BlameChange;
 use crate::types::{EndpointId, InstanceId};
@@ -50,6 +51,42 @@
         /// Where this entry learned of it.
         source: StatementSource,
     },
+    /// An endpoint asks this entry for rest.
+    RestBegan {
+        /// Name of the endpoint.
+        endpoint: EndpointId,
+        /// Incarnation that asked.
+        incarnation: InstanceId,
+        /// Time for which it asked.
+        named: Duration,
+        /// Time for which it gets no request.
+        kept: Duration,
+    },
+    /// A rest is over.
+    RestEnded {
+        /// Name of the endpoint.
+        endpoint: EndpointId,
+        /// Incarnation that had asked.
+        incarnation: InstanceId,
+        /// Number of answers that had asked for it.
+        answers: u32,
+    },
+    /// An endpoint asks for a rest that can't be read.
+    RestInvalid {
+        /// Name of the endpoint.
+        endpoint: EndpointId,
+        /// What it names.
+        text: Arc<str>,
+    },
+    /// An endpoint has announced that it leaves.
+    LeavingAnnounced {
+        /// Name of the endpoint.
+        endpoint: EndpointId,
+        /// Incarnation that leaves.
+        incarnation: InstanceId,
+        /// Where this entry learned of it.
+        source: StatementSource,
+    },
 }
 
 /// Whose observation changed the blame.
--- a/src/dispatch/statement.rs
+++ b/src/dispatch/statement.rs
@@ -1,12 +1,17 @@
 //! What an endpoint says of itself.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 /// What an endpoint says of itself in one answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Statement {
     /// How many requests it takes.
     pub limit: LimitStatement,
+    /// For how long it wants no further request from this entry.
+    pub rest: RestStatement,
+    /// True when it says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// How many requests an endpoint takes, by one of its answers.
@@ -33,6 +38,30 @@
     }
 }
 
+/// For how long an endpoint wants no further request from the entry that it answers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum RestStatement {
+    /// It does not ask for rest.
+    #[default]
+    NotAsked,
+    /// From this answer on, as named: any time above zero.
+    For(Duration),
+    /// It names a time that can't be read.
+    Invalid(Arc<str>),
+}
+
+impl RestStatement {
+    /// The longer one of two rests; one that can't be read says the least.
+    pub fn longer(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::For(a), Self::For(b)) => Self::For(a.max(b)),
+            (rest @ Self::For(_), _) | (_, rest @ Self::For(_)) => rest,
+            (invalid @ Self::Invalid(_), _) | (_, invalid @ Self::Invalid(_)) => invalid,
+            (Self::NotAsked, Self::NotAsked) => Self::NotAsked,
+        }
+    }
+}
+
 /// Where an entry learned what an endpoint says.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StatementSource {
--- a/src/dispatch/tests/limits.rs
+++ b/src/dispatch/tests/limits.rs
@@ -18,7 +18,10 @@
         "?" => LimitStatement::Invalid(text.into()),
         rate => LimitStatement::Rate(rate.parse().unwrap()),
     };
-    Statement { limit }
+    Statement {
+        limit,
+        ..Default::default()
+    }
 }
 
 /// Sends a request to the plain service and applies what its endpoint says. Returns the endpoint.
--- a/src/dispatch/tests/limits_fuzz.rs
+++ b/src/dispatch/tests/limits_fuzz.rs
@@ -243,6 +243,7 @@
             };
             let statement = Statement {
                 limit: said.map_or(LimitStatement::Unlimited, LimitStatement::Rate),
+                ..Default::default()
             };
             let is_read = match self.fault {
                 InjectedFault::StatementsNotRead => false,
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -125,6 +125,8 @@
     pub is_switching: bool,
     /// Time left until it is ordered to switch its version, in milliseconds.
     pub switch_in_ms: Option<u32>,
+    /// True when it says in its reports that it leaves.
+    pub is_leaving: bool,
     /// Limit that it names in its reports.
     pub limit: LimitReport,
 }
--- a/src/relay/notice.rs
+++ b/src/relay/notice.rs
@@ -42,6 +42,39 @@
             named: &**text,
             source: format!("{source:?}")
         }),
+        Notice::RestBegan {
+            endpoint,
+            incarnation,
+            named,
+            kept,
+        } => log_fields!(Event::EndpointRests, {
+            endpoint: &**endpoint,
+            incarnation: incarnation,
+            named_ms: u64::try_from(named.as_millis()).unwrap_or(u64::MAX),
+            kept_ms: kept.as_millis() as u64
+        }),
+        Notice::RestEnded {
+            endpoint,
+            incarnation,
+            answers,
+        } => log_fields!(Event::EndpointRestEnded, {
+            endpoint: &**endpoint,
+            incarnation: incarnation,
+            answers: answers
+        }),
+        Notice::RestInvalid { endpoint, text } => log_fields!(Event::EndpointRestInvalid, {
+            endpoint: &**endpoint,
+            named: &**text
+        }),
+        Notice::LeavingAnnounced {
+            endpoint,
+            incarnation,
+            source,
+        } => log_fields!(Event::EndpointLeaving, {
+            endpoint: &**endpoint,
+            incarnation: incarnation,
+            source: format!("{source:?}")
+        }),
         Notice::BlameChanged { change, source } => {
             let event = match change.is_blamed {
                 true => Event::SuspectBlamed,
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -87,6 +87,14 @@
     EndpointLimit = 510,
     /// an endpoint names a limit that is no number; it has no effect
     EndpointLimitInvalid = 511,
+    /// an endpoint asks this entry for rest
+    EndpointRests = 512,
+    /// the rest that an endpoint asked for is over
+    EndpointRestEnded = 513,
+    /// an endpoint asks for a rest that cannot be read; it has no effect
+    EndpointRestInvalid = 514,
+    /// an endpoint has announced that it leaves
+    EndpointLeaving = 515,
     /// version is ready
     VersionReady = 600,
     /// chunk failed verification
@@ -156,6 +164,10 @@
             Self::SuspectReleased => log::Level::Warn,
             Self::EndpointLimit => log::Level::Info,
             Self::EndpointLimitInvalid => log::Level::Warn,
+            Self::EndpointRests => log::Level::Info,
+            Self::EndpointRestEnded => log::Level::Info,
+            Self::EndpointRestInvalid => log::Level::Warn,
+            Self::EndpointLeaving => log::Level::Info,
             Self::VersionReady => log::Level::Info,
             Self::ChunkCorrupt => log::Level::Warn,
             Self::NoRoomForVersion => log::Level::Error,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -83,6 +83,15 @@
     }
 }
 
+/// What an endpoint asks of its entries, as counted by an entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointSignal {
+    /// No further request from this entry for some time.
+    Rest,
+    /// No further request, since it leaves.
+    Leaving,
+}
+
 /// Metric instruments of a process; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -100,6 +109,7 @@
     in_flight: UpDownCounter<i64>,
     operations: Histogram<f64>,
     store_eras: Counter<u64>,
+    endpoint_signals: Counter<u64>,
 }
 
 impl Metrics {
@@ -145,6 +155,10 @@
                 .u64_counter("store_eras")
                 .with_description("Returns of the object API as an older copy")
                 .build(),
+            endpoint_signals: meter
+                .u64_counter("endpoint_signals")
+                .with_description("Rests that endpoints asked for, and announcements of leaving")
+                .build(),
             registry,
             _provider: provider,
         };
@@ -216,6 +230,16 @@
         self.inner.store_eras.add(1, &[]);
     }
 
+    /// Counts something that an endpoint asks of its entries.
+    pub fn count_endpoint_signal(&self, signal: EndpointSignal) {
+        let name = match signal {
+            EndpointSignal::Rest => "rest",
+            EndpointSignal::Leaving => "leaving",
+        };
+        let labels = [KeyValue::new("signal", name)];
+        self.inner.endpoint_signals.add(1, &labels);
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_in_flight(&self) -> InFlight {
         self.inner.in_flight.add(1, &[]);
--- a/tests/platform/rest.rs
+++ b/tests/platform/rest.rs
@@ -1,12 +1,11 @@
 //! Engines that ask an entry for rest, and engines that announce that they leave.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use limpetloom_fakes::site::{SiteEngine, SiteEngineFaults};
 use rstest::rstest;
-use tokio::time::Instant;
 
 use super::site::{Answer, Site, WAIT_LIMIT, request, send};
 
