Heed the rest that endpoints ask for

Callers saw refusals (2017) after attempts at engines that had asked for rest, and engines in need saw requests go on: 4 and 3 in a rest of 3 s in the record, where two are allowed.

Change: the choice of an endpoint passes over one that rests, for all kinds of attempts, and an attempt that was assigned before is withdrawn once its connection stands. When all endpoints rest, requests are refused at once (2020) with a Retry-After of the earliest end, spread at random; a rest that ends while a request may still wait is waited for.

--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -64,6 +64,8 @@
     EndpointLeaving = 2018,
     /// every endpoint for this work has named a limit that is used up
     LimitReached = 2019,
+    /// every endpoint for this work has asked for rest or leaves
+    NoneAccepts = 2020,
     /// the request may have run and its outcome is not known
     OutcomeUnknown = 3001,
     /// a request with this key is running
@@ -150,6 +152,7 @@
         Self::EndpointFull,
         Self::EndpointLeaving,
         Self::LimitReached,
+        Self::NoneAccepts,
         Self::OutcomeUnknown,
         Self::StillRunning,
         Self::AnswerBroken,
@@ -210,6 +213,7 @@
             Self::EndpointFull => 503,
             Self::EndpointLeaving => 503,
             Self::LimitReached => 503,
+            Self::NoneAccepts => 503,
             Self::OutcomeUnknown => 502,
             Self::StillRunning => 409,
             Self::AnswerBroken => 502,
@@ -271,6 +275,7 @@
             Self::EndpointFull => RunState::NotRun,
             Self::EndpointLeaving => RunState::NotRun,
             Self::LimitReached => RunState::NotRun,
+            Self::NoneAccepts => RunState::NotRun,
             Self::OutcomeUnknown => RunState::Unknown,
             Self::StillRunning => RunState::Running,
             Self::AnswerBroken => RunState::Unknown,
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -6,7 +6,7 @@
 use crate::codes::Code;
 use crate::dispatch::endpoint::Endpoint;
 use crate::dispatch::fleet::EndpointQuery;
-use crate::dispatch::patterns::{WaitingRequest, sample, should_send};
+use crate::dispatch::patterns::{WaitingRequest, retry_after_rest, sample, should_send};
 use crate::dispatch::request::{Assignment, RunningAttempt, TicketId};
 use crate::types::{EndpointId, Refusal};
 
@@ -63,6 +63,15 @@
             ..DecisionInputs::default()
         };
         let has_fitting = !eligible.is_empty();
+        let latest = request.queue_deadline.min(request.deadline);
+        if !has_fitting
+            && let Some(until) = self
+                .fleet
+                .all_rest_until(now, query, self.cfg.version_grace)
+            && until > latest
+        {
+            return Some(self.reject_resting(now, ticket, until, inputs));
+        }
         let admitting: Vec<&Endpoint> = eligible
             .into_iter()
             .filter(|e| e.limit.admits(now, self.entries))
@@ -189,6 +198,25 @@
         }
     }
 
+    /// Ends a request for which all endpoints rest until a time, with a refusal.
+    fn reject_resting(
+        &mut self,
+        now: Instant,
+        ticket: TicketId,
+        until: Instant,
+        inputs: DecisionInputs,
+    ) -> Decision {
+        let decision = self.reject(now, ticket, Code::NoneAccepts, inputs);
+        match decision {
+            Decision::Refuse(refusal, inputs) if refusal.code == Code::NoneAccepts => {
+                let left = until.saturating_duration_since(now);
+                let wait = retry_after_rest(&mut self.rng, left);
+                Decision::Refuse(refusal.with_retry_after(wait), inputs)
+            }
+            decision => decision,
+        }
+    }
+
     /// Ends a request that has waited too long, with a refusal. One with a silent attempt goes on with
     /// that.
     pub(super) fn reject(
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -404,8 +404,10 @@
             .iter()
             .filter_map(|key| self.requests.get(&key.2));
         let deadlines = waiting.map(|request| request.queue_deadline.min(request.deadline));
+        let rest_end = self.fleet.rests.next_end();
+        let rest_end = rest_end.filter(|_| !self.queue.is_empty());
         let bound = self.start_bounds.first().map(|(at, _)| *at);
-        deadlines.chain(bound).min()
+        deadlines.chain(rest_end).chain(bound).min()
     }
 
     /// Deadline for the whole answer of a request.
--- a/src/dispatch/dispatcher/recall.rs
+++ b/src/dispatch/dispatcher/recall.rs
@@ -83,7 +83,8 @@
         });
         attempt.recall.is_none()
             && end.is_none_or(|end| now < end)
-            && listed.is_some_and(|e| self.fleet.is_in_service(now, e))
+            && listed
+                .is_some_and(|e| self.fleet.is_in_service(now, e) && !self.fleet.is_resting(now, e))
     }
 
     /// Computes the bounds of all attempts anew, as another naming time of a version is known.
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -224,6 +224,38 @@
         now: Instant,
         query: EndpointQuery<'a>,
         grace: Duration,
+    ) -> impl Iterator<Item = &'a Endpoint> + 'a {
+        self.suitable(now, query, grace)
+            .filter(move |e| !e.health.is_paused(now) && !self.is_resting(now, e))
+    }
+
+    /// Earliest time at which an endpoint accepts a request, when all that may run it rest; `None` when
+    /// one accepts, or none may run it.
+    pub(super) fn all_rest_until(
+        &self,
+        now: Instant,
+        query: EndpointQuery,
+        grace: Duration,
+    ) -> Option<Instant> {
+        let mut earliest: Option<Instant> = None;
+        for endpoint in self.suitable(now, query, grace) {
+            let until = self.rests.until(now, &endpoint.key())?;
+            earliest = Some(earliest.map_or(until, |earliest| earliest.min(until)));
+        }
+        earliest
+    }
+
+    /// True while an endpoint wants no request of this entry.
+    pub(super) fn is_resting(&self, now: Instant, endpoint: &Endpoint) -> bool {
+        self.rests.until(now, &endpoint.key()).is_some()
+    }
+
+    /// Endpoints that may run a request, also those that are paused or rest.
+    fn suitable<'a>(
+        &'a self,
+        now: Instant,
+        query: EndpointQuery<'a>,
+        grace: Duration,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
         let allows = |regions: &[RegionId], region: &RegionId| {
             regions.is_empty() || regions.contains(region)
@@ -234,7 +266,6 @@
                 && allows(query.route_regions, &e.listed.region)
                 && allows(query.customer_regions, &e.listed.region)
                 && !query.tried.contains(&e.listed.id)
-                && !e.health.is_paused(now)
                 && query.engine.is_none_or(|engine| {
                     self.has_version(now, e, query, grace)
                         && self.ends_in_time(now, e, engine, query)
--- a/src/dispatch/patterns/mod.rs
+++ b/src/dispatch/patterns/mod.rs
@@ -15,7 +15,9 @@
 pub(super) use burst::{WaitingRequest, max_queue_time, should_send};
 pub(super) use hot_key::sample;
 pub(super) use push::ends_before_change;
-pub(super) use retry_abuse::{RefusedCallers, retry_after_overload, retry_after_unavailable};
+pub(super) use retry_abuse::{
+    RefusedCallers, retry_after_overload, retry_after_rest, retry_after_unavailable,
+};
 
 /// Enabled mitigations. All are enabled in production; tests and experiments disable single ones to
 /// measure their effect.
--- a/src/dispatch/patterns/retry_abuse.rs
+++ b/src/dispatch/patterns/retry_abuse.rs
@@ -17,7 +17,13 @@
 const UNAVAILABLE_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(1_200), Duration::from_millis(2_000));
 
-/// Time for which a refusal is remembered: the longest Retry-After plus one second for transit.
+/// Time after the earliest end of a rest within which refused callers return, spread at random.
+const REST_RETURN_SPREAD: Duration = Duration::from_secs(1);
+/// Longest wait for the end of a rest that callers are told: another entry may be accepted sooner.
+const MAX_REST_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+/// Time for which a refusal is remembered: the longest Retry-After of an overload plus one second for
+/// transit.
 const REMEMBER_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of remembered refusals; at twenty times its usual load an entry refuses fewer in
 /// [`REMEMBER_TIME`].
@@ -76,3 +82,8 @@
 pub(in crate::dispatch) fn retry_after_unavailable(rng: &mut SmallRng) -> Duration {
     rng.random_range(UNAVAILABLE_RETRY_AFTER.0..UNAVAILABLE_RETRY_AFTER.1)
 }
+
+/// Random Retry-After for a caller while all endpoints rest, the first of them for `left`.
+pub(in crate::dispatch) fn retry_after_rest(rng: &mut SmallRng, left: Duration) -> Duration {
+    left.min(MAX_REST_RETRY_AFTER) + REST_RETURN_SPREAD.mul_f64(rng.random_range(0.0..1.0))
+}
--- a/src/dispatch/rest.rs
+++ b/src/dispatch/rest.rs
@@ -88,6 +88,11 @@
         (now < until).then_some(until)
     }
 
+    /// Earliest end of a rest.
+    pub fn next_end(&self) -> Option<Instant> {
+        self.processes.values().filter_map(|rest| rest.until).min()
+    }
+
     /// Ends the rests whose time has passed; returns them with the number of answers that had asked for
     /// each.
     pub fn end_passed(&mut self, now: Instant) -> Vec<(EndpointKey, u32)> {
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -13,6 +13,7 @@
 mod prompt_parts;
 mod prompt_parts_fuzz;
 mod recall;
+mod rests;
 mod silence;
 mod silence_fuzz;
 mod versions;
