Heed at once that an endpoint announces leaving

Callers saw nothing; engines that leave saw requests until the store told.

Cause: no code read Server-Leaving, and leaving was a field of the list's last entry, so that an older copy of the store, or a gap in the list, took it back.

Change: what was announced, or listed, belongs to the incarnation and is kept beside the list until another one is seen. The choice of an endpoint and the check before sending heed it; requests for which all endpoints leave are refused at once. The end of a process that has announced it is no crash. Streams that run there finish.

Tests: no_request_reaches_an_engine_that_has_announced_leaving (three cases, known red until now); a table in dispatch::tests::leaving, which was not run on the code before.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -5,7 +5,7 @@
 
 use crate::codes::Code;
 use crate::dispatch::endpoint::Endpoint;
-use crate::dispatch::fleet::EndpointQuery;
+use crate::dispatch::fleet::{EndpointQuery, NoneAccepts};
 use crate::dispatch::patterns::{WaitingRequest, retry_after_rest, sample, should_send};
 use crate::dispatch::request::{Assignment, RunningAttempt, TicketId};
 use crate::types::{EndpointId, Refusal};
@@ -65,12 +65,11 @@
         let has_fitting = !eligible.is_empty();
         let latest = request.queue_deadline.min(request.deadline);
         if !has_fitting
-            && let Some(until) = self
-                .fleet
-                .all_rest_until(now, query, self.cfg.version_grace)
-            && until > latest
+            && let Some(NoneAccepts { first_end }) =
+                self.fleet.none_accepts(now, query, self.cfg.version_grace)
+            && first_end.is_none_or(|end| end > latest)
         {
-            return Some(self.reject_resting(now, ticket, until, inputs));
+            return Some(self.reject_unaccepted(now, ticket, first_end, inputs));
         }
         let admitting: Vec<&Endpoint> = eligible
             .into_iter()
@@ -198,22 +197,22 @@
         }
     }
 
-    /// Ends a request for which all endpoints rest until a time, with a refusal.
-    fn reject_resting(
+    /// Ends a request for which all endpoints rest, the first one until `first_end`, or leave.
+    fn reject_unaccepted(
         &mut self,
         now: Instant,
         ticket: TicketId,
-        until: Instant,
+        first_end: Option<Instant>,
         inputs: DecisionInputs,
     ) -> Decision {
         let decision = self.reject(now, ticket, Code::NoneAccepts, inputs);
-        match decision {
-            Decision::Refuse(refusal, inputs) if refusal.code == Code::NoneAccepts => {
-                let left = until.saturating_duration_since(now);
+        match (decision, first_end) {
+            (Decision::Refuse(refusal, inputs), Some(end)) if refusal.code == Code::NoneAccepts => {
+                let left = end.saturating_duration_since(now);
                 let wait = retry_after_rest(&mut self.rng, left);
                 Decision::Refuse(refusal.with_retry_after(wait), inputs)
             }
-            decision => decision,
+            (decision, _) => decision,
         }
     }
 
@@ -237,7 +236,9 @@
             .final_code(code, Code::OutcomeUnknown);
         let refusal = match code {
             Code::OutcomeUnknown => Refusal::new(code),
-            Code::NoEndpoint | Code::Quarantined => self.refuse_unavailable(code),
+            Code::NoEndpoint | Code::NoneAccepts | Code::Quarantined => {
+                self.refuse_unavailable(code)
+            }
             _ => self.refuse_overload(code),
         };
         Decision::Refuse(refusal, inputs)
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -245,7 +245,8 @@
     /// use for a grace period.
     pub fn remove_endpoint(&mut self, now: Instant, id: &str, after_outage: bool) {
         let endpoint = self.fleet.get(id);
-        if after_outage && endpoint.is_some_and(|e| !e.listed.is_leaving) {
+        let is_leaving = |e: &Endpoint| self.fleet.leaving.contains(&e.key());
+        if after_outage && endpoint.is_some_and(|e| !is_leaving(e)) {
             self.fleet.start_lease_grace(now, id);
             return;
         }
@@ -461,7 +462,7 @@
             own: e.occupancy.own(),
             load_age_ms: e.load_age(now).map(|age| age.as_millis() as u64),
             version: e.version(None),
-            is_leaving: e.listed.is_leaving || self.fleet.leaving.contains(&e.key()),
+            is_leaving: self.fleet.leaving.contains(&e.key()),
             failing: e.health.failing(),
             limit: e.limit.rate(now),
             rest_ms: self
--- a/src/dispatch/dispatcher/recall.rs
+++ b/src/dispatch/dispatcher/recall.rs
@@ -84,7 +84,7 @@
         attempt.recall.is_none()
             && end.is_none_or(|end| now < end)
             && listed
-                .is_some_and(|e| self.fleet.is_in_service(now, e) && !self.fleet.is_resting(now, e))
+                .is_some_and(|e| self.fleet.is_in_service(now, e) && self.fleet.accepts(now, e))
     }
 
     /// Computes the bounds of all attempts anew, as another naming time of a version is known.
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -52,6 +52,13 @@
     wanted_versions: BTreeMap<Arc<str>, BTreeMap<u64, ChangeTime>>,
 }
 
+/// All endpoints that may run a request rest or leave.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct NoneAccepts {
+    /// Earliest end of a rest; `None` when all leave.
+    pub first_end: Option<Instant>,
+}
+
 /// Constraints of a request on its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointQuery<'a> {
@@ -84,6 +91,9 @@
 
     /// Adds or updates an endpoint from the list. Returns true when it is new or has restarted.
     pub fn update_endpoint(&mut self, now: Instant, listed: ListedEndpoint) -> bool {
+        if listed.is_leaving {
+            self.leaving.insert((listed.incarnation, listed.id.clone()));
+        }
         match self.endpoints.get_mut(&listed.id) {
             Some(endpoint) => endpoint.update_listing(now, listed),
             None => {
@@ -226,31 +236,37 @@
         grace: Duration,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
         self.suitable(now, query, grace)
-            .filter(move |e| !e.health.is_paused(now) && !self.is_resting(now, e))
+            .filter(move |e| !e.health.is_paused(now) && self.accepts(now, e))
     }
 
-    /// Earliest time at which an endpoint accepts a request, when all that may run it rest; `None` when
-    /// one accepts, or none may run it.
-    pub(super) fn all_rest_until(
+    /// Why none of the endpoints that may run a request wants one; `None` when one does, or there are none.
+    pub(super) fn none_accepts(
         &self,
         now: Instant,
         query: EndpointQuery,
         grace: Duration,
-    ) -> Option<Instant> {
-        let mut earliest: Option<Instant> = None;
+    ) -> Option<NoneAccepts> {
+        let mut found = None;
         for endpoint in self.suitable(now, query, grace) {
-            let until = self.rests.until(now, &endpoint.key())?;
-            earliest = Some(earliest.map_or(until, |earliest| earliest.min(until)));
+            let key = endpoint.key();
+            let rest_end = match self.leaving.contains(&key) {
+                true => None,
+                false => Some(self.rests.until(now, &key)?),
+            };
+            let NoneAccepts { first_end } = found.unwrap_or_default();
+            let first_end = first_end.into_iter().chain(rest_end).min();
+            found = Some(NoneAccepts { first_end });
         }
-        earliest
+        found
     }
 
-    /// True while an endpoint wants no request of this entry.
-    pub(super) fn is_resting(&self, now: Instant, endpoint: &Endpoint) -> bool {
-        self.rests.until(now, &endpoint.key()).is_some()
+    /// True unless an endpoint wants no request of this entry.
+    pub(super) fn accepts(&self, now: Instant, endpoint: &Endpoint) -> bool {
+        let key = endpoint.key();
+        !self.leaving.contains(&key) && self.rests.until(now, &key).is_none()
     }
 
-    /// Endpoints that may run a request, also those that are paused or rest.
+    /// Endpoints that may run a request, also those that are paused, rest or leave.
     fn suitable<'a>(
         &'a self,
         now: Instant,
@@ -273,11 +289,10 @@
         })
     }
 
-    /// True while an endpoint gets new requests: it is listed, stays, and its zone is in service.
+    /// True while an endpoint gets new requests: it is listed and its zone is in service.
     pub(super) fn is_in_service(&self, now: Instant, endpoint: &Endpoint) -> bool {
         !endpoint.is_unlisted
             && endpoint.grace_deadline.is_none_or(|until| now < until)
-            && !endpoint.listed.is_leaving
             && !self.evacuated.contains(&endpoint.listed.zone)
     }
 
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint_state;
 pub(crate) mod fixture;
 mod fuzz;
+mod leaving;
 mod limits;
 mod limits_fuzz;
 mod overload;
