Fuzz the rests and leavings of an endpoint against what each entry was told

Histories of three entries with requests that are assigned and connect later, late answers, rests that are shortened, lifted or unreadable, announcements, restarts, lists that lack the endpoint and older copies of them. The oracle knows what each process has told each entry: nothing may reach it after. An entry that takes an answer for that of another process, because its list is older or newer, is not counted; docs/design/14-leaving-and-rest.md says so.

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -17,4 +17,5 @@
 mod rests;
 mod silence;
 mod silence_fuzz;
+mod rests_fuzz;
 mod versions;
