--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -42,7 +42,7 @@
     EntryGone,
     /// The endpoint answered with an error.
     Failed,
-    /// No connection to the endpoint could be made.
+    /// No connection to the endpoint could be made, or the attempt was withdrawn before it was sent.
     NotSent,
     /// The endpoint sent no data for too long.
     Silent,
