--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -15,7 +15,7 @@
 mod prompt_parts_fuzz;
 mod recall;
 mod rests;
+mod rests_fuzz;
 mod silence;
 mod silence_fuzz;
-mod rests_fuzz;
 mod versions;
--- a/src/dispatch/tests/rests_fuzz.rs
+++ b/src/dispatch/tests/rests_fuzz.rs
@@ -209,6 +209,9 @@
                     refusal.code != Code::NoneAccepts || refusal.retry_after.is_some(),
                     "callers are not told when to return"
                 ),
+                Decision::KeepSilent(..) => {
+                    return Err(TestCaseError::fail("no attempt is silent here"));
+                }
             }
         }
         for request in assigned {
@@ -236,7 +239,8 @@
     ) -> Check {
         let (now, fault) = (self.now, self.fault);
         let entry = &mut self.entries[at];
-        if fault != InjectedFault::SentWithoutAsking && !entry.core.may_send(now, ticket) {
+        let may_send = entry.core.may_send(now, ticket, &assignment.endpoint);
+        if fault != InjectedFault::SentWithoutAsking && !may_send {
             entry
                 .core
                 .attempt_ended(now, ticket, AttemptOutcome::Withdrawn);
