--- a/src/dispatch/patterns/retry_abuse.rs
+++ b/src/dispatch/patterns/retry_abuse.rs
@@ -19,7 +19,7 @@
 
 /// Time after the earliest end of a rest within which refused callers return, spread at random.
 const REST_RETURN_SPREAD: Duration = Duration::from_secs(1);
-/// Longest wait for the end of a rest that callers are told: another entry may be accepted sooner.
+/// Longest wait for the end of a rest that is named to callers: another entry may be accepted sooner.
 const MAX_REST_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// Time for which a refusal is remembered: the longest Retry-After of an overload plus one second for
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -12,16 +12,16 @@
 
 use crate::codes::Code;
 use crate::dispatch::{
-    Assignment, AttemptOutcome, CallerRequest, Decision, Dispatcher, Notice, Route, TicketId,
+    Assignment, AttemptOutcome, CallerRequest, Decision, Dispatcher, Route, TicketId,
 };
 use crate::http::{AnswerBody, BodyLimits, read_body};
 use crate::log_fields;
-use crate::telemetry::{AttemptResult, EndpointSignal, Event, Metrics, RequestResult};
+use crate::telemetry::{AttemptResult, Event, Metrics, RequestResult};
 use crate::types::Refusal;
 
 use super::answer::{BodyReader, OutgoingRequest};
 use super::dialect::{Dialect, RequestHead};
-use super::notice::{digest_text, log_notice, prompt_parts_text};
+use super::notice::{count_notice, digest_text, log_notice, prompt_parts_text};
 use super::race::{Progress, Race, Refused};
 use super::stream;
 use super::ticket::Ticket;
@@ -157,20 +157,11 @@
         };
         for notice in &notices {
             log_notice(notice);
-            self.count_notice(notice);
+            count_notice(&self.inner.metrics, notice);
         }
         self.inner.wakeup_changed.notify_one();
     }
 
-    fn count_notice(&self, notice: &Notice) {
-        let signal = match notice {
-            Notice::RestBegan { .. } => EndpointSignal::Rest,
-            Notice::LeavingAnnounced { .. } => EndpointSignal::Leaving,
-            _ => return,
-        };
-        self.inner.metrics.count_endpoint_signal(signal);
-    }
-
     /// Calls [`Relay::dispatch_waiting`] at each wake-up time of the core; never returns.
     pub async fn run_dispatch_loop(&self) {
         loop {
--- a/src/relay/notice.rs
+++ b/src/relay/notice.rs
@@ -3,7 +3,7 @@
 use crate::delivery::Suspect;
 use crate::dispatch::Notice;
 use crate::log_fields;
-use crate::telemetry::Event;
+use crate::telemetry::{EndpointSignal, Event, Metrics};
 use crate::types::PromptPart;
 
 /// Logs a notice.
@@ -95,6 +95,16 @@
     }
 }
 
+/// Counts what an endpoint asks of its entries.
+pub(super) fn count_notice(metrics: &Metrics, notice: &Notice) {
+    let signal = match notice {
+        Notice::RestBegan { .. } => EndpointSignal::Rest,
+        Notice::LeavingAnnounced { .. } => EndpointSignal::Leaving,
+        _ => return,
+    };
+    metrics.count_endpoint_signal(signal);
+}
+
 /// Prompt parts as they are written to the log.
 pub(super) fn prompt_parts_text<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> String {
     let parts: Vec<_> = parts.into_iter().map(|part| format!("{part:x}")).collect();
