--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -10,7 +10,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
@@ -19,6 +19,7 @@
 use crate::server::Server;
 
 use super::faults::SiteEngineFaults;
+use super::run::SiteRun;
 
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -43,23 +44,6 @@
     Plain,
 }
 
-/// A request that a back end ran.
-#[derive(Clone, Debug)]
-pub struct SiteRun {
-    /// Id of the request, from its `request-id` header.
-    pub request_id: String,
-    /// Headers of the request.
-    pub headers: HeaderMap,
-    /// Body of the request.
-    pub body: Bytes,
-    /// Path and query of the request.
-    pub path: String,
-    /// Time at which it began to run.
-    pub begun_at: Instant,
-    /// Version of the weights with which it began; `None` for a plain service.
-    pub version: Option<u64>,
-}
-
 #[derive(Debug)]
 struct State {
     /// Instance id, which requests may name in `expect-instance`.
--- a/fakes/src/site/mod.rs
+++ b/fakes/src/site/mod.rs
@@ -6,9 +6,11 @@
 mod engine;
 mod faults;
 mod origin;
+mod run;
 mod store;
 
-pub use engine::{SiteEngine, SiteEngineKind, SiteRun};
+pub use engine::{SiteEngine, SiteEngineKind};
 pub use faults::SiteEngineFaults;
 pub use origin::{SiteOrigin, piece};
+pub use run::SiteRun;
 pub use store::SiteStore;
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 mod outcome;
 mod recall;
 mod silence;
+mod snapshot;
 mod statements;
 
 use std::collections::{BTreeSet, HashMap};
@@ -17,7 +18,7 @@
 
 use crate::codes::Code;
 use crate::delivery::{Attempts, Blamed, RetryLimit, RetryWindow, Suspect, Suspects};
-use crate::types::{ChangeTime, EndpointId, PromptPart, Refusal, RegionId, TargetId, ZoneId};
+use crate::types::{ChangeTime, PromptPart, Refusal, RegionId, TargetId, ZoneId};
 
 use super::configuration::{Configuration, Customer, Route};
 use super::crash_watch::{CrashWatch, EndpointProcess};
@@ -29,6 +30,8 @@
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
 
+pub use snapshot::{EndpointView, Snapshot};
+
 use recall::StartBounds;
 
 /// Number of entries assumed to share the fleet until agents report it.
@@ -99,54 +102,6 @@
     Refuse(Refusal),
 }
 
-/// State for dumps and metrics.
-#[derive(Clone, Debug, Default, serde::Serialize)]
-pub struct Snapshot {
-    /// Version of the configuration in force; 0 before the first.
-    #[serde(rename = "desired")]
-    pub configuration: u64,
-    /// Number of entries that share the fleet.
-    pub entries: u32,
-    /// Number of admitted requests that have not ended.
-    pub requests: usize,
-    /// Number of requests that wait for an endpoint.
-    pub waiting: usize,
-    /// Endpoints on the list.
-    pub endpoints: Vec<EndpointView>,
-    /// Number of requests and prompt parts with crashes.
-    pub suspects: usize,
-    /// What is blamed for crashes, as `part ID` or `request DIGEST`; those of one item together.
-    pub blamed: Vec<Vec<String>>,
-}
-
-/// State of one endpoint in a dump.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct EndpointView {
-    /// Unique name.
-    pub id: EndpointId,
-    /// Model or service that it serves.
-    pub target: TargetId,
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// Estimated number of requests running or queued there.
-    pub in_system: u32,
-    /// Number of requests of this entry that are there.
-    pub own: u32,
-    /// Age of the last load report in milliseconds.
-    pub load_age_ms: Option<u64>,
-    /// Weight version of its first model; `None` when it holds no model.
-    pub version: Option<u64>,
-    /// True once it is shutting down.
-    pub is_leaving: bool,
-    /// Moving average of the share of failed attempts, from 0 to 1.
-    pub failing: f64,
-    /// Requests per second that it takes from all entries together; `None` without a limit.
-    pub limit: Option<f64>,
-    /// Time left in milliseconds in which it wants no request of this entry; `None` when it has not asked for
-    /// rest.
-    pub rest_ms: Option<u64>,
-}
-
 /// Sans-IO dispatcher for the requests of one entry.
 pub struct Dispatcher {
     cfg: DispatchConfig,
@@ -451,39 +406,6 @@
     fn refuse_unavailable(&mut self, code: Code) -> Refusal {
         Refusal::new(code).with_retry_after(retry_after_unavailable(&mut self.rng))
     }
-
-    /// State for dumps and metrics.
-    pub fn snapshot(&self, now: Instant) -> Snapshot {
-        let view = |e: &Endpoint| EndpointView {
-            id: e.listed.id.clone(),
-            target: e.listed.target.clone(),
-            zone: e.listed.zone.clone(),
-            in_system: e.in_system(now, self.entries),
-            own: e.occupancy.own(),
-            load_age_ms: e.load_age(now).map(|age| age.as_millis() as u64),
-            version: e.version(None),
-            is_leaving: self.fleet.leaving.contains(&e.key()),
-            failing: e.health.failing(),
-            limit: e.limit.rate(now),
-            rest_ms: self
-                .fleet
-                .rests
-                .until(now, &e.key())
-                .map(|until| until.saturating_duration_since(now).as_millis() as u64),
-        };
-        Snapshot {
-            configuration: self
-                .configuration
-                .as_ref()
-                .map_or(0, |configuration| configuration.version),
-            entries: self.entries,
-            requests: self.requests.len(),
-            waiting: self.queue.len(),
-            endpoints: self.fleet.endpoints().map(view).collect(),
-            suspects: self.suspects.len(),
-            blamed: self.suspects.blamed().map(names).collect(),
-        }
-    }
 }
 
 /// Finds the customer by the request's API key; `None` when no customer holds the key and none is
--- a/src/dispatch/tests/fuzz/mod.rs
+++ b/src/dispatch/tests/fuzz/mod.rs
@@ -19,7 +19,7 @@
 use crate::fuzz_config::fuzz_config;
 use crate::types::ChangeTime;
 
-use ops::{Op, configuration_variant, op};
+use ops::{InjectedFault, Op, configuration_variant, op};
 
 /// Number of generated sequences per run.
 const CASES: u32 = 256;
@@ -39,27 +39,6 @@
 const MAX_ATTEMPTS: u32 = 2;
 const ROUTES: [&str; 3] = ["chat", "look", "hold"];
 
-/// How the dispatcher's input differs from the model's.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum InjectedFault {
-    NoFault,
-    /// Broken attempts are reported as not run.
-    BrokenReportedAsNotRun,
-    LeavingNotApplied,
-    EvacuationNotApplied,
-    VersionNotApplied,
-    /// The only report on a wanted version comes late and gives the time of its arrival.
-    VersionReportedLate,
-    /// Older configurations replace newer ones.
-    OlderConfigurationApplied,
-    /// A configuration without routes ends the requests that were admitted before.
-    AdmittedRequestsDropped,
-    /// Attempts that are taken back stay at their endpoints.
-    RecallIgnored,
-    /// Attempts are taken back at the next operation only.
-    WakeupIgnored,
-}
-
 #[derive(Clone, Debug)]
 struct TrackedRequest {
     route: usize,
--- a/src/dispatch/tests/fuzz/ops.rs
+++ b/src/dispatch/tests/fuzz/ops.rs
@@ -78,3 +78,24 @@
         1 => (1u64..60, variant()).prop_map(|(v, variant)| Op::Configure(v, variant)),
     ]
 }
+
+/// How the dispatcher's input differs from the model's.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum InjectedFault {
+    NoFault,
+    /// Broken attempts are reported as not run.
+    BrokenReportedAsNotRun,
+    LeavingNotApplied,
+    EvacuationNotApplied,
+    VersionNotApplied,
+    /// The only report on a wanted version comes late and gives the time of its arrival.
+    VersionReportedLate,
+    /// Older configurations replace newer ones.
+    OlderConfigurationApplied,
+    /// A configuration without routes ends the requests that were admitted before.
+    AdmittedRequestsDropped,
+    /// Attempts that are taken back stay at their endpoints.
+    RecallIgnored,
+    /// Attempts are taken back at the next operation only.
+    WakeupIgnored,
+}
