--- a/src/dispatch/tests/recall.rs
+++ b/src/dispatch/tests/recall.rs
@@ -102,7 +102,7 @@
 }
 
 // Guards against requests on a version that has ended, because a newer configuration no longer has
-// their target and nothing tells that its endpoints are engines.
+// their target, and its endpoints are no longer known to be engines.
 #[test]
 fn a_waiting_request_whose_target_is_gone_is_not_sent_to_a_version_that_has_ended() {
     let now = Instant::now();
--- a/src/dispatch/tests/rests_fuzz.rs
+++ b/src/dispatch/tests/rests_fuzz.rs
@@ -1,5 +1,5 @@
 //! Random worlds of entries that share an endpoint which asks for rest, leaves and restarts, checked against an
-//! oracle that knows what each entry has been told.
+//! oracle that knows what was said to each entry.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -86,7 +86,7 @@
     HeldAgainstNextProcess,
 }
 
-/// What a process of the endpoint has told an entry.
+/// What a process of the endpoint has said to an entry.
 #[derive(Clone, Copy, Debug, Default)]
 struct Told {
     rests_until: Option<Instant>,
--- a/src/relay/race.rs
+++ b/src/relay/race.rs
@@ -275,7 +275,7 @@
         }
     }
 
-    /// Tells the core that the answer of the running attempt has started.
+    /// Records in the core that the answer of the running attempt has started.
     fn record_start(&mut self) {
         let Some(attempt) = self.running.as_mut().filter(|attempt| !attempt.is_started) else {
             return;
@@ -296,7 +296,7 @@
             .core()
             .attempt_ended(Instant::now(), self.ticket.id, outcome);
         let refused = match step {
-            // Without a number of the last event nothing tells where to go on.
+            // Without the number of the last event, no endpoint can continue the stream.
             NextStep::Wait if self.events > 0 && self.last_event_id.is_none() => Refused::unknown(),
             NextStep::Wait => {
                 self.decision = Some(self.relay.request_decision(self.ticket.id));
