--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -5,13 +5,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
-use crate::http::{MAX_ANSWER_HEAD_BYTES, collect_bounded, too_many_interim_answers};
+use crate::http::{
+    MAX_ANSWER_HEAD_BYTES, collect_arriving, collect_bounded, too_many_interim_answers,
+};
 
 use super::PlatformError;
 
@@ -53,6 +56,18 @@
     }
 }
 
+/// Timeouts of an answer whose body may take long on a busy link. They bound a sender that stalls
+/// as well as one that sends a byte now and then.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ArrivalTimeouts {
+    /// Timeout for the head, from the start of the call.
+    pub head: Duration,
+    /// Longest time between two parts of the body.
+    pub idle: Duration,
+    /// Timeout for the whole body, from the arrival of the head.
+    pub body: Duration,
+}
+
 /// HTTP client that pools connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -116,32 +131,58 @@
             .unwrap_or_else(|_| Err(PlatformError::Lost(format!("no answer in {total:?}"))))
     }
 
+    /// Like [`HttpClient::send`], for an answer that may take long to arrive.
+    ///
+    /// # Errors
+    /// As [`HttpClient::send`].
+    pub async fn send_large(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeouts: ArrivalTimeouts,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let ArrivalTimeouts { head, idle, body } = timeouts;
+        let res = tokio::time::timeout(head, self.open(req))
+            .await
+            .unwrap_or_else(|_| Err(PlatformError::Lost(format!("no head in {head:?}"))))?;
+        let (parts, incoming) = res.into_parts();
+        let collected = collect_arriving(incoming, self.max_answer_bytes, idle);
+        let body = tokio::time::timeout(body, collected)
+            .await
+            .map_err(|_| PlatformError::Lost(format!("the body takes longer than {body:?}")))?
+            .map_err(|e| PlatformError::Lost(e.to_string()))?;
+        Ok(Response::from_parts(parts, body))
+    }
+
     /// Timeout for a whole call.
     pub fn total_timeout(&self) -> Duration {
         self.timeouts.total
     }
 
-    async fn exchange(
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, PlatformError> {
+        let (parts, body) = self.open(req).await?.into_parts();
+        let body = collect_bounded(body, self.max_answer_bytes)
+            .await
+            .map_err(|e| PlatformError::Lost(e.to_string()))?;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    async fn open(
         &self,
         mut req: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, PlatformError> {
+    ) -> Result<Response<Incoming>, PlatformError> {
         let flooded = too_many_interim_answers(&mut req);
         let res = tokio::select! {
             () = flooded => return Err(PlatformError::Lost("interim answers only".into())),
             res = self.client.request(req) => res,
         };
-        let res = res.map_err(|e| {
+        res.map_err(|e| {
             if e.is_connect() {
                 PlatformError::Refused(e.to_string())
             } else {
                 PlatformError::Lost(e.to_string())
             }
-        })?;
-        let (parts, body) = res.into_parts();
-        let body = collect_bounded(body, self.max_answer_bytes)
-            .await
-            .map_err(|e| PlatformError::Lost(e.to_string()))?;
-        Ok(Response::from_parts(parts, body))
+        })
     }
 }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -21,5 +21,5 @@
 pub use interim::{MAX_ANSWER_HEAD_BYTES, too_many_interim_answers};
 pub use listener::{Listener, ListenerLimits};
 pub use metrics::{BEARER, is_authorized, metrics_response};
-pub use read::{BodyLimits, CollectError, collect_bounded, read_body};
+pub use read::{BodyLimits, CollectError, collect_arriving, collect_bounded, read_body};
 pub use refusal::{RefusalBody, refusal_response};
--- a/src/http/read.rs
+++ b/src/http/read.rs
@@ -52,6 +52,8 @@
     TooLarge(usize),
     /// the answer broke: {0}
     Broken(hyper::Error),
+    /// no data arrived for {0:?}
+    Stalled(Duration),
 }
 
 impl std::error::Error for CollectError {}
@@ -62,9 +64,26 @@
 /// # Errors
 ///
 /// Fails when the body is larger or its connection breaks.
-pub async fn collect_bounded(mut body: Incoming, max: usize) -> Result<Bytes, CollectError> {
+pub async fn collect_bounded(body: Incoming, max: usize) -> Result<Bytes, CollectError> {
+    collect_arriving(body, max, Duration::MAX).await
+}
+
+/// Like [`collect_bounded`], for a body of which no part takes longer than `idle` to arrive.
+///
+/// # Errors
+///
+/// Fails as [`collect_bounded`] does, and when no data arrives for `idle`.
+pub async fn collect_arriving(
+    mut body: Incoming,
+    max: usize,
+    idle: Duration,
+) -> Result<Bytes, CollectError> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let next = tokio::time::timeout(idle, body.frame()).await;
+        let Some(frame) = next.map_err(|_| CollectError::Stalled(idle))? else {
+            return Ok(bytes.freeze());
+        };
         // Frames other than data are trailers.
         let Ok(data) = frame.map_err(CollectError::Broken)?.into_data() else {
             continue;
@@ -74,5 +93,4 @@
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
 }
