Control traffic: bounded for any number of entries and agents

Cause: each agent sent each change of its load to every entry, looked for each 40 ms, and each entry sent every agent the list of all agents each 2 s and at each change of the endpoint list: both grow with entries times agents. A list for over about 1,300 agents did not fit into a datagram and was dropped without a word. Change: an entry prefers at most 64 endpoints of a target (rendezvous hashing, 48 places for its own region) and hears each change of their load; the others report with their heartbeats. Heartbeats go to an agent each 0.4 to 1 s, at most 250 a second from an entry. The list of agents is named by a digest, asked for, and sent in parts of 128. Datagrams that do not fit or cannot be read are logged (302) and counted (control_datagrams, control_bytes). Result: tests of lists of 0 to 5,000 agents, of who is told what, of subsets (lost region, churn, uneven callers).

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -17,6 +17,14 @@
 /// Cost of an endpoint in another zone of the region, as time.
 const ZONE_COST: Duration = Duration::from_millis(4);
 
+/// An endpoint that a request may be sent to.
+struct Choice<'a> {
+    /// Predicted time to the start of the answer.
+    predicted: Duration,
+    cost: Duration,
+    endpoint: &'a Endpoint,
+}
+
 impl Dispatcher {
     /// Assigns an endpoint to a waiting request, or refuses it when it has waited too long. Returns
     /// `None` when it keeps waiting.
@@ -78,22 +86,7 @@
         if has_fitting && admitting.is_empty() {
             return Some(self.reject(now, ticket, Code::LimitReached, inputs));
         }
-        let candidates = match self.cfg.mitigations.hot_key {
-            true => sample(&admitting, &mut self.rng),
-            false => admitting,
-        };
         let goal = request.route.start_goal;
-        let best = candidates
-            .into_iter()
-            .map(|e| {
-                let predicted = predict(e);
-                (predicted, self.cost(e, predicted, goal), e)
-            })
-            .min_by_key(|(_, cost, _)| *cost);
-        let is_expired = now >= request.queue_deadline || now >= request.deadline;
-        let Some((predicted, _, endpoint)) = best else {
-            return is_expired.then(|| self.reject(now, ticket, Code::NoEndpoint, inputs));
-        };
         let waiting = WaitingRequest {
             goal,
             deadline: request.deadline,
@@ -101,13 +94,47 @@
             is_retry: request.is_returning || !request.tried.is_empty(),
         };
         let start_budget = waiting.start_budget(now);
-        inputs.predicted_start = Some(predicted);
+        let starts_soon = |choice: &Choice| {
+            let load = choice.endpoint.load(now, self.entries);
+            should_send(choice.predicted, start_budget, load)
+        };
+        let (preferred, others): (Vec<&Endpoint>, Vec<&Endpoint>) = admitting
+            .into_iter()
+            .partition(|e| self.fleet.is_preferred(&e.listed.id));
+        let mut best: Option<Choice> = None;
+        for group in [preferred, others] {
+            let compared = match self.cfg.mitigations.hot_key {
+                true => sample(&group, &mut self.rng),
+                false => group,
+            };
+            let choices = compared.into_iter().map(|endpoint| {
+                let predicted = predict(endpoint);
+                Choice {
+                    predicted,
+                    cost: self.cost(endpoint, predicted, goal),
+                    endpoint,
+                }
+            });
+            best = best.into_iter().chain(choices).min_by_key(|c| c.cost);
+            if best.as_ref().is_some_and(starts_soon) {
+                break;
+            }
+        }
+        let is_expired = now >= request.queue_deadline || now >= request.deadline;
+        let Some(choice) = best else {
+            return is_expired.then(|| self.reject(now, ticket, Code::NoEndpoint, inputs));
+        };
+        inputs.predicted_start = Some(choice.predicted);
         inputs.start_budget = Some(start_budget);
         inputs.since_first_attempt = now.saturating_duration_since(request.first_attempt_at);
-        let load = endpoint.load(now, self.entries);
-        if self.cfg.mitigations.burst && !should_send(predicted, start_budget, load) {
+        if self.cfg.mitigations.burst && !starts_soon(&choice) {
             return is_expired.then(|| self.reject(now, ticket, Code::DeadlineUnreachable, inputs));
         }
+        let Choice {
+            predicted,
+            endpoint,
+            ..
+        } = choice;
         let id = endpoint.listed.id.clone();
         let rate = target.cold_rate;
         if !self.cold_rate_admits(now, &id, rate) {
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -171,6 +171,11 @@
         self.configuration.as_ref()
     }
 
+    /// Chooses the preferred endpoints, if those that may be used have changed.
+    pub fn refresh_subset(&mut self) {
+        self.fleet.refresh_subset(self.cfg.seed, &self.cfg.region);
+    }
+
     /// Known endpoints.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
@@ -341,6 +346,7 @@
     pub fn dispatch_waiting(&mut self, now: Instant) -> Vec<(TicketId, Decision)> {
         self.settle_answers(now);
         self.end_rests(now);
+        self.refresh_subset();
         let queue: Vec<_> = self.queue.iter().copied().collect();
         let mut decided = Vec::new();
         for key in queue {
--- a/src/dispatch/dispatcher/snapshot.rs
+++ b/src/dispatch/dispatcher/snapshot.rs
@@ -40,6 +40,8 @@
     pub in_system: u32,
     /// Number of requests of this entry that are there.
     pub own: u32,
+    /// True when this entry prefers it, so that its agent reports each change of its load.
+    pub is_preferred: bool,
     /// Age of the last load report in milliseconds.
     pub load_age_ms: Option<u64>,
     /// Weight version of its first model; `None` when it holds no model.
@@ -64,6 +66,7 @@
             zone: e.listed.zone.clone(),
             in_system: e.in_system(now, self.entries),
             own: e.occupancy.own(),
+            is_preferred: self.fleet.is_preferred(&e.listed.id),
             load_age_ms: e.load_age(now).map(|age| age.as_millis() as u64),
             version: e.version(None),
             is_leaving: self.fleet.leaving.contains(&e.key()),
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -13,6 +13,7 @@
 use super::leaving::Leaving;
 use super::patterns::{Mitigations, ends_before_change};
 use super::rest::Rests;
+use super::subset::{Candidate, preferred};
 
 /// Time for which an endpoint whose lease expired during a store outage is still used. Live
 /// endpoints are back on the list within two seconds.
@@ -43,6 +44,10 @@
 pub struct Fleet {
     mitigations: Mitigations,
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Endpoints that this entry prefers.
+    preferred: BTreeSet<EndpointId>,
+    /// True when `preferred` does not follow from `endpoints` and `evacuated` any more.
+    is_subset_outdated: bool,
     /// Rests that endpoints have asked of this entry.
     pub(super) rests: Rests,
     pub(super) leaving: Leaving,
@@ -95,11 +100,15 @@
             self.leaving.insert((listed.incarnation, listed.id.clone()));
         }
         match self.endpoints.get_mut(&listed.id) {
-            Some(endpoint) => endpoint.update_listing(now, listed),
+            Some(endpoint) => {
+                self.is_subset_outdated |= endpoint.is_unlisted;
+                endpoint.update_listing(now, listed)
+            }
             None => {
                 let id = listed.id.clone();
                 let endpoint = Endpoint::new(now, listed, self.mitigations);
                 self.endpoints.insert(id, endpoint);
+                self.is_subset_outdated = true;
                 true
             }
         }
@@ -109,6 +118,7 @@
     pub fn remove_endpoint(&mut self, id: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.is_unlisted = true;
+            self.is_subset_outdated = true;
         }
         self.sweep();
     }
@@ -127,6 +137,28 @@
             .retain(|_, e| !e.is_unlisted || e.occupancy.own() > 0);
     }
 
+    /// Chooses the endpoints that the entry with `key` in `region` prefers, if those that it may use
+    /// have changed.
+    pub(super) fn refresh_subset(&mut self, key: u64, region: &str) {
+        if !std::mem::take(&mut self.is_subset_outdated) {
+            return;
+        }
+        let in_service = self
+            .endpoints()
+            .filter(|e| !self.evacuated.contains(&e.listed.zone));
+        let candidates = in_service.map(|e| Candidate {
+            id: &e.listed.id,
+            target: &e.listed.target,
+            region: &e.listed.region,
+        });
+        self.preferred = preferred(key, region, candidates);
+    }
+
+    /// True when this entry prefers an endpoint.
+    pub fn is_preferred(&self, id: &str) -> bool {
+        self.preferred.contains(id)
+    }
+
     /// All endpoints on the list.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values().filter(|e| !e.is_unlisted)
@@ -170,6 +202,7 @@
     /// Sets the zones whose endpoints get no new requests.
     pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneId>) {
         self.evacuated = zones;
+        self.is_subset_outdated = true;
     }
 
     /// Records a report on the time at which a version became the wanted one of a model.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod request;
 mod rest;
 mod statement;
+mod subset;
 #[cfg(test)]
 pub(crate) mod tests;
 
--- a/src/dispatch/tests/crashes.rs
+++ b/src/dispatch/tests/crashes.rs
@@ -68,10 +68,12 @@
     let heartbeat = EntryHeartbeat {
         entry_incarnation: 1,
         is_open: true,
+        interval_ms: 400,
+        wants_load: false,
         plan: None,
         crashes: crashes.clone(),
     };
-    let size = encode(&heartbeat).len();
+    let size = encode(&heartbeat).unwrap().len();
     assert!(size < MAX_DATAGRAM / 3, "{size} bytes");
     // The newest ones are sent.
     assert!(crashes.iter().all(|crash| match crash.suspect {
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -18,4 +18,5 @@
 mod rests_fuzz;
 mod silence;
 mod silence_fuzz;
+mod subsets;
 mod versions;
--- a/src/dispatch/tests/prompt_parts_fuzz.rs
+++ b/src/dispatch/tests/prompt_parts_fuzz.rs
@@ -346,6 +346,8 @@
         let heartbeat = EntryHeartbeat {
             entry_incarnation: 1,
             is_open: true,
+            interval_ms: 400,
+            wants_load: false,
             plan: None,
             crashes: self.entries[entry].crashes(self.now),
         };
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -2,27 +2,69 @@
 //! load of each agent.
 //!
 //! Neither side keeps a connection, so a lost datagram, a frozen peer or a severed path leaves no
-//! stale connection state behind. The datagrams are [`EntryHeartbeat`] and [`AgentHeartbeat`],
-//! encoded with postcard.
-
-mod peers;
+//! stale connection state behind. The datagrams are [`EntryMessage`] and [`AgentMessage`], encoded
+//! with postcard.
+//!
+//! What a process sends and receives is bounded for any number of hosts: heartbeats are sent less often
+//! to many agents ([`heartbeat_interval`]), agents send each change of load only to the entries that
+//! prefer their endpoint, and the list of agents, the only part that grows with the fleet, is sent in
+//! parts to agents that ask for it.
+
+mod entries;
+mod peer_list;
+mod plan;
 #[cfg(test)]
 mod tests;
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
+use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::delivery::SuspectCrash;
 use crate::dispatch::LimitStatement;
 use crate::types::{ChangeAge, StorePosition};
 
-pub use peers::{Entries, PlanState};
+pub use entries::{Entries, LoadChanges};
+pub use peer_list::{PeerList, PeerListPart};
+pub use plan::PlanState;
 
-/// Maximum size of a datagram that is sent or received, in bytes. For fleets of the usual size a
-/// datagram fits into one Ethernet frame.
+/// Maximum size of a datagram that is sent or received, in bytes. Most fit into one Ethernet frame.
 pub const MAX_DATAGRAM: usize = 8 * 1024;
+/// Shortest time between two heartbeats of an entry to an agent, and longest one between two of an
+/// agent to an entry that prefers its endpoint.
+pub const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest time between two heartbeats. Load reports count for a little longer.
+const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Heartbeats per second that an entry sends at most, up to `MAX_HEARTBEAT_INTERVAL`.
+const HEARTBEATS_PER_SECOND: u32 = 250;
+
+/// Time between two heartbeats of an entry to each of `agents`.
+pub fn heartbeat_interval(agents: usize) -> Duration {
+    let agents = u32::try_from(agents).unwrap_or(u32::MAX);
+    let interval = Duration::from_secs(1).saturating_mul(agents) / HEARTBEATS_PER_SECOND;
+    interval.clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
+}
+
+/// Datagram from an entry to an agent.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum EntryMessage {
+    /// Sent to every agent at a steady interval, and at once when something important has changed.
+    Heartbeat(EntryHeartbeat),
+    /// Answer to [`AgentMessage::PeersWanted`].
+    Peers(PeerListPart),
+}
+
+/// Datagram from an agent to an entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum AgentMessage {
+    /// State of the agent and of its engine.
+    Heartbeat(AgentHeartbeat),
+    /// The agent does not have the list of agents that the entry's plan names.
+    PeersWanted,
+}
 
 /// Heartbeat from an entry to each agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -31,13 +73,17 @@
     pub entry_incarnation: u64,
     /// True when the entry accepts requests.
     pub is_open: bool,
-    /// Plan of the fleet; absent in most heartbeats, and until the entry can build one.
+    /// Longest time until the next heartbeat, in milliseconds.
+    pub interval_ms: u32,
+    /// True when the entry prefers the agent's endpoint, so that it needs each change of its load.
+    pub wants_load: bool,
+    /// Plan of the fleet; absent until the entry can build one.
     pub plan: Option<Plan>,
     /// Crashes that the entry knows; bounded by [`crate::delivery::Suspects`].
     pub crashes: Vec<SuspectCrash>,
 }
 
-/// Versions that the fleet has to serve, and the agents that serve them.
+/// Versions that the fleet has to serve, and the digest of the list of agents that serve them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Plan {
     /// Position of the store that the plan was made from; the plan with the highest one applies.
@@ -46,8 +92,8 @@
     pub wanted: Vec<WantedModel>,
     /// Address of the origin that publishes the weights.
     pub origin: Option<SocketAddrV4>,
-    /// Agents by region and zone.
-    pub zones: Vec<PlanZone>,
+    /// Digest of the [`PeerList`].
+    pub peers: u64,
 }
 
 /// Wanted version of a model.
@@ -66,17 +112,6 @@
     pub layers: u32,
 }
 
-/// Agents of one zone.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct PlanZone {
-    /// Name of the zone.
-    pub zone: Arc<str>,
-    /// Region of the zone.
-    pub region: Arc<str>,
-    /// Heartbeat and traffic addresses of the zone's agents.
-    pub agents: Vec<SocketAddrV4>,
-}
-
 /// Heartbeat from an agent to each entry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AgentHeartbeat {
@@ -164,13 +199,35 @@
     }
 }
 
+/// Why a message cannot be sent or was not understood.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum DatagramError {
+    /// the message has {0} bytes, more than a datagram may have
+    TooLarge(usize),
+    /// the message cannot be encoded or decoded: {0}
+    Invalid(postcard::Error),
+}
+
+impl std::error::Error for DatagramError {}
+
 /// Encodes a message as a datagram.
-pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
-    // The messages contain no type that postcard fails to encode.
-    postcard::to_allocvec(message).unwrap_or_default()
+///
+/// # Errors
+///
+/// When it has more than [`MAX_DATAGRAM`] bytes.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, DatagramError> {
+    let datagram = postcard::to_allocvec(message).map_err(DatagramError::Invalid)?;
+    match datagram.len() {
+        size if size > MAX_DATAGRAM => Err(DatagramError::TooLarge(size)),
+        _ => Ok(datagram),
+    }
 }
 
-/// Decodes a datagram; returns `None` if it is not a valid message.
-pub fn decode<'a, T: Deserialize<'a>>(buf: &'a [u8]) -> Option<T> {
-    postcard::from_bytes(buf).ok()
+/// Decodes a datagram.
+///
+/// # Errors
+///
+/// When it is not a valid message.
+pub fn decode<'a, T: Deserialize<'a>>(buf: &'a [u8]) -> Result<T, DatagramError> {
+    postcard::from_bytes(buf).map_err(DatagramError::Invalid)
 }
--- a/src/heartbeat/peers.rs
+++ b/src/heartbeat/plan.rs
@@ -1,86 +1,17 @@
-//! State that an agent keeps from the heartbeats of entries.
+//! The plan that an agent follows.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::delivery::{SuspectCrash, Suspects};
 use crate::timer::StallDetector;
 use crate::types::ChangeTime;
 
-use super::{EntryHeartbeat, Plan, VersionAge, WantedModel};
+use super::peer_list::PartCollector;
+use super::{PeerList, PeerListPart, Plan, VersionAge, WantedModel};
 
-/// Time after which a silent entry is removed: four heartbeats.
-const ENTRY_TTL: Duration = Duration::from_millis(1_600);
-
-/// Last heartbeat of an entry.
-#[derive(Clone, Debug)]
-struct LastHeartbeat {
-    incarnation: u64,
-    is_open: bool,
-    at: Instant,
-}
-
-/// Entries that send an agent heartbeats.
-#[derive(Clone, Debug, Default)]
-pub struct Entries {
-    last_heartbeats: BTreeMap<SocketAddr, LastHeartbeat>,
-    /// Crashes that entries reported.
-    suspects: Suspects,
-}
-
-impl Entries {
-    /// Records a heartbeat; returns true when it comes from a new entry process.
-    pub fn record_heartbeat(
-        &mut self,
-        now: Instant,
-        from: SocketAddr,
-        heartbeat: &EntryHeartbeat,
-    ) -> bool {
-        self.suspects.merge(now, &heartbeat.crashes);
-        let last = LastHeartbeat {
-            incarnation: heartbeat.entry_incarnation,
-            is_open: heartbeat.is_open,
-            at: now,
-        };
-        let previous = self.last_heartbeats.insert(from, last);
-        previous.is_none_or(|previous| previous.incarnation != heartbeat.entry_incarnation)
-    }
-
-    /// Removes the entries that have been silent for too long and returns them.
-    pub fn expire(&mut self, now: Instant) -> Vec<SocketAddr> {
-        self.suspects.expire(now);
-        let is_silent = |last: &LastHeartbeat| now.saturating_duration_since(last.at) >= ENTRY_TTL;
-        let silent = self
-            .last_heartbeats
-            .iter()
-            .filter(|(_, last)| is_silent(last));
-        let silent: Vec<SocketAddr> = silent.map(|(addr, _)| *addr).collect();
-        silent.iter().for_each(|addr| {
-            self.last_heartbeats.remove(addr);
-        });
-        silent
-    }
-
-    /// Heartbeat addresses of the entries.
-    pub fn addrs(&self) -> Vec<SocketAddr> {
-        self.last_heartbeats.keys().copied().collect()
-    }
-
-    /// Number of entries that accept requests.
-    pub fn open_count(&self) -> u32 {
-        self.last_heartbeats
-            .values()
-            .filter(|last| last.is_open)
-            .count() as u32
-    }
-
-    /// Crashes to forward to the entries.
-    pub fn crashes(&self, now: Instant) -> Vec<SuspectCrash> {
-        self.suspects.shared(now)
-    }
-}
+/// Time after which an agent asks again for the list of agents, of which a part may be lost.
+const PEERS_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Maximum number of wanted versions kept per model: more than the store names within the time
 /// allowed for one.
@@ -100,6 +31,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct PlanState {
     plan: Option<Plan>,
+    /// The agents, by the last complete list.
+    peers: Option<PeerList>,
+    /// Digest of `peers`.
+    peers_digest: u64,
+    collector: PartCollector,
+    /// Time of the last request for the list of agents.
+    peers_asked_at: Option<Instant>,
     /// Wanted versions of each model, oldest first.
     ///
     /// Invariant: versions increase; at most [`WANTED_MAX`] per model.
@@ -108,19 +46,15 @@
 
 impl PlanState {
     /// Applies a plan unless it is older than the current one; returns true when it changed the
-    /// wanted versions, the origin or the agents.
+    /// wanted versions or the origin.
     pub fn apply_plan(&mut self, now: Instant, plan: Plan, stalls: &mut StallDetector) -> bool {
-        let is_current = self
-            .plan
-            .as_ref()
-            .is_none_or(|old| plan.position >= old.position);
-        if !is_current {
+        if !self.is_current(&plan) {
             return false;
         }
         let mut changed = self
             .plan
             .as_ref()
-            .is_none_or(|old| old.zones != plan.zones || old.origin != plan.origin);
+            .is_none_or(|old| old.origin != plan.origin);
         for wanted in &plan.wanted {
             let named = stalls.reported_time(now, wanted.age);
             changed |= self.record_wanted(now, wanted, named);
@@ -129,6 +63,54 @@
         changed
     }
 
+    /// True when a plan is not older than the one in force.
+    pub fn is_current(&self, plan: &Plan) -> bool {
+        let current = self.plan.as_ref();
+        current.is_none_or(|old| plan.position >= old.position)
+    }
+
+    /// True when the entry whose plan was just applied has to be asked for its list of agents.
+    pub fn wants_peers(&mut self, now: Instant) -> bool {
+        let is_known = self.peers.is_some()
+            && self
+                .plan
+                .as_ref()
+                .is_none_or(|plan| plan.peers == self.peers_digest);
+        let is_asked = self
+            .peers_asked_at
+            .is_some_and(|at| now.saturating_duration_since(at) < PEERS_RETRY_DELAY);
+        if is_known || is_asked || self.plan.is_none() {
+            return false;
+        }
+        self.peers_asked_at = Some(now);
+        true
+    }
+
+    /// Adds a part of the list of agents; returns true when that completes a list that replaces the one
+    /// before. A list from an older position than the plan's is ignored.
+    pub fn apply_peers(&mut self, part: PeerListPart) -> bool {
+        let Some(plan) = self.plan.as_mut() else {
+            return false;
+        };
+        if part.position < plan.position && part.digest != plan.peers {
+            return false;
+        }
+        let digest = part.digest;
+        let Some(peers) = self.collector.add(part) else {
+            return false;
+        };
+        plan.peers = digest;
+        let is_new = self.peers.as_ref() != Some(&peers);
+        self.peers = Some(peers);
+        self.peers_digest = digest;
+        is_new
+    }
+
+    /// The agents; `None` before the first complete list.
+    pub fn peers(&self) -> Option<&PeerList> {
+        self.peers.as_ref()
+    }
+
     /// Records a wanted version. Returns false when that changes nothing.
     fn record_wanted(&mut self, now: Instant, wanted: &WantedModel, reported: ChangeTime) -> bool {
         let versions = self.wanted.entry(wanted.model.clone()).or_default();
--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -1,3 +1,5 @@
+mod peer_lists;
+mod reports;
 mod version_times;
 
 use std::net::SocketAddr;
@@ -15,6 +17,8 @@
     EntryHeartbeat {
         entry_incarnation: entry,
         is_open: true,
+        interval_ms: 400,
+        wants_load: false,
         plan: None,
         crashes,
     }
@@ -45,7 +49,7 @@
             layers: 16,
         }],
         origin: None,
-        zones: Vec::new(),
+        peers: 0,
     }
 }
 
@@ -105,7 +109,7 @@
         known.record_answer(now, [Suspect::Request(u64::MAX / 2 - n / 2)]);
     }
     let heartbeat = heartbeat(1, known.shared(now + Duration::from_secs(30)));
-    let size = encode(&heartbeat).len();
+    let size = encode(&heartbeat).unwrap().len();
     assert!(size < MAX_DATAGRAM / 3, "{size} bytes");
 }
 
@@ -179,9 +183,9 @@
 
 #[test]
 fn invalid_bytes_are_not_decoded() {
-    assert_eq!(decode::<AgentHeartbeat>(&[0xff; 40]), None);
+    assert!(decode::<AgentHeartbeat>(&[0xff; 40]).is_err());
     let heartbeat = heartbeat(3, vec![crash()]);
-    assert_eq!(decode(&encode(&heartbeat)), Some(heartbeat));
+    assert_eq!(decode(&encode(&heartbeat).unwrap()), Ok(heartbeat));
 }
 
 // Guards against an engine that keeps an older version too long because its agent read the first
--- a/src/heartbeat/tests/version_times.rs
+++ b/src/heartbeat/tests/version_times.rs
@@ -216,7 +216,7 @@
             position: StorePosition::default(),
             wanted: wanted.collect(),
             origin: None,
-            zones: Vec::new(),
+            peers: 0,
         })
     }
 
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -43,6 +43,8 @@
     PeerLost = 300,
     /// control connection is up
     PeerBack = 301,
+    /// a datagram between entry and agent is too large or cannot be read and is dropped
+    DatagramRefused = 302,
     /// request refused
     RequestRefused = 400,
     /// attempt failed
@@ -142,6 +144,7 @@
             Self::StoreEraInvalid => log::Level::Warn,
             Self::PeerLost => log::Level::Warn,
             Self::PeerBack => log::Level::Info,
+            Self::DatagramRefused => log::Level::Warn,
             Self::RequestRefused => log::Level::Info,
             Self::AttemptFailed => log::Level::Warn,
             Self::AttemptAnswered => log::Level::Info,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -92,6 +92,30 @@
     Leaving,
 }
 
+/// A datagram between entries and agents.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Datagram {
+    /// It was sent.
+    Sent,
+    /// It was received and understood.
+    Received,
+    /// It was received and not understood.
+    Refused,
+    /// It was too large to be sent.
+    Unsent,
+}
+
+impl Datagram {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+            Self::Refused => "refused",
+            Self::Unsent => "unsent",
+        }
+    }
+}
+
 /// Metric instruments of a process; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -110,6 +134,8 @@
     operations: Histogram<f64>,
     store_eras: Counter<u64>,
     endpoint_signals: Counter<u64>,
+    datagrams: Counter<u64>,
+    datagram_bytes: Counter<u64>,
 }
 
 impl Metrics {
@@ -159,6 +185,14 @@
                 .u64_counter("endpoint_signals")
                 .with_description("Rests that endpoints asked for, and announcements of leaving")
                 .build(),
+            datagrams: meter
+                .u64_counter("control_datagrams")
+                .with_description("Datagrams between entries and agents")
+                .build(),
+            datagram_bytes: meter
+                .u64_counter("control_bytes")
+                .with_description("Bytes of datagrams between entries and agents")
+                .build(),
             registry,
             _provider: provider,
         };
@@ -240,6 +274,13 @@
         self.inner.endpoint_signals.add(1, &labels);
     }
 
+    /// Counts a datagram of `bytes` between entries and agents.
+    pub fn count_datagram(&self, datagram: Datagram, bytes: usize) {
+        let labels = [KeyValue::new("result", datagram.name())];
+        self.inner.datagrams.add(1, &labels);
+        self.inner.datagram_bytes.add(bytes as u64, &labels);
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_in_flight(&self) -> InFlight {
         self.inner.in_flight.add(1, &[]);
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -10,5 +10,7 @@
 
 pub use events::Event;
 pub use logs::{LogError, start_logs};
-pub use metrics::{AttemptResult, EndpointSignal, InFlight, Metrics, Operation, RequestResult};
+pub use metrics::{
+    AttemptResult, Datagram, EndpointSignal, InFlight, Metrics, Operation, RequestResult,
+};
 pub use rate_limited::{LogRateLimiter, start_rate_limited_logs};
