Spread the orders of a change over all the time that is left

Cause: the orders to change to a version were spread over the last 3.4 s before the older one ends, which fits a limit of eight seconds; with ten, weights that are there wait, and then most engines stop taking requests at the same time. Change: from the moment at which a host holds the version to the last order, by position as before. Ruled out: a spread that starts at the naming; hosts do not hold the version at the same time. Replaced: the table of times of orders, which had the 3.4 s, by one with the weights held at once, at 4.5 s and too late.

--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -8,15 +8,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Time before the deadline to leave a version at which the last engine is ordered to change. An
 /// order stops new requests at once, so the margin only has to cover the delivery of the order.
 const LAST_ORDER_MARGIN: Duration = Duration::from_millis(900);
-/// Time over which the orders of a fleet are spread: what remains of the usual eight seconds after
-/// the weights have arrived over the narrow link, which takes three seconds.
-const ORDER_SPREAD: Duration = Duration::from_millis(3_400);
+/// Time after the end of an older version for which an engine on the next one counts as one that has
+/// changed recently.
+const RECENT_CHANGE_TIME: Duration = Duration::from_millis(3_400);
 /// Delay before the next task after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Time after which an order without effect is repeated: a stream lasts three seconds at most, and
@@ -82,8 +82,8 @@
     wanted: BTreeMap<u64, Instant>,
     /// Position of this engine in the order in which the fleet changes, from 0 to 1.
     position: f64,
-    /// Versions that are complete in this host's memory.
-    held: BTreeSet<u64>,
+    /// Versions that are complete in this host's memory, each with the time since which it is.
+    held: BTreeMap<u64, Instant>,
     /// Version of which all chunks were written to the staging area.
     staged: Option<u64>,
     /// Last order that the engine accepted.
@@ -105,8 +105,8 @@
     }
 
     /// Records that a version is complete in this host's memory.
-    pub fn mark_held(&mut self, version: u64) {
-        self.held.insert(version);
+    pub fn mark_held(&mut self, now: Instant, version: u64) {
+        self.held.entry(version).or_insert(now);
     }
 
     /// Returns the next task, if there is one; the driver reports its outcome to
@@ -134,16 +134,14 @@
         if engine.version == Some(*newest) {
             return None;
         }
-        if self.held.contains(newest) {
-            return Some((
-                *newest,
-                self.order_at(now, engine, self.position_for_newest(now, engine)),
-            ));
+        if let Some(held_at) = self.held.get(newest) {
+            let position = self.position_for_newest(now, engine);
+            return Some((*newest, self.order_at(now, engine, *held_at, position)));
         }
         // While the newest version is incomplete, an engine without any version can serve an
         // intermediate one. So can a part of the fleet, which then keeps serving after the deadline
         // of the oldest version while the other engines wait for the newest one.
-        let intermediate = self.held.iter().rev().find(|version| {
+        let (intermediate, held_at) = self.held.iter().rev().find(|(version, _)| {
             let until = self.deadline_to_leave(**version);
             engine.version < Some(**version)
                 && until.is_none_or(|until| until > now + MIN_INTERMEDIATE_TIME)
@@ -151,7 +149,8 @@
         match engine.version {
             None => Some((*intermediate, now)),
             Some(_) if self.position < INTERMEDIATE_SHARE => {
-                let at = self.order_at(now, engine, self.position / INTERMEDIATE_SHARE);
+                let position = self.position / INTERMEDIATE_SHARE;
+                let at = self.order_at(now, engine, *held_at, position);
                 Some((*intermediate, at))
             }
             Some(_) => None,
@@ -163,22 +162,31 @@
     fn position_for_newest(&self, now: Instant, engine: EngineState) -> f64 {
         let deadline = engine.version.and_then(|version| self.wanted.get(&version));
         match deadline {
-            Some(deadline) if *deadline + ORDER_SPREAD > now => {
+            Some(deadline) if *deadline + RECENT_CHANGE_TIME > now => {
                 INTERMEDIATE_SHARE + self.position.min(INTERMEDIATE_SHARE)
             }
             _ => self.position,
         }
     }
 
-    /// Time of the order for an engine at `position`; `now` if the engine's version has no
-    /// deadline.
-    fn order_at(&self, now: Instant, engine: EngineState, position: f64) -> Instant {
+    /// Time of the order for an engine at `position` to load a version that is held since `held_at`;
+    /// `now` if the engine's version has no deadline. The orders of a fleet are spread over all the time
+    /// that is left before the deadline, since an engine takes no requests until those before the order
+    /// have ended.
+    fn order_at(
+        &self,
+        now: Instant,
+        engine: EngineState,
+        held_at: Instant,
+        position: f64,
+    ) -> Instant {
         let deadline = engine
             .version
             .and_then(|version| self.deadline_to_leave(version));
         deadline.map_or(now, |deadline| {
-            let before = LAST_ORDER_MARGIN + ORDER_SPREAD.mul_f64(1.0 - position.min(1.0));
-            deadline.checked_sub(before).unwrap_or(deadline)
+            let last = deadline.checked_sub(LAST_ORDER_MARGIN).unwrap_or(deadline);
+            let spread = last.saturating_duration_since(held_at);
+            (last - spread.mul_f64(1.0 - position.min(1.0))).max(held_at)
         })
     }
 
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -15,12 +15,18 @@
 /// A rollout in which version 2 is held and staged, and version 1 may be served for eight seconds
 /// from `now`.
 fn staged(now: Instant, position: f64) -> Rollout {
+    staged_after(now, Duration::ZERO, position)
+}
+
+/// The same with version 2 held since `wait` after `now`.
+fn staged_after(now: Instant, wait: Duration, position: f64) -> Rollout {
     let mut rollout = Rollout::default();
     rollout.add_version(2, now + Duration::from_secs(8), position);
-    rollout.mark_held(2);
-    let task = rollout.next(now, engine(Some(1)));
+    let held_at = now + wait;
+    rollout.mark_held(held_at, 2);
+    let task = rollout.next(held_at, engine(Some(1)));
     assert_eq!(task, Some(Task::Stage { version: 2 }));
-    rollout.finish_task(now, engine(Some(1)), TaskOutcome::Done);
+    rollout.finish_task(held_at, engine(Some(1)), TaskOutcome::Done);
     rollout
 }
 
@@ -29,7 +35,7 @@
     let now = Instant::now();
     let mut rollout = Rollout::default();
     rollout.add_version(2, now, 0.0);
-    rollout.mark_held(1);
+    rollout.mark_held(now, 1);
     // The deadline of version 1 has passed, so it is not loaded either.
     assert_eq!(rollout.next(now, engine(None)), None);
 }
@@ -42,21 +48,31 @@
     assert_eq!(rollout.next(now, engine(None)), order);
 }
 
+/// Pattern: push in mid-burst. Guards against a fleet in which most engines change at the same time, although
+/// the weights arrived early.
 #[rstest]
-#[case::first(0.0, 3_700)]
-#[case::middle(0.5, 5_400)]
-#[case::last(1.0, 7_100)]
-fn serving_engines_change_by_position_before_the_deadline(
+#[case::first(0, 0.0, 0)]
+#[case::middle(0, 0.5, 3_550)]
+#[case::last(0, 1.0, 7_100)]
+#[case::held_late_first(4_500, 0.0, 4_500)]
+#[case::held_late_middle(4_500, 0.5, 5_800)]
+#[case::held_late_last(4_500, 1.0, 7_100)]
+#[case::held_too_late(7_500, 0.5, 7_500)]
+fn serving_engines_change_by_position_in_all_the_time_before_the_deadline(
+    #[case] held_ms: u64,
     #[case] position: f64,
     #[case] at_ms: u64,
 ) {
     let now = Instant::now();
-    let mut rollout = staged(now, position);
+    let held = Duration::from_millis(held_ms);
+    let mut rollout = staged_after(now, held, position);
     let at = now + Duration::from_millis(at_ms);
-    assert_eq!(
-        rollout.next(at - Duration::from_millis(1), engine(Some(1))),
-        None
-    );
+    if at_ms > held_ms {
+        assert_eq!(
+            rollout.next(at - Duration::from_millis(1), engine(Some(1))),
+            None
+        );
+    }
     let order = Some(Task::Order { version: 2 });
     assert_eq!(rollout.next(at, engine(Some(1))), order);
 }
@@ -68,7 +84,7 @@
     rollout.add_version(1, now, position);
     rollout.add_version(2, now + Duration::from_secs(4), position);
     rollout.add_version(3, now + Duration::from_secs(8), position);
-    rollout.mark_held(2);
+    rollout.mark_held(now, 2);
     rollout
 }
 
@@ -104,13 +120,13 @@
     let held = now + Duration::from_millis(4_500);
     let order = Some(Task::Order { version: 3 });
     let mut waited = two_newer_versions(now, 0.8);
-    waited.mark_held(3);
+    waited.mark_held(held, 3);
     assert_eq!(
         next_after_staging(&mut waited, held, engine(Some(1))),
         order
     );
     let mut changed = two_newer_versions(now, 0.2);
-    changed.mark_held(3);
+    changed.mark_held(held, 3);
     assert_eq!(
         next_after_staging(&mut changed, held, engine(Some(2))),
         None
