Answers on reused connections, and requests that wait to be accepted in a stop

Reports of other operators, found here by reading and shown by tests that failed: - the agent of the product's own interface kept connections to endpoints, and took a 503 of a model engine for 'not run' before it looked at whose answer it was: a refusal that an engine repeats on a kept connection told callers 'not run' for a request that ran. Connections to endpoints are no longer reused, and the name in the answer is compared first. Result: http::tests::{client, listener}; the client that reuses connections stays in the test as the case that shows the fault. Overhead not measured again.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -212,15 +212,19 @@
     response: Response<Incoming>,
     mut guard: AttemptGuard,
 ) -> Response<AnswerBody> {
+    if !is_own(request, &response) {
+        guard.report_broken(true);
+        return refuse(Code::AnswerBroken, None);
+    }
     if endpoint.kind == EndpointKind::Model && response.status() == StatusCode::SERVICE_UNAVAILABLE
     {
         // A model engine sends this status only before it runs a request.
         guard.report_broken(false);
         return refuse(Code::NoEndpoint, None);
     }
-    if let Err(code) = check_head(endpoint, request, &response) {
+    if !is_pinned(endpoint, request, &response) {
         guard.report_broken(true);
-        return refuse(code, None);
+        return refuse(Code::AnswerBroken, None);
     }
     if is_event_stream(response.headers()) {
         forward_stream(request, response, guard).await
@@ -229,22 +233,20 @@
     }
 }
 
-/// Checks that the answer belongs to this attempt and comes from the pinned version.
-fn check_head(
+/// True unless an answer names another attempt.
+fn is_own(request: &OfferedRequest, response: &Response<Incoming>) -> bool {
+    let echoed_id = header_text(response.headers(), names::REQUEST_ID);
+    echoed_id.is_none_or(|id| id == &*request.offer.attempt)
+}
+
+/// True when a model's answer comes from the version that the attempt is pinned to.
+fn is_pinned(
     endpoint: &EndpointSettings,
     request: &OfferedRequest,
     response: &Response<Incoming>,
-) -> Result<(), Code> {
-    let headers = response.headers();
-    let echoed_id = header_text(headers, names::REQUEST_ID);
-    if echoed_id.is_some_and(|id| id != &*request.offer.attempt) {
-        return Err(Code::AnswerBroken);
-    }
-    let is_pinned = header_text(headers, names::ENGINE_VERSION) == request.offer.version.as_deref();
-    match endpoint.kind == EndpointKind::Service || is_pinned {
-        true => Ok(()),
-        false => Err(Code::AnswerBroken),
-    }
+) -> bool {
+    let version = header_text(response.headers(), names::ENGINE_VERSION);
+    endpoint.kind == EndpointKind::Service || version == request.offer.version.as_deref()
 }
 
 /// Forwards a streamed answer.
--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -12,7 +12,7 @@
 use crate::clients::{HttpClient, HttpHostList, HttpTimeouts};
 use crate::config::ConfigParams;
 use crate::control::{ControlLimits, ControlServer};
-use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
+use crate::http::{BodyLimits, Listener, ListenerLimits, endpoint_client};
 use crate::process::{Lifecycle, ProcessHandle};
 use crate::settings::{AgentSettings, EndpointKind};
 use crate::telemetry::Metrics;
@@ -219,7 +219,7 @@
     AttemptContext {
         control: control.clone(),
         metrics: Metrics::new(),
-        client: traffic_client(),
+        client: endpoint_client(),
         endpoints: settings.endpoints.clone(),
         limits: AttemptLimits {
             max_answer_bytes: MAX_ANSWER_BYTES,
--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -79,6 +79,16 @@
 impl HttpClient {
     /// Creates a client with the given timeouts.
     pub fn new(timeouts: HttpTimeouts) -> Self {
+        Self::with_pool(timeouts, usize::MAX)
+    }
+
+    /// Creates a client that opens a connection for each call, so that nothing that is sent late or
+    /// twice on a connection is taken for the answer to another call.
+    pub fn without_reuse(timeouts: HttpTimeouts) -> Self {
+        Self::with_pool(timeouts, 0)
+    }
+
+    fn with_pool(timeouts: HttpTimeouts, max_idle_connections: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(timeouts.connect));
         connector.set_nodelay(true);
@@ -91,6 +101,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(max_idle_connections)
             .http1_max_buf_size(MAX_ANSWER_HEAD_BYTES)
             .build(connector);
         Self {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -16,14 +16,25 @@
 /// HTTP client that never retries a request by itself.
 pub type TrafficClient = Client<HttpConnector, Full<Bytes>>;
 
-/// Creates a client with its own connection pool.
+/// Creates a client with its own connection pool, for servers of this project.
 pub fn traffic_client() -> TrafficClient {
+    client(usize::MAX)
+}
+
+/// Creates a client that opens a connection for each request, for endpoints. What one sends late or
+/// twice on a kept connection would be taken for the answer to the next request.
+pub fn endpoint_client() -> TrafficClient {
+    client(0)
+}
+
+fn client(max_idle_connections: usize) -> TrafficClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle_connections)
         .retry_canceled_requests(false)
         .build(connector)
 }
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use tokio::net::{TcpListener, TcpStream};
@@ -102,7 +103,20 @@
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
-        while let Some((stream, permit)) = self.accept(&permits).await {
+        let mut is_draining = false;
+        loop {
+            let accepted = match is_draining {
+                false => self.accept(&permits).await,
+                true => self.accept_waiting(&permits),
+            };
+            let Some((stream, permit)) = accepted else {
+                if is_draining {
+                    break;
+                }
+                // Connections that the kernel has completed may have sent their request already.
+                is_draining = true;
+                continue;
+            };
             // When this fails, small writes are delayed but the connection works.
             let _ = stream.set_nodelay(true);
             let connection = Connection {
@@ -117,6 +131,8 @@
                 drop(permit);
             });
         }
+        // Callers that connect from here on are refused at once.
+        drop(self.tcp);
         self.tasks.close();
         self.tasks.wait().await;
     }
@@ -130,6 +146,20 @@
         }
     }
 
+    /// Accepts a connection that waits in the accept queue; `None` when there is none, or no permit is
+    /// free.
+    fn accept_waiting(
+        &self,
+        permits: &Arc<Semaphore>,
+    ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        if self.kill.is_cancelled() {
+            return None;
+        }
+        let permit = permits.clone().try_acquire_owned().ok()?;
+        let (stream, _) = self.tcp.accept().now_or_never()?.ok()?;
+        Some((stream, permit))
+    }
+
     async fn accept_next(&self, permits: &Arc<Semaphore>) -> (TcpStream, OwnedSemaphorePermit) {
         let permit = permits
             .clone()
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -15,7 +15,7 @@
 mod tests;
 
 pub use body::{AnswerBody, BodyError, BodySender, channel, empty, full};
-pub use client::{TrafficClient, traffic_client};
+pub use client::{TrafficClient, endpoint_client, traffic_client};
 pub use connect::connect;
 pub use headers::{header_number, header_text, names};
 pub use interim::{MAX_ANSWER_HEAD_BYTES, too_many_interim_answers};
--- a/src/http/tests/mod.rs
+++ b/src/http/tests/mod.rs
@@ -1,3 +1,5 @@
 //! Tests of connections, on streams in memory and with paused time.
 
+mod client;
 mod connection;
+mod listener;
