--- a/src/heartbeat/entries.rs
+++ b/src/heartbeat/entries.rs
@@ -8,6 +8,8 @@
 
 use super::{EntryHeartbeat, MIN_HEARTBEAT_INTERVAL};
 
+/// Load reports per second that an agent sends at most to all entries that prefer its endpoint.
+const LOAD_REPORTS_PER_SECOND: u32 = 150;
 /// Number of heartbeat intervals after which a silent entry is removed.
 const TTL_INTERVALS: u32 = 4;
 
@@ -42,7 +44,7 @@
 }
 
 impl LastHeartbeat {
-    fn is_due(&self, now: Instant, changes: LoadChanges) -> bool {
+    fn is_due(&self, now: Instant, changes: LoadChanges, load_interval: Duration) -> bool {
         let Some((at, told)) = self.sent else {
             return true;
         };
@@ -50,9 +52,10 @@
             true => MIN_HEARTBEAT_INTERVAL,
             false => self.interval,
         };
+        let age = now.saturating_duration_since(at);
         told.urgent != changes.urgent
-            || (self.wants_load && told.load != changes.load)
-            || now.saturating_duration_since(at) >= interval
+            || (self.wants_load && told.load != changes.load && age >= load_interval)
+            || age >= interval
     }
 }
 
@@ -106,10 +109,13 @@
 
     /// Entries that have to be sent a heartbeat, which then count as told of all `changes`.
     pub fn take_due(&mut self, now: Instant, changes: LoadChanges) -> Vec<SocketAddr> {
+        let preferring = self.last_heartbeats.values().filter(|last| last.wants_load);
+        let preferring = preferring.count() as u32;
+        let load_interval = Duration::from_secs(1) * preferring / LOAD_REPORTS_PER_SECOND;
         let due = self
             .last_heartbeats
             .iter_mut()
-            .filter(|(_, last)| last.is_due(now, changes));
+            .filter(|(_, last)| last.is_due(now, changes, load_interval));
         due.map(|(addr, last)| {
             last.sent = Some((now, changes));
             *addr
--- a/src/heartbeat/tests/reports.rs
+++ b/src/heartbeat/tests/reports.rs
@@ -66,8 +66,7 @@
     assert_eq!(gone, [addr(1), addr(2)]);
 }
 
-/// Bounds of the control traffic for any size: datagrams per second that an entry sends, and that an agent
-/// of `entries` entries sends while its load changes at each poll.
+/// Bounds of the control traffic for any size.
 #[rstest]
 #[case::small(27)]
 #[case::hundreds(300)]
@@ -78,3 +77,36 @@
     let per_second = agents as f64 / interval.as_secs_f64();
     assert!(per_second <= 250.0_f64.max(agents as f64));
 }
+
+/// An agent whose load changes at each look, each 40 ms, for ten seconds.
+#[rstest]
+#[case::few_entries(4)]
+#[case::hundreds_of_hosts(35)]
+#[case::more_entries(200)]
+fn an_agent_sends_a_bounded_number_of_load_reports(#[case] count: u16) {
+    let now = Instant::now();
+    let mut entries = Entries::default();
+    for entry in 1..=count {
+        let heartbeat = EntryHeartbeat {
+            wants_load: true,
+            ..heartbeat(1, Vec::new())
+        };
+        entries.record_heartbeat(now, addr(entry), &heartbeat);
+    }
+    let looks = (0..250).map(|look| {
+        let at = now + Duration::from_millis(40 * look);
+        entries
+            .take_due(
+                at,
+                LoadChanges {
+                    urgent: 0,
+                    load: look,
+                },
+            )
+            .len()
+    });
+    let sent: usize = looks.sum();
+    // The first reports, and a heartbeat each 0.4 s to every entry however many they are.
+    let bound = usize::from(count) + 1_500.max(25 * usize::from(count));
+    assert!(sent <= bound, "{sent} reports, bound {bound}");
+}
