--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -48,6 +48,19 @@
     interval.clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
 }
 
+/// Bounds of the time between two looks of an agent at its engine.
+const LOOK_INTERVALS: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(70));
+/// Looks per second of all agents together, between the bounds. Each change that an agent sees is sent to
+/// several entries.
+const LOOKS_PER_SECOND: u32 = 4_000;
+
+/// Time between two looks of each of `agents` at its engine.
+pub fn look_interval(agents: usize) -> Duration {
+    let agents = u32::try_from(agents).unwrap_or(u32::MAX);
+    let interval = Duration::from_secs(1).saturating_mul(agents) / LOOKS_PER_SECOND;
+    interval.clamp(LOOK_INTERVALS.0, LOOK_INTERVALS.1)
+}
+
 /// Datagram from an entry to an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum EntryMessage {
--- a/src/heartbeat/tests/reports.rs
+++ b/src/heartbeat/tests/reports.rs
@@ -78,6 +78,15 @@
     assert!(per_second <= 250.0_f64.max(agents as f64));
 }
 
+#[rstest]
+#[case::none_known(0, 40)]
+#[case::small(27, 40)]
+#[case::hundreds(240, 60)]
+#[case::thousands(5_000, 70)]
+fn agents_of_large_fleets_look_less_often(#[case] agents: usize, #[case] expected_ms: u64) {
+    assert_eq!(look_interval(agents), Duration::from_millis(expected_ms));
+}
+
 /// An agent whose load changes at each look, each 40 ms, for ten seconds.
 #[rstest]
 #[case::few_entries(4)]
