--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -1,4 +1,5 @@
 mod peer_lists;
+mod peer_lists_fuzz;
 mod reports;
 mod version_times;
 
--- a/src/heartbeat/tests/peer_lists.rs
+++ b/src/heartbeat/tests/peer_lists.rs
@@ -13,7 +13,7 @@
 /// Largest payload of a datagram in one Ethernet frame, in bytes.
 const FRAME_BYTES: usize = 1_472;
 
-fn list(agents: u32) -> PeerList {
+pub(super) fn list(agents: u32) -> PeerList {
     let mut list = PeerList::default();
     for n in 0..agents {
         let zone = format!("zone-with-a-long-name-{}", n % 5).into();
@@ -24,7 +24,7 @@
     list
 }
 
-fn position(revision: u64) -> StorePosition {
+pub(super) fn position(revision: u64) -> StorePosition {
     StorePosition { era: 1, revision }
 }
 
@@ -34,7 +34,7 @@
     state
 }
 
-fn apply(state: &mut PlanState, now: Instant, revision: u64, list: &PeerList) {
+pub(super) fn apply(state: &mut PlanState, now: Instant, revision: u64, list: &PeerList) {
     let plan = Plan {
         peers: list.digest(),
         ..plan(revision, 2, 0)
