--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -1,6 +1,7 @@
 //! HTTP client with timeouts and a size limit, shared by the other clients.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use tokio::sync::Semaphore;
 
 use crate::http::{
     MAX_ANSWER_HEAD_BYTES, collect_arriving, collect_bounded, too_many_interim_answers,
@@ -20,6 +22,8 @@
 
 /// Largest answer that is read by default. It fits the largest object with its JSON escapes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Large answers that are read at the same time by [`HttpClient::send_large`].
+const MAX_LARGE_ANSWERS: usize = 1;
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Idle time after which TCP keepalive probes a connection. The kernel accepts whole seconds only.
@@ -74,6 +78,8 @@
     client: Client<HttpConnector, Full<Bytes>>,
     timeouts: HttpTimeouts,
     max_answer_bytes: usize,
+    /// Permits for large answers that arrive slowly.
+    large: Arc<Semaphore>,
 }
 
 impl HttpClient {
@@ -108,6 +114,7 @@
             client,
             timeouts,
             max_answer_bytes: MAX_ANSWER_BYTES,
+            large: Arc::new(Semaphore::new(MAX_LARGE_ANSWERS)),
         }
     }
 
@@ -156,7 +163,7 @@
             .await
             .unwrap_or_else(|_| Err(PlatformError::Lost(format!("no head in {head:?}"))))?;
         let (parts, incoming) = res.into_parts();
-        let collected = collect_arriving(incoming, self.max_answer_bytes, idle);
+        let collected = collect_arriving(incoming, self.max_answer_bytes, idle, &self.large);
         let body = tokio::time::timeout(body, collected)
             .await
             .map_err(|_| PlatformError::Lost(format!("the body takes longer than {body:?}")))?
--- a/src/http/read.rs
+++ b/src/http/read.rs
@@ -6,6 +6,7 @@
 use displaydoc::Display;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::sync::Semaphore;
 
 use crate::codes::Code;
 use crate::settings::LimitsSettings;
@@ -45,6 +46,9 @@
     }
 }
 
+/// Size in bytes from which a body counts as large.
+const LARGE_BODY_BYTES: usize = 256 * 1024;
+
 /// Why an answer was not read to its end.
 #[derive(Debug, Display)]
 pub enum CollectError {
@@ -65,20 +69,32 @@
 ///
 /// Fails when the body is larger or its connection breaks.
 pub async fn collect_bounded(body: Incoming, max: usize) -> Result<Bytes, CollectError> {
-    collect_arriving(body, max, Duration::MAX).await
+    collect(body, max, Duration::MAX, None).await
 }
 
-/// Like [`collect_bounded`], for a body of which no part takes longer than `idle` to arrive.
+/// Like [`collect_bounded`], for a body of which no part takes longer than `idle` to arrive. Beyond
+/// `LARGE_BODY_BYTES` it needs a permit of `large`, so that few large bodies are in memory at a time.
 ///
 /// # Errors
 ///
 /// Fails as [`collect_bounded`] does, and when no data arrives for `idle`.
 pub async fn collect_arriving(
+    body: Incoming,
+    max: usize,
+    idle: Duration,
+    large: &Semaphore,
+) -> Result<Bytes, CollectError> {
+    collect(body, max, idle, Some(large)).await
+}
+
+async fn collect(
     mut body: Incoming,
     max: usize,
     idle: Duration,
+    large: Option<&Semaphore>,
 ) -> Result<Bytes, CollectError> {
     let mut bytes = BytesMut::new();
+    let mut permit = None;
     loop {
         let next = tokio::time::timeout(idle, body.frame()).await;
         let Some(frame) = next.map_err(|_| CollectError::Stalled(idle))? else {
@@ -91,6 +107,12 @@
         if bytes.len() + data.len() > max {
             return Err(CollectError::TooLarge(max));
         }
+        if let (Some(large), None) = (large, &permit)
+            && bytes.len() + data.len() > LARGE_BODY_BYTES
+        {
+            // The semaphore is never closed.
+            permit = large.acquire().await.ok();
+        }
         bytes.extend_from_slice(&data);
     }
 }
