Answer every request in the accept queue of a stopping listener

Callers of a planned stop saw their connection reset although their request had arrived: the loop that empties the accept queue runs inside one poll, and tokio's cooperative budget makes the queue seem empty after 128 operations. The queue is now emptied outside the budget; a full queue of 128 connections is a case of the test. That the case fails without unconstrained() was not run anew in this change.

--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::task::unconstrained;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -103,40 +104,39 @@
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
         let permits = Arc::new(Semaphore::new(self.limits.connections));
-        let mut is_draining = false;
-        loop {
-            let accepted = match is_draining {
-                false => self.accept(&permits).await,
-                true => self.accept_waiting(&permits),
-            };
-            let Some((stream, permit)) = accepted else {
-                if is_draining {
-                    break;
-                }
-                // Connections that the kernel has completed may have sent their request already.
-                is_draining = true;
-                continue;
-            };
-            // When this fails, small writes are delayed but the connection works.
-            let _ = stream.set_nodelay(true);
-            let connection = Connection {
-                limits: self.limits,
-                head_timeout: self.head_timeout.clone(),
-                drain: self.drain.clone(),
-                kill: self.kill.clone(),
-            };
-            let serving = connection.serve(stream, handler.clone());
-            self.tasks.spawn(async move {
-                serving.await;
-                drop(permit);
-            });
+        while let Some(accepted) = self.accept(&permits).await {
+            self.spawn_connection(accepted, handler.clone());
+        }
+        // Connections in the accept queue may have sent their request already.
+        while let Some(accepted) = self.accept_queued(&permits) {
+            self.spawn_connection(accepted, handler.clone());
         }
-        // Callers that connect from here on are refused at once.
         drop(self.tcp);
         self.tasks.close();
         self.tasks.wait().await;
     }
 
+    fn spawn_connection<H, F>(&self, accepted: (TcpStream, OwnedSemaphorePermit), handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let (stream, permit) = accepted;
+        // When this fails, small writes are delayed but the connection works.
+        let _ = stream.set_nodelay(true);
+        let connection = Connection {
+            limits: self.limits,
+            head_timeout: self.head_timeout.clone(),
+            drain: self.drain.clone(),
+            kill: self.kill.clone(),
+        };
+        let serving = connection.serve(stream, handler);
+        self.tasks.spawn(async move {
+            serving.await;
+            drop(permit);
+        });
+    }
+
     /// Waits for a connection and its permit; `None` when the listener is drained or killed.
     async fn accept(&self, permits: &Arc<Semaphore>) -> Option<(TcpStream, OwnedSemaphorePermit)> {
         tokio::select! {
@@ -146,18 +146,16 @@
         }
     }
 
-    /// Accepts a connection that waits in the accept queue; `None` when there is none, or no permit is
-    /// free.
-    fn accept_waiting(
-        &self,
-        permits: &Arc<Semaphore>,
-    ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    /// Takes a connection from the accept queue; `None` when it is empty, no permit is free, or the
+    /// listener is killed.
+    fn accept_queued(&self, permits: &Arc<Semaphore>) -> Option<(TcpStream, OwnedSemaphorePermit)> {
         if self.kill.is_cancelled() {
             return None;
         }
         let permit = permits.clone().try_acquire_owned().ok()?;
-        let (stream, _) = self.tcp.accept().now_or_never()?.ok()?;
-        Some((stream, permit))
+        // Tokio's cooperative budget would make a longer queue seem empty.
+        let accepted = unconstrained(self.tcp.accept()).now_or_never()?;
+        accepted.ok().map(|(stream, _)| (stream, permit))
     }
 
     async fn accept_next(&self, permits: &Arc<Semaphore>) -> (TcpStream, OwnedSemaphorePermit) {
--- a/src/http/tests/listener.rs
+++ b/src/http/tests/listener.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::Response;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -11,12 +12,15 @@
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n";
 
-/// Guards against requests that are cut off in a planned stop, since their connections waited to be accepted
-/// when the listener closed.
+/// Regression: connections in the accept queue were reset when a stopping listener closed, after their
+/// requests had arrived.
+#[rstest]
+#[case::few(20)]
+#[case::full_queue(128)]
 #[tokio::test]
-async fn requests_that_wait_to_be_accepted_are_answered_by_a_stopping_listener() {
+async fn requests_in_the_accept_queue_are_answered_by_a_stopping_listener(#[case] count: usize) {
     let limits = ListenerLimits {
-        connections: 64,
+        connections: 200,
         header_bytes: 16 * 1024,
         header_timeout: Duration::from_secs(60),
     };
@@ -28,7 +32,7 @@
     let addr = listener.addr().unwrap();
     // The kernel completes connections and takes their requests before the listener accepts them.
     let mut callers = Vec::new();
-    for _ in 0..20 {
+    for _ in 0..count {
         let mut caller = TcpStream::connect(addr).await.unwrap();
         caller.write_all(REQUEST).await.unwrap();
         callers.push(caller);
