Check the head of an endpoint's answer in one place, with a table of what is believed

No change of behaviour: the order of the checks (name of the attempt, refusal, version) moves into answer_head, so that the order has a test of its own.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -11,12 +11,13 @@
 
 use crate::answer::{EventCheck, StoredAnswer, is_event_stream};
 use crate::codes::Code;
-use crate::http::{self, AnswerBody, TrafficClient, header_text, names};
-use crate::settings::{EndpointKind, EndpointSettings};
+use crate::http::{self, AnswerBody, TrafficClient, names};
+use crate::settings::EndpointSettings;
 use crate::telemetry::{AttemptResult, Metrics};
 use crate::types::{AttemptId, EndpointId, Refusal};
 use crate::wire::VersionedDocument;
 
+use super::answer_head::ExpectedAnswer;
 use super::control::{Control, Decision, DecisionWithLoad};
 use super::core::{AgentEvent, EndpointLoad, Offer};
 use super::offer::OfferedRequest;
@@ -212,19 +213,14 @@
     response: Response<Incoming>,
     mut guard: AttemptGuard,
 ) -> Response<AnswerBody> {
-    if !is_own(request, &response) {
-        guard.report_broken(true);
-        return refuse(Code::AnswerBroken, None);
-    }
-    if endpoint.kind == EndpointKind::Model && response.status() == StatusCode::SERVICE_UNAVAILABLE
-    {
-        // A model engine sends this status only before it runs a request.
-        guard.report_broken(false);
-        return refuse(Code::NoEndpoint, None);
-    }
-    if !is_pinned(endpoint, request, &response) {
-        guard.report_broken(true);
-        return refuse(Code::AnswerBroken, None);
+    let expected = ExpectedAnswer {
+        endpoint: endpoint.kind,
+        attempt: &request.offer.attempt,
+        version: request.offer.version.as_deref(),
+    };
+    if let Err(rejected) = expected.check(response.status(), response.headers()) {
+        guard.report_broken(rejected.maybe_run);
+        return refuse(rejected.code, None);
     }
     if is_event_stream(response.headers()) {
         forward_stream(request, response, guard).await
@@ -233,22 +229,6 @@
     }
 }
 
-/// True unless an answer names another attempt.
-fn is_own(request: &OfferedRequest, response: &Response<Incoming>) -> bool {
-    let echoed_id = header_text(response.headers(), names::REQUEST_ID);
-    echoed_id.is_none_or(|id| id == &*request.offer.attempt)
-}
-
-/// True when a model's answer comes from the version that the attempt is pinned to.
-fn is_pinned(
-    endpoint: &EndpointSettings,
-    request: &OfferedRequest,
-    response: &Response<Incoming>,
-) -> bool {
-    let version = header_text(response.headers(), names::ENGINE_VERSION);
-    endpoint.kind == EndpointKind::Service || version == request.offer.version.as_deref()
-}
-
 /// Forwards a streamed answer.
 async fn forward_stream(
     request: &OfferedRequest,
