--- a/src/dispatch/subset.rs
+++ b/src/dispatch/subset.rs
@@ -1,22 +1,22 @@
-//! Endpoints that an entry prefers.
+//! Deterministic subset of the endpoints that an entry prefers.
 //!
-//! With many entries and endpoints, each entry sends an endpoint a request now and then only, while each
-//! change of the endpoint's load would have to reach all entries. So an entry prefers a subset, whose load
-//! it hears at once, and uses the others when none of the subset starts in time.
+//! In a large fleet an entry rarely sends a request to a given endpoint, so reporting each change of
+//! the endpoint's load to every entry is waste. An entry receives the changes of a subset at once, and
+//! falls back to the other endpoints, whose load it knows from heartbeats, when no endpoint of the subset
+//! can start a request in time.
 //!
-//! The subset follows from a key of the entry and the names of the endpoints alone (rendezvous hashing):
-//! one endpoint more or less changes one place. Most places are taken from the entry's own region, the
-//! rest from all others, so that the loss of a region or of a zone leaves endpoints with known load.
+//! The subset is chosen by rendezvous hashing, so that adding or removing an endpoint changes at most one
+//! place. Most places are in the entry's own region; the others keep endpoints with known load when the
+//! region is lost.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::types::{EndpointId, RegionId, TargetId};
 
-/// Endpoints of a target in a subset at most; smaller targets are preferred whole. It is several times
-/// the number of endpoints that are compared for a request, and leaves each endpoint of a fleet of
-/// hundreds with several entries that prefer it.
+/// Largest subset of a target; all endpoints of a smaller target are preferred. It has to be a multiple
+/// of the number of endpoints that are compared for a request.
 const SUBSET_SIZE: usize = 64;
-/// Places for endpoints of the entry's own region.
+/// Number of places for endpoints of the entry's own region.
 const OWN_REGION_PLACES: usize = 48;
 
 /// An endpoint that may be preferred.
@@ -67,7 +67,7 @@
         .collect()
 }
 
-/// Order of an endpoint for an entry.
+/// Rendezvous hash of an entry and an endpoint; the lowest ones are preferred.
 fn score(key: u64, id: &str) -> [u8; 32] {
     let mut hash = blake3::Hasher::new();
     hash.update(&key.to_le_bytes()).update(id.as_bytes());
--- a/src/heartbeat/entries.rs
+++ b/src/heartbeat/entries.rs
@@ -22,16 +22,16 @@
     /// Longest time until its next heartbeat.
     interval: Duration,
     at: Instant,
-    /// Time of the last heartbeat to it, with the changes that it told.
-    sent: Option<(Instant, LoadChanges)>,
+    /// Time of the last heartbeat that was sent to the entry, and the change counts at that time.
+    sent: Option<(Instant, ChangeCounts)>,
 }
 
-/// Changes of an agent's state since its start, counted.
+/// Numbers of changes of an agent's state since its start.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LoadChanges {
-    /// Changes that every entry has to know at once.
+pub struct ChangeCounts {
+    /// Changes that are sent to every entry at once.
     pub urgent: u64,
-    /// Changes of the load that only entries that prefer the endpoint have to know at once.
+    /// Changes of the load, which are sent at once only to entries that prefer the endpoint.
     pub load: u64,
 }
 
@@ -44,8 +44,8 @@
 }
 
 impl LastHeartbeat {
-    fn is_due(&self, now: Instant, changes: LoadChanges, load_interval: Duration) -> bool {
-        let Some((at, told)) = self.sent else {
+    fn is_due(&self, now: Instant, changes: ChangeCounts, load_interval: Duration) -> bool {
+        let Some((at, sent)) = self.sent else {
             return true;
         };
         let interval = match self.wants_load {
@@ -53,8 +53,8 @@
             false => self.interval,
         };
         let age = now.saturating_duration_since(at);
-        told.urgent != changes.urgent
-            || (self.wants_load && told.load != changes.load && age >= load_interval)
+        sent.urgent != changes.urgent
+            || (self.wants_load && sent.load != changes.load && age >= load_interval)
             || age >= interval
     }
 }
@@ -78,7 +78,7 @@
             interval: Duration::from_millis(u64::from(heartbeat.interval_ms))
                 .max(MIN_HEARTBEAT_INTERVAL),
             at: now,
-            // A new process knows nothing.
+            // A restarted process has received nothing.
             sent: known.and_then(|known| known.sent),
         };
         self.last_heartbeats.insert(from, last);
@@ -107,8 +107,9 @@
         self.last_heartbeats.keys().copied().collect()
     }
 
-    /// Entries that have to be sent a heartbeat, which then count as told of all `changes`.
-    pub fn take_due(&mut self, now: Instant, changes: LoadChanges) -> Vec<SocketAddr> {
+    /// Returns the entries to which a heartbeat is due, and records it as sent. `changes` are the counts
+    /// that the heartbeat covers.
+    pub fn take_due(&mut self, now: Instant, changes: ChangeCounts) -> Vec<SocketAddr> {
         let preferring = self.last_heartbeats.values().filter(|last| last.wants_load);
         let preferring = preferring.count() as u32;
         let load_interval = Duration::from_secs(1) * preferring / LOAD_REPORTS_PER_SECOND;
--- a/src/heartbeat/mod.rs
+++ b/src/heartbeat/mod.rs
@@ -5,10 +5,9 @@
 //! stale connection state behind. The datagrams are [`EntryMessage`] and [`AgentMessage`], encoded
 //! with postcard.
 //!
-//! What a process sends and receives is bounded for any number of hosts: heartbeats are sent less often
-//! to many agents ([`heartbeat_interval`]), agents send each change of load only to the entries that
-//! prefer their endpoint, and the list of agents, the only part that grows with the fleet, is sent in
-//! parts to agents that ask for it.
+//! The traffic of a process does not grow with entries times agents: the intervals grow with the number
+//! of agents ([`heartbeat_interval`], [`poll_interval`]), agents send each change of load only to the
+//! entries that prefer their endpoint, and the list of agents is sent, in parts, only on request.
 
 mod entries;
 mod peer_list;
@@ -27,18 +26,18 @@
 use crate::dispatch::LimitStatement;
 use crate::types::{ChangeAge, StorePosition};
 
-pub use entries::{Entries, LoadChanges};
+pub use entries::{ChangeCounts, Entries};
 pub use peer_list::{PeerList, PeerListPart};
 pub use plan::PlanState;
 
 /// Maximum size of a datagram that is sent or received, in bytes. Most fit into one Ethernet frame.
 pub const MAX_DATAGRAM: usize = 8 * 1024;
-/// Shortest time between two heartbeats of an entry to an agent, and longest one between two of an
-/// agent to an entry that prefers its endpoint.
+/// Heartbeat interval of an entry with few agents, and of an agent towards an entry that prefers its
+/// endpoint.
 pub const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// Longest time between two heartbeats. Load reports count for a little longer.
+/// Longest heartbeat interval; a load report expires half a second later.
 const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Heartbeats per second that an entry sends at most, up to `MAX_HEARTBEAT_INTERVAL`.
+/// Heartbeats per second of an entry whose interval is between the bounds.
 const HEARTBEATS_PER_SECOND: u32 = 250;
 
 /// Time between two heartbeats of an entry to each of `agents`.
@@ -48,17 +47,17 @@
     interval.clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
 }
 
-/// Bounds of the time between two looks of an agent at its engine.
-const LOOK_INTERVALS: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(70));
-/// Looks per second of all agents together, between the bounds. Each change that an agent sees is sent to
-/// several entries.
-const LOOKS_PER_SECOND: u32 = 4_000;
+/// Shortest and longest poll interval of an agent.
+const POLL_INTERVALS: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(70));
+/// Polls per second of all agents whose interval is between the bounds. Each change that a poll finds
+/// is sent to several entries.
+const POLLS_PER_SECOND: u32 = 4_000;
 
-/// Time between two looks of each of `agents` at its engine.
-pub fn look_interval(agents: usize) -> Duration {
+/// Time between two polls of the engine by each of `agents`.
+pub fn poll_interval(agents: usize) -> Duration {
     let agents = u32::try_from(agents).unwrap_or(u32::MAX);
-    let interval = Duration::from_secs(1).saturating_mul(agents) / LOOKS_PER_SECOND;
-    interval.clamp(LOOK_INTERVALS.0, LOOK_INTERVALS.1)
+    let interval = Duration::from_secs(1).saturating_mul(agents) / POLLS_PER_SECOND;
+    interval.clamp(POLL_INTERVALS.0, POLL_INTERVALS.1)
 }
 
 /// Datagram from an entry to an agent.
@@ -66,8 +65,8 @@
 pub enum EntryMessage {
     /// Sent to every agent at a steady interval, and at once when something important has changed.
     Heartbeat(EntryHeartbeat),
-    /// Answer to [`AgentMessage::PeersWanted`].
-    Peers(PeerListPart),
+    /// Answer to [`AgentMessage::PeerListWanted`].
+    PeerList(PeerListPart),
 }
 
 /// Datagram from an agent to an entry.
@@ -76,7 +75,7 @@
     /// State of the agent and of its engine.
     Heartbeat(AgentHeartbeat),
     /// The agent does not have the list of agents that the entry's plan names.
-    PeersWanted,
+    PeerListWanted,
 }
 
 /// Heartbeat from an entry to each agent.
@@ -212,7 +211,7 @@
     }
 }
 
-/// Why a message cannot be sent or was not understood.
+/// Why a message cannot be encoded or decoded.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum DatagramError {
     /// the message has {0} bytes, more than a datagram may have
--- a/src/heartbeat/plan.rs
+++ b/src/heartbeat/plan.rs
@@ -10,8 +10,8 @@
 use super::peer_list::PartCollector;
 use super::{PeerList, PeerListPart, Plan, VersionAge, WantedModel};
 
-/// Time after which an agent asks again for the list of agents, of which a part may be lost.
-const PEERS_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Time after which the list of agents is requested again, since a part may be lost.
+const PEER_LIST_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Maximum number of wanted versions kept per model: more than the store names within the time
 /// allowed for one.
@@ -37,7 +37,7 @@
     peers_digest: u64,
     collector: PartCollector,
     /// Time of the last request for the list of agents.
-    peers_asked_at: Option<Instant>,
+    peer_list_asked_at: Option<Instant>,
     /// Wanted versions of each model, oldest first.
     ///
     /// Invariant: versions increase; at most [`WANTED_MAX`] per model.
@@ -69,26 +69,27 @@
         current.is_none_or(|old| plan.position >= old.position)
     }
 
-    /// True when the entry whose plan was just applied has to be asked for its list of agents.
-    pub fn wants_peers(&mut self, now: Instant) -> bool {
+    /// True when the list of agents has to be requested from the entry whose plan was just applied. The
+    /// request counts as sent.
+    pub fn wants_peer_list(&mut self, now: Instant) -> bool {
         let is_known = self.peers.is_some()
             && self
                 .plan
                 .as_ref()
                 .is_none_or(|plan| plan.peers == self.peers_digest);
         let is_asked = self
-            .peers_asked_at
-            .is_some_and(|at| now.saturating_duration_since(at) < PEERS_RETRY_DELAY);
+            .peer_list_asked_at
+            .is_some_and(|at| now.saturating_duration_since(at) < PEER_LIST_RETRY_DELAY);
         if is_known || is_asked || self.plan.is_none() {
             return false;
         }
-        self.peers_asked_at = Some(now);
+        self.peer_list_asked_at = Some(now);
         true
     }
 
     /// Adds a part of the list of agents; returns true when that completes a list that replaces the one
     /// before. A list from an older position than the plan's is ignored.
-    pub fn apply_peers(&mut self, part: PeerListPart) -> bool {
+    pub fn apply_peer_list(&mut self, part: PeerListPart) -> bool {
         let Some(plan) = self.plan.as_mut() else {
             return false;
         };
--- a/src/heartbeat/tests/mod.rs
+++ b/src/heartbeat/tests/mod.rs
@@ -189,6 +189,15 @@
     assert_eq!(decode(&encode(&heartbeat).unwrap()), Ok(heartbeat));
 }
 
+/// Regression: a message that exceeded the datagram size was sent cut off or empty.
+#[test]
+fn a_message_above_the_datagram_size_is_not_encoded() {
+    let heartbeat = heartbeat(3, vec![crash(); MAX_DATAGRAM]);
+    assert!(
+        matches!(encode(&heartbeat), Err(DatagramError::TooLarge(size)) if size > MAX_DATAGRAM)
+    );
+}
+
 // Guards against an engine that keeps an older version too long because its agent read the first
 // plan late, or from an entry that had heard of the version late.
 #[test]
--- a/src/heartbeat/tests/peer_lists.rs
+++ b/src/heartbeat/tests/peer_lists.rs
@@ -42,7 +42,7 @@
     state.apply_plan(now, plan, &mut StallDetector::new(now));
 }
 
-/// Guards against fleets whose plan does not fit into a datagram, so that no agent hears of a version.
+/// Regression: the list of about 1,300 agents and more exceeded the datagram size and was dropped.
 #[rstest]
 #[case::none(0)]
 #[case::few(27)]
@@ -53,22 +53,22 @@
     let now = Instant::now();
     let list = list(agents);
     let mut state = with_plan(now, 5, &list);
-    assert!(state.wants_peers(now));
+    assert!(state.wants_peer_list(now));
     let mut parts = list.parts(position(5));
     // Datagrams overtake each other, and some come twice.
     parts.reverse();
     let last = parts.pop().unwrap();
     for part in &parts {
-        let message = EntryMessage::Peers(part.clone());
+        let message = EntryMessage::PeerList(part.clone());
         let datagram = encode(&message).unwrap();
         assert!(datagram.len() <= FRAME_BYTES, "{} bytes", datagram.len());
         assert_eq!(decode(&datagram), Ok(message));
-        assert!(!state.apply_peers(part.clone()));
-        assert!(!state.apply_peers(part.clone()));
+        assert!(!state.apply_peer_list(part.clone()));
+        assert!(!state.apply_peer_list(part.clone()));
     }
-    assert!(state.apply_peers(last));
+    assert!(state.apply_peer_list(last));
     assert_eq!(state.peers(), Some(&list));
-    assert!(!state.wants_peers(now + Duration::from_secs(1)));
+    assert!(!state.wants_peer_list(now + Duration::from_secs(1)));
 }
 
 #[test]
@@ -76,13 +76,13 @@
     let now = Instant::now();
     let list = list(300);
     let mut state = with_plan(now, 5, &list);
-    assert!(state.wants_peers(now));
+    assert!(state.wants_peer_list(now));
     let parts = list.parts(position(5));
-    assert!(!state.apply_peers(parts[0].clone()));
-    assert!(!state.apply_peers(parts[2].clone()));
-    assert!(!state.wants_peers(now + Duration::from_millis(200)));
-    assert!(state.wants_peers(now + Duration::from_millis(300)));
-    assert!(state.apply_peers(parts[1].clone()));
+    assert!(!state.apply_peer_list(parts[0].clone()));
+    assert!(!state.apply_peer_list(parts[2].clone()));
+    assert!(!state.wants_peer_list(now + Duration::from_millis(200)));
+    assert!(state.wants_peer_list(now + Duration::from_millis(300)));
+    assert!(state.apply_peer_list(parts[1].clone()));
 }
 
 #[test]
@@ -90,14 +90,14 @@
     let now = Instant::now();
     let (old, new) = (list(3), list(4));
     let mut state = with_plan(now, 5, &old);
-    assert!(state.wants_peers(now));
-    assert!(state.apply_peers(old.parts(position(5)).remove(0)));
+    assert!(state.wants_peer_list(now));
+    assert!(state.apply_peer_list(old.parts(position(5)).remove(0)));
     let later = now + Duration::from_secs(1);
-    assert!(!state.wants_peers(later));
+    assert!(!state.wants_peer_list(later));
     apply(&mut state, later, 6, &new);
-    assert!(state.wants_peers(later));
-    assert!(state.apply_peers(new.parts(position(6)).remove(0)));
-    assert!(!state.apply_peers(old.parts(position(5)).remove(0)));
+    assert!(state.wants_peer_list(later));
+    assert!(state.apply_peer_list(new.parts(position(6)).remove(0)));
+    assert!(!state.apply_peer_list(old.parts(position(5)).remove(0)));
     assert_eq!(state.peers(), Some(&new));
 }
 
@@ -107,6 +107,6 @@
     let now = Instant::now();
     let (old, new) = (list(3), list(4));
     let mut state = with_plan(now, 5, &old);
-    assert!(state.apply_peers(new.parts(position(6)).remove(0)));
-    assert!(!state.wants_peers(now));
+    assert!(state.apply_peer_list(new.parts(position(6)).remove(0)));
+    assert!(!state.wants_peer_list(now));
 }
--- a/src/heartbeat/tests/peer_lists_fuzz.rs
+++ b/src/heartbeat/tests/peer_lists_fuzz.rs
@@ -93,7 +93,7 @@
     fn heartbeat(&mut self, entry: usize) {
         let (revision, list) = self.entries[entry].clone();
         apply(&mut self.agent, self.now, revision, &list);
-        if !self.agent.wants_peers(self.now) {
+        if !self.agent.wants_peer_list(self.now) {
             return;
         }
         let mut parts = list.parts(position(revision));
@@ -126,7 +126,7 @@
                     true => self.datagrams[index].clone(),
                     false => self.datagrams.remove(index),
                 };
-                self.agent.apply_peers(part);
+                self.agent.apply_peer_list(part);
             }
             Op::Lose { index } if !self.datagrams.is_empty() => {
                 let index = index % self.datagrams.len();
@@ -151,7 +151,7 @@
             self.heartbeat(entry);
             while !self.datagrams.is_empty() {
                 let part = self.datagrams.remove(0);
-                self.agent.apply_peers(part);
+                self.agent.apply_peer_list(part);
             }
         }
         prop_assert_eq!(self.agent.peers(), Some(&self.entries[newest].1));
--- a/src/heartbeat/tests/reports.rs
+++ b/src/heartbeat/tests/reports.rs
@@ -23,19 +23,19 @@
         };
         assert!(entries.record_heartbeat(now, addr(entry), &heartbeat));
     }
-    let told = entries.take_due(now, LoadChanges::default());
+    let told = entries.take_due(now, ChangeCounts::default());
     assert_eq!(told, [addr(1), addr(2)]);
     entries
 }
 
 #[rstest]
-#[case::nothing(LoadChanges { urgent: 0, load: 0 }, 50, &[])]
-#[case::load(LoadChanges { urgent: 0, load: 1 }, 50, &[1])]
-#[case::urgent(LoadChanges { urgent: 1, load: 0 }, 50, &[1, 2])]
-#[case::nothing_for_long(LoadChanges { urgent: 0, load: 0 }, 400, &[1])]
-#[case::nothing_for_longer(LoadChanges { urgent: 0, load: 0 }, 1_000, &[1, 2])]
+#[case::nothing(ChangeCounts { urgent: 0, load: 0 }, 50, &[])]
+#[case::load(ChangeCounts { urgent: 0, load: 1 }, 50, &[1])]
+#[case::urgent(ChangeCounts { urgent: 1, load: 0 }, 50, &[1, 2])]
+#[case::nothing_for_long(ChangeCounts { urgent: 0, load: 0 }, 400, &[1])]
+#[case::nothing_for_longer(ChangeCounts { urgent: 0, load: 0 }, 1_000, &[1, 2])]
 fn each_entry_hears_what_it_needs(
-    #[case] changes: LoadChanges,
+    #[case] changes: ChangeCounts,
     #[case] after_ms: u64,
     #[case] expected: &[u16],
 ) {
@@ -52,7 +52,7 @@
     let now = Instant::now();
     let mut entries = told_entries(now);
     assert!(entries.record_heartbeat(now, addr(2), &heartbeat(7, Vec::new())));
-    assert_eq!(entries.take_due(now, LoadChanges::default()), [addr(2)]);
+    assert_eq!(entries.take_due(now, ChangeCounts::default()), [addr(2)]);
 }
 
 /// Guards against an entry that sends rarely, as to a large fleet, and is taken for gone after one lost
@@ -83,11 +83,11 @@
 #[case::small(27, 40)]
 #[case::hundreds(240, 60)]
 #[case::thousands(5_000, 70)]
-fn agents_of_large_fleets_look_less_often(#[case] agents: usize, #[case] expected_ms: u64) {
-    assert_eq!(look_interval(agents), Duration::from_millis(expected_ms));
+fn agents_of_large_fleets_poll_less_often(#[case] agents: usize, #[case] expected_ms: u64) {
+    assert_eq!(poll_interval(agents), Duration::from_millis(expected_ms));
 }
 
-/// An agent whose load changes at each look, each 40 ms, for ten seconds.
+/// The load changes at each poll, every 40 ms, for ten seconds.
 #[rstest]
 #[case::few_entries(4)]
 #[case::hundreds_of_hosts(35)]
@@ -102,20 +102,20 @@
         };
         entries.record_heartbeat(now, addr(entry), &heartbeat);
     }
-    let looks = (0..250).map(|look| {
-        let at = now + Duration::from_millis(40 * look);
+    let polls = (0..250).map(|poll| {
+        let at = now + Duration::from_millis(40 * poll);
         entries
             .take_due(
                 at,
-                LoadChanges {
+                ChangeCounts {
                     urgent: 0,
-                    load: look,
+                    load: poll,
                 },
             )
             .len()
     });
-    let sent: usize = looks.sum();
-    // The first reports, and a heartbeat each 0.4 s to every entry however many they are.
+    let sent: usize = polls.sum();
+    // The first report to each entry, then the larger of the load reports and the heartbeats.
     let bound = usize::from(count) + 1_500.max(25 * usize::from(count));
     assert!(sent <= bound, "{sent} reports, bound {bound}");
 }
--- a/src/http/tests/client.rs
+++ b/src/http/tests/client.rs
@@ -42,8 +42,8 @@
     statuses
 }
 
-/// Guards against a caller that is told "not run" for a request that an endpoint is running, since the
-/// endpoint repeated an earlier refusal on a kept connection.
+/// Regression: an endpoint repeated an earlier 503 on a kept connection, and the caller of the next request
+/// was told that it had not run.
 #[rstest]
 #[case::endpoints(endpoint_client(), 0)]
 #[case::own_servers(traffic_client(), 2)]
