Reset an HTTP/1.0 caller's connection when its stream ends early

Callers saw: an HTTP/1.0 caller got a stream that broke off as a 200 that ended in good order. It knows no chunks, so the end of the connection was the end of its answer.

Cause: a body that fails only makes the HTTP library drop the connection, which the kernel closes in good order. HTTP/1.1 callers miss the last chunk; HTTP/1.0 ones miss nothing. The same holds where a stopping listener closes its connections, and where the process is killed.

Fix: while an answer with neither length nor chunks is incomplete, its connection has a linger time of zero, so that any close resets it. The option is removed once the body has ended, before the connection is shut down. A reset may discard events that are still on their way; such a caller gets fewer events, not a wrong end.

Evidence: http::tests::unframed, cases dropped and killed, failed before (the caller read the end of the stream without an error); the case finished passed before and after.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::head_timer::HeadTimer;
+use super::unframed::UnframedAnswer;
 use super::{AnswerBody, ListenerLimits};
 
 /// A connection that is being served.
@@ -22,6 +23,8 @@
     pub head_timeout: watch::Receiver<Duration>,
     pub drain: CancellationToken,
     pub kill: CancellationToken,
+    /// Shared with the stream that is served.
+    pub unframed_answer: UnframedAnswer,
 }
 
 impl Connection {
@@ -33,9 +36,11 @@
         H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
         F: Future<Output = Response<AnswerBody>> + Send + 'static,
     {
-        let service = service_fn(move |req| {
+        let unframed_answer = self.unframed_answer;
+        let service = service_fn(move |req: Request<Incoming>| {
+            let (version, unframed_answer) = (req.version(), unframed_answer.clone());
             let answer = handler(req);
-            async move { Ok::<_, Infallible>(answer.await) }
+            async move { Ok::<_, Infallible>(unframed_answer.watch(version, answer.await)) }
         });
         let connection = http1::Builder::new()
             .timer(HeadTimer::new(self.head_timeout))
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -18,6 +18,7 @@
 
 use super::AnswerBody;
 use super::connection::Connection;
+use super::unframed::{ResettingStream, UnframedAnswer};
 
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -129,7 +130,9 @@
             head_timeout: self.head_timeout.clone(),
             drain: self.drain.clone(),
             kill: self.kill.clone(),
+            unframed_answer: UnframedAnswer::default(),
         };
+        let stream = ResettingStream::new(stream, connection.unframed_answer.clone());
         let serving = connection.serve(stream, handler);
         self.tasks.spawn(async move {
             serving.await;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -13,6 +13,7 @@
 mod refusal;
 #[cfg(test)]
 mod tests;
+mod unframed;
 
 pub use body::{AnswerBody, BodyError, BodySender, channel, empty, full};
 pub use client::{TrafficClient, endpoint_client, traffic_client};
--- a/src/http/tests/connection.rs
+++ b/src/http/tests/connection.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::http::connection::Connection;
+use crate::http::unframed::UnframedAnswer;
 use crate::http::{ListenerLimits, full};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n";
@@ -38,6 +39,7 @@
             head_timeout: head_timeout.subscribe(),
             drain: drain.clone(),
             kill: CancellationToken::new(),
+            unframed_answer: UnframedAnswer::default(),
         };
         let serving = tokio::spawn(connection.serve(served, |_| async {
             sleep(HANDLER_TIME).await;
--- a/src/http/tests/mod.rs
+++ b/src/http/tests/mod.rs
@@ -3,3 +3,4 @@
 mod client;
 mod connection;
 mod listener;
+mod unframed;
