Don't forward bodies in unknown transfer codings, nor a switch of protocols

Callers saw: an answer whose transfer-encoding was not "chunked", also "chun" of a head that was cut and closed with an empty line, came as a whole 200 with the coded bytes as its body, and "gzip, chunked" as compressed bytes without a word of that; a 101 that nobody asked for was forwarded as the answer.

Cause: the HTTP library reads a body in an unknown coding until the connection ends, and treats 101 as an answer without a body. The header is removed on the way, as it concerns one connection.

Fix: such answers count as broken, for endpoints of the platform and of the product's own interface.

--- a/src/agent/answer_head.rs
+++ b/src/agent/answer_head.rs
@@ -3,7 +3,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use crate::codes::Code;
-use crate::http::{header_text, names};
+use crate::http::{header_text, is_readable_answer, names};
 use crate::settings::EndpointKind;
 
 /// What an answer must match to be forwarded.
@@ -32,7 +32,7 @@
             maybe_run: true,
         };
         let echoed_id = header_text(headers, names::REQUEST_ID);
-        if echoed_id.is_some_and(|id| id != self.attempt) {
+        if echoed_id.is_some_and(|id| id != self.attempt) || !is_readable_answer(status, headers) {
             return Err(broken);
         }
         if self.endpoint == EndpointKind::Service {
--- a/src/agent/tests.rs
+++ b/src/agent/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the agent's driver.
 
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, StatusCode};
 use rstest::rstest;
 
@@ -52,3 +52,34 @@
     let status = StatusCode::from_u16(status).unwrap();
     assert_eq!(answer.check(status, &headers), expected);
 }
+
+/// Regression: a body in a transfer coding other than chunks, and a switch of protocols, were passed on as answers.
+#[rstest]
+#[case::chunks(200, &["chunked"], true)]
+#[case::in_capitals(200, &["Chunked"], true)]
+#[case::name_cut(200, &["chun"], false)]
+#[case::compressed(200, &["gzip, chunked"], false)]
+#[case::in_two_lines(200, &["gzip", "chunked"], false)]
+#[case::chunked_twice(200, &["chunked", "chunked"], false)]
+#[case::switched_protocol(101, &[], false)]
+fn an_answer_that_is_not_read_as_it_was_written_is_broken(
+    #[case] status: u16,
+    #[case] codings: &[&'static str],
+    #[case] is_passed_on: bool,
+) {
+    let mut headers = HeaderMap::new();
+    for coding in codings {
+        headers.append(TRANSFER_ENCODING, HeaderValue::from_static(coding));
+    }
+    let answer = ExpectedAnswer {
+        endpoint: Service,
+        attempt: "attempt-2",
+        version: None,
+    };
+    let expected = match is_passed_on {
+        true => Ok(()),
+        false => rejected(Code::AnswerBroken, true),
+    };
+    let status = StatusCode::from_u16(status).unwrap();
+    assert_eq!(answer.check(status, &headers), expected);
+}
--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -2,7 +2,8 @@
 
 use std::str::FromStr;
 
-use hyper::HeaderMap;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::{HeaderMap, StatusCode};
 
 /// Names of the headers.
 pub mod names {
@@ -57,3 +58,14 @@
 pub fn header_number<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
     header_text(headers, name)?.parse().ok()
 }
+
+/// True when the body of an answer with this head is read as it was written. Of the transfer codings, the HTTP
+/// library decodes chunks only: others, also one whose name was cut, would pass as bytes of the body. It
+/// takes a switch of protocols, which no request asks for, for an answer.
+pub fn is_readable_answer(status: StatusCode, headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = codings
+        .next()
+        .is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    is_chunked && codings.next().is_none() && status != StatusCode::SWITCHING_PROTOCOLS
+}
--- a/src/http/tests/reply.rs
+++ b/src/http/tests/reply.rs
@@ -136,6 +136,20 @@
         })
     }
 
+    /// Bytes that are sent as they are, and are no answer that is valid to its end.
+    pub fn invalid(wire: &str) -> Self {
+        Self {
+            framing: Framing::Length,
+            head: wire.len(),
+            wire: wire.into(),
+            is_data: vec![false; wire.len()],
+            // The last byte is one that is never sent.
+            cut: wire.len(),
+            end: End::Close,
+            piece: 0,
+        }
+    }
+
     fn push(&mut self, text: &str, is_data: bool) {
         self.wire.extend_from_slice(text.as_bytes());
         self.is_data.resize(self.wire.len(), is_data);
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Semaphore;
 
 use crate::dispatch::AttemptOutcome;
-use crate::http::{MAX_ANSWER_HEAD_BYTES, connect, too_many_interim_answers};
+use crate::http::{MAX_ANSWER_HEAD_BYTES, connect, is_readable_answer, too_many_interim_answers};
 
 use super::dialect::{AnswerHead, Dialect};
 use super::handle::next_data;
@@ -50,7 +50,9 @@
     /// Returns the answer if it may be forwarded, otherwise how the attempt ended.
     pub fn checked(self) -> Result<Self, AttemptOutcome> {
         let Self { head, parsed, .. } = &self;
-        let is_foreign = !parsed.is_authentic || head.headers.contains_key(CONTENT_ENCODING);
+        let is_foreign = !parsed.is_authentic
+            || head.headers.contains_key(CONTENT_ENCODING)
+            || !is_readable_answer(head.status, &head.headers);
         match (parsed.not_run || parsed.wrong_instance, is_foreign) {
             (true, _) => Err(AttemptOutcome::NotRun {
                 is_full: !parsed.wrong_instance,
