Don't answer an invalid record of a keyed request with an empty 200

Callers saw: nothing yet; by reading. When the record of an earlier answer has a status or content type from which no response can be made, the entry answered 200 with an empty body.

Cause: a default in place of the response. The entry writes no such record itself; one that another writer or a fault left in the store would do it.

Fix: such a record is invalid, as one that can't be parsed is, and the outcome is unknown (502).

Evidence: answer::tests::a_record_that_is_no_answer_is_invalid, cases status_too_low, status_too_high, informational and content_type failed before (they were read as answers). The way from there to the caller is by reading.

--- a/src/answer/stored.rs
+++ b/src/answer/stored.rs
@@ -47,9 +47,15 @@
         serde_json::to_string(self).expect("plain data").into()
     }
 
-    /// Parses the output of [`StoredAnswer::to_text`]; `None` when the text is invalid.
+    /// Parses the output of [`StoredAnswer::to_text`]; `None` when the text is invalid, or its status or
+    /// content type is.
     pub fn from_text(text: &str) -> Option<Self> {
-        serde_json::from_str(text).ok()
+        let answer: Self = serde_json::from_str(text).ok()?;
+        let has_status =
+            StatusCode::from_u16(answer.status).is_ok_and(|status| !status.is_informational());
+        let content_type = answer.content_type.as_deref();
+        let has_type = content_type.is_none_or(|text| HeaderValue::from_str(text).is_ok());
+        (has_status && has_type).then_some(answer)
     }
 
     /// Builds the HTTP response; `None` when the status or the content type is invalid.
--- a/src/answer/tests.rs
+++ b/src/answer/tests.rs
@@ -82,6 +82,20 @@
     assert_eq!(&response.body()[..], body);
 }
 
+/// Regression: a record from which no response can be made was answered by an empty 200.
+#[rstest]
+#[case::status_no_number(r#"{"status":"200","content_type":null,"body":{"text":"a"}}"#)]
+#[case::status_too_low(r#"{"status":99,"content_type":null,"body":{"text":"a"}}"#)]
+#[case::status_too_high(r#"{"status":1000,"content_type":null,"body":{"text":"a"}}"#)]
+#[case::informational(r#"{"status":100,"content_type":null,"body":{"text":"a"}}"#)]
+#[case::content_type(r#"{"status":200,"content_type":"a\nb","body":{"text":"a"}}"#)]
+#[case::without_body(r#"{"status":200,"content_type":null}"#)]
+#[case::cut(r#"{"status":200,"content_type":null,"body":{"text":"a"#)]
+#[case::empty("")]
+fn a_record_that_is_no_answer_is_invalid(#[case] text: &str) {
+    assert_eq!(StoredAnswer::from_text(text), None);
+}
+
 #[rstest]
 #[case::same_request_and_version("data: {\"id\":\"a1\",\"version\":\"v1\"}\n\n", true)]
 #[case::other_request("data: {\"id\":\"a2\",\"version\":\"v1\"}\n\n", false)]
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use hyper::Response;
 use tokio::sync::oneshot;
 
@@ -143,19 +142,29 @@
             .count_request(&self.request.meta.class, result);
     }
 
-    async fn complete(self) {
-        self.count_result(RequestResult::Answered);
-        match self.pending_answer {
-            Some(answer) => send_stored_answer(self.caller, answer),
-            None => self.caller.finish().await,
+    async fn complete(mut self) {
+        match self.pending_answer.take() {
+            Some(answer) => self.send_stored(answer, RequestResult::Answered).await,
+            None => {
+                self.count_result(RequestResult::Answered);
+                self.caller.finish().await;
+            }
         }
     }
 
     async fn replay(self, text: &str) {
         match StoredAnswer::from_text(text) {
-            Some(answer) => {
-                self.count_result(RequestResult::Replayed);
-                send_stored_answer(self.caller, answer);
+            Some(answer) => self.send_stored(answer, RequestResult::Replayed).await,
+            None => self.refuse(Refusal::new(Code::OutcomeUnknown)).await,
+        }
+    }
+
+    /// Sends a whole answer. One that is no HTTP response is not replaced by an empty success.
+    async fn send_stored(self, answer: StoredAnswer, result: RequestResult) {
+        match answer.into_response() {
+            Some(response) => {
+                self.count_result(result);
+                self.caller.send_answer(response);
             }
             None => self.refuse(Refusal::new(Code::OutcomeUnknown)).await,
         }
@@ -168,10 +177,3 @@
             .await;
     }
 }
-
-fn send_stored_answer(caller: Caller, answer: StoredAnswer) {
-    let response = answer
-        .into_response()
-        .unwrap_or_else(|| Response::new(Bytes::new()));
-    caller.send_answer(response);
-}
