--- a/fakes/src/raw.rs
+++ b/fakes/src/raw.rs
@@ -137,6 +137,15 @@
         }
     }
 
+    /// Bytes that are sent as they are.
+    pub fn new(bytes: impl Into<Bytes>, end: ConnectionEnd) -> Self {
+        Self {
+            start: bytes.into(),
+            end,
+            ..Self::default()
+        }
+    }
+
     /// A response in whose place the server sends this answer.
     pub fn into_response(self) -> Response<Body> {
         let mut response = answer(StatusCode::OK, "");
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use crate::engine::answer_tag;
+use crate::raw::RawAnswer;
 use crate::reply::{Reply, answer, header, read_body};
 use crate::server::{ANY_PORT, Server};
 
@@ -43,6 +44,8 @@
     pub refuse_next: u32,
     /// Number of upcoming answers that carry the id of another request.
     pub wrong_id_next: u32,
+    /// What calls are answered with once they have taken effect.
+    pub raw: Option<RawAnswer>,
 }
 
 /// Counts since the stand-in was spawned.
@@ -178,6 +181,10 @@
     let slow = state.lock().faults.slow;
     tokio::time::sleep(state.cfg.delay + slow).await;
     let run = apply_effect(&state, &key)?;
+    let raw = state.lock().faults.raw.clone();
+    if let Some(raw) = raw {
+        return Some(raw.into_response());
+    }
     let tag = answer_tag(&String::from_utf8_lossy(&body));
     let mut res = crate::reply::json(&json!({
         "path": path,
--- a/fakes/src/site/engine.rs
+++ b/fakes/src/site/engine.rs
@@ -379,6 +379,9 @@
     if faults.lose_answers {
         return None;
     }
+    if let Some(raw) = faults.raw {
+        return Some(raw.into_response());
+    }
     let mut answer = match kind {
         SiteEngineKind::Plain => match faults.silent_for {
             Some(pause) => Response::new(paused_body(&plain_text(&id), pause, open)),
--- a/fakes/src/site/faults.rs
+++ b/fakes/src/site/faults.rs
@@ -6,7 +6,7 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use crate::raw::{ConnectionEnd, Flood};
+use crate::raw::{ConnectionEnd, Flood, RawAnswer};
 use crate::reply::{Body, answer};
 
 /// Injected faults of a back end, which a test can change at any time.
@@ -57,6 +57,8 @@
     /// When set, answers have neither a length nor chunks and end with their connection. A reset
     /// one has half of its body, or as many events as `break_after` says and no part of the next.
     pub without_length: Option<ConnectionEnd>,
+    /// What callers' requests are answered with once they have run.
+    pub raw: Option<RawAnswer>,
     /// Bytes that callers' requests are answered with.
     pub flood: Option<Flood>,
     /// Bytes that the report, orders and reads from the staging area are answered with.
--- a/tests/contract_agent.rs
+++ b/tests/contract_agent.rs
@@ -19,6 +19,7 @@
     AgentControlClient, SettleReply, SettleRequest, SettleState, StoreContact, SyncReply,
     SyncRequest, VersionedDocument,
 };
+use limpetloom_fakes::raw::{ConnectionEnd, RawAnswer};
 use rstest::rstest;
 
 use common::Site;
@@ -66,6 +67,11 @@
 
     /// Offers the agent a valid booking, with the given headers replaced or, if empty, left out.
     async fn offer(&self, attempt: &str, changes: &[(&str, &str)]) -> OfferResponse {
+        self.try_offer(attempt, changes).await.unwrap()
+    }
+
+    /// The same; `None` when the response breaks off.
+    async fn try_offer(&self, attempt: &str, changes: &[(&str, &str)]) -> Option<OfferResponse> {
         let instance = self.sync.agent_instance.to_string();
         let generation = self.sync.generation.to_string();
         let mut headers = vec![
@@ -87,7 +93,7 @@
         }
         let req = req.body(Full::new(Bytes::from(BOOKING))).unwrap();
         let client = Client::builder(TokioExecutor::new()).build_http();
-        OfferResponse::read(client.request(req).await.unwrap()).await
+        OfferResponse::read(client.request(req).await.ok()?).await
     }
 
     async fn settle(&self, attempt: &str) -> SettleReply {
@@ -149,17 +155,18 @@
 }
 
 impl OfferResponse {
-    async fn read(res: Response<hyper::body::Incoming>) -> Self {
+    /// Reads a response; `None` when its body breaks off.
+    async fn read(res: Response<hyper::body::Incoming>) -> Option<Self> {
         let text = |name: &str| {
             let value = res.headers().get(name)?;
             Some(value.to_str().ok()?.to_owned())
         };
-        Self {
+        Some(Self {
             status: res.status().as_u16(),
             code: text("x-limpetloom-code").and_then(|code| code.parse().ok()),
             attempt: text("x-limpetloom-attempt"),
-            body: res.into_body().collect().await.unwrap().to_bytes(),
-        }
+            body: res.into_body().collect().await.ok()?.to_bytes(),
+        })
     }
 }
 
@@ -234,6 +241,48 @@
     assert_eq!(fixture.runs(), 1);
 }
 
+/// An answer of each framing, and whether it ends with its connection.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody", false)]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    false
+)]
+#[case::connection("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nbody", true)]
+#[case::stream(
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: 1\n\ndata: [DONE]\n\n",
+    true
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_answer_of_an_endpoint_is_no_success(
+    #[case] answer: &'static str,
+    #[case] ends_with_connection: bool,
+    #[values(ConnectionEnd::Close, ConnectionEnd::Reset)] end: ConnectionEnd,
+) {
+    let fixture = Fixture::start().await;
+    let head = answer.find("\r\n\r\n").unwrap() + 4;
+    let is_stream = answer.contains("event-stream");
+    for cut in 0..=answer.len() {
+        let sent = &answer[..cut];
+        let raw = RawAnswer::new(sent, end);
+        let service = &fixture.site.services[0].service;
+        service.update_faults(|faults| faults.raw = Some(raw));
+        let runs = fixture.runs();
+        let name = format!("a{cut}");
+        // A class whose requests need no key.
+        let changes = [("x-limpetloom-class", "lookup"), ("idempotency-key", "")];
+        let response = fixture.try_offer(&name, &changes).await;
+        assert_eq!(fixture.runs(), runs + 1, "{cut}");
+        let is_whole = match (is_stream, ends_with_connection) {
+            (true, _) => sent.ends_with("[DONE]\n\n"),
+            (false, true) => cut >= head && end == ConnectionEnd::Close,
+            (false, false) => cut == answer.len(),
+        };
+        let is_success = response.is_some_and(|response| response.status == 200);
+        assert_eq!(is_success, is_whole, "{sent:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_sync_reply_lists_endpoints_and_holds_only_a_newer_configuration() {
     let fixture = Fixture::start().await;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod connections;
 mod crashes;
+mod cuts;
 mod faults;
 mod lifecycle;
 mod limits;
