--- a/src/http/tests/client.rs
+++ b/src/http/tests/client.rs
@@ -58,3 +58,27 @@
         .filter(|status| **status == StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(found.count(), refused);
 }
+
+/// An endpoint that answers before it has read the request, and resets the connection, has not completed an
+/// answer that only the end of the connection would end. The reset may be seen by a write first.
+#[tokio::test]
+async fn an_answer_is_incomplete_whose_connection_is_reset_beside_the_request() {
+    const REQUEST_BYTES: usize = 4 << 20;
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut req = [0; 1_024];
+            let _ = stream.read(&mut req).await;
+            // Closing a connection with unread data resets it.
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await;
+        }
+    });
+    for _ in 0..100 {
+        let req = Request::post(format!("http://{addr}/"));
+        let req = req.body(Full::new(Bytes::from(vec![0; REQUEST_BYTES])));
+        if let Ok(res) = endpoint_client().request(req.unwrap()).await {
+            assert!(res.into_body().collect().await.is_err());
+        }
+    }
+}
