Answer what arrives on a used connection before a drain

A caller that had sent a part of the next head on a connection in use found it closed when the listener drained, and one that had sent a whole request ahead, behind an answer that had begun before the drain, got no answer to it and no sign that it had not been read.

Cause: the HTTP library closes a connection that idles when it is shut down gracefully, also with a part of a head in its buffer, and ends one in use after the current answer. What it has read beyond that is dropped.

The connection is now taken back from the library when it has drained. If bytes are left and the last answer did not say `connection: close`, one more request is read, within the timeout of a head, and its answer says so. Answers that begin once the drain has begun say so too, hence what is behind them is known not to be read. A connection whose last answer is not yet written is not taken back before.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod listener;
 mod metrics;
 mod read;
+mod read_ahead;
 mod refusal;
 #[cfg(test)]
 mod tests;
--- a/src/http/tests/mod.rs
+++ b/src/http/tests/mod.rs
@@ -2,4 +2,5 @@
 
 mod client;
 mod connection;
+mod drain;
 mod listener;
