Write the queued log lines before a process ends

Cause: lines are queued for a thread that writes them, flushing did nothing, and the process ended without waiting for that thread.

A flush now waits until the lines before it are written, at most half a second: a reader of the log that stands still holds no process up. Dropping the handle of the log, at the end of the process, flushes.

--- a/src/telemetry/rate_limited.rs
+++ b/src/telemetry/rate_limited.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::Mutex;
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant};
 
 use flexi_logger::writers::LogWriter;
@@ -23,6 +23,12 @@
 /// Period over which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Longest wait of a flush: a process that ends is not held up by a reader of standard output that
+/// stands still.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause between two tries to queue the mark of a flush while the queue is full.
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+
 /// Limits the rate of log lines and counts the dropped ones.
 #[derive(Debug)]
 pub struct LogRateLimiter {
@@ -68,8 +74,16 @@
     }
 }
 
-struct RateLimitedWriter {
-    tx: SyncSender<Vec<u8>>,
+/// Sent to the thread that writes.
+enum Command {
+    Line(Vec<u8>),
+    /// Answered once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
+/// Queues lines for a thread that writes them.
+pub(super) struct RateLimitedWriter {
+    tx: SyncSender<Command>,
     limiter: Mutex<LogRateLimiter>,
 }
 
@@ -104,48 +118,70 @@
         Ok(())
     }
 
+    /// Waits until the queued lines are written, at most [`FLUSH_TIMEOUT`].
     fn flush(&self) -> io::Result<()> {
-        Ok(())
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
+        let (tx, rx) = sync_channel(1);
+        let mut mark = Command::Flush(tx);
+        while let Err(err) = self.tx.try_send(mark) {
+            match err {
+                TrySendError::Full(unsent) if Instant::now() < deadline => mark = unsent,
+                _ => return Err(io::ErrorKind::TimedOut.into()),
+            }
+            std::thread::sleep(FLUSH_PAUSE);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        rx.recv_timeout(left)
+            .map_err(|_| io::ErrorKind::TimedOut.into())
     }
 }
 
 impl RateLimitedWriter {
+    /// Starts the thread that writes to `out`. It ends with the process, or when the writer is dropped.
+    pub fn spawn(out: impl Write + Send + 'static) -> Self {
+        let (tx, rx) = sync_channel(QUEUE_LINES);
+        std::thread::spawn(move || write_lines(&rx, out));
+        Self {
+            tx,
+            limiter: Mutex::new(LogRateLimiter::new(Instant::now())),
+        }
+    }
+
     fn send(&self, limiter: &mut LogRateLimiter, mut line: Vec<u8>) {
         line.push(b'\n');
-        if self.tx.try_send(line).is_err() {
+        if self.tx.try_send(Command::Line(line)).is_err() {
             limiter.record_dropped();
         }
     }
 }
 
-fn write_lines(rx: &Receiver<Vec<u8>>) {
-    let mut out = io::stdout();
-    while let Ok(line) = rx.recv() {
-        // A closed standard output cannot be reported anywhere.
-        if out.write_all(&line).and_then(|()| out.flush()).is_err() {
-            return;
+fn write_lines(rx: &Receiver<Command>, mut out: impl Write) {
+    while let Ok(command) = rx.recv() {
+        match command {
+            Command::Line(line) => {
+                // A closed standard output cannot be reported anywhere.
+                if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+                    return;
+                }
+            }
+            // The sender may have given up.
+            Command::Flush(tx) => drop(tx.try_send(())),
         }
     }
 }
 
-/// Starts a log of JSON lines on standard output. Dropping the handle stops it.
+/// Starts a log of JSON lines on standard output. Dropping the handle writes the queued lines and stops
+/// it.
 ///
 /// # Errors
 ///
 /// Fails if the process already has a logger.
 pub fn start_rate_limited_logs(level: LevelFilter) -> Result<LoggerHandle, LogError> {
-    let (tx, rx) = sync_channel(QUEUE_LINES);
-    // The thread ends with the process, or when the writer is dropped.
-    std::thread::spawn(move || write_lines(&rx));
-    let writer = RateLimitedWriter {
-        tx,
-        limiter: Mutex::new(LogRateLimiter::new(Instant::now())),
-    };
     let spec = LogSpecification::builder()
         .module("limpetloom", level)
         .build();
     Logger::with(spec)
-        .log_to_writer(Box::new(writer))
+        .log_to_writer(Box::new(RateLimitedWriter::spawn(io::stdout())))
         .start()
         .map_err(LogError::Start)
 }
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -1,12 +1,16 @@
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
 use log::{Level, Record};
 
+use super::rate_limited::RateLimitedWriter;
 use super::*;
 use crate::codes::Code;
 
-type Format = fn(&mut dyn std::io::Write, &mut DeferredNow, &Record) -> std::io::Result<()>;
+type Format = fn(&mut dyn Write, &mut DeferredNow, &Record) -> io::Result<()>;
 
 fn format_line(format: Format) -> String {
     let mut out = Vec::new();
@@ -61,3 +65,56 @@
     drop(guard);
     assert!(!in_flight(&metrics.scrape()));
 }
+
+/// Output that takes a while for each line.
+struct SlowOutput {
+    written: Arc<Mutex<Vec<u8>>>,
+    pause: Duration,
+}
+
+impl Write for SlowOutput {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(self.pause);
+        self.written.lock().unwrap().extend(line);
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes so many lines to a slow output and flushes; returns the number of lines written by then.
+fn flush_lines(count: usize, pause: Duration) -> (io::Result<()>, usize) {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let writer = RateLimitedWriter::spawn(SlowOutput {
+        written: written.clone(),
+        pause,
+    });
+    let record = Record::builder().level(Level::Info).build();
+    for _ in 0..count {
+        writer.write(&mut DeferredNow::new(), &record).unwrap();
+    }
+    let flushed = writer.flush();
+    let written = written.lock().unwrap();
+    (
+        flushed,
+        written.iter().filter(|byte| **byte == b'\n').count(),
+    )
+}
+
+/// Regression: the last lines of a process were lost when it ended before they were written.
+#[test]
+fn a_flush_waits_for_the_queued_lines() {
+    let (flushed, written) = flush_lines(5, Duration::from_millis(10));
+    flushed.unwrap();
+    assert_eq!(written, 5);
+}
+
+/// A reader that stands still does not hold the end of a process up.
+#[test]
+fn a_flush_gives_up_on_an_output_that_stands_still() {
+    let (flushed, written) = flush_lines(1, Duration::from_secs(3_600));
+    assert_eq!(flushed.unwrap_err().kind(), io::ErrorKind::TimedOut);
+    assert_eq!(written, 0);
+}
