--- a/src/http/tests/mod.rs
+++ b/src/http/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod connection;
+mod drain;
 mod listener;
 pub(crate) mod reply;
 mod unframed;
