--- a/src/http/tests/reply.rs
+++ b/src/http/tests/reply.rs
@@ -3,6 +3,7 @@
 use std::fmt::{Debug, Formatter};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -62,6 +63,8 @@
     pub end: End,
     /// Bytes that are written at a time; 0 for all.
     pub piece: usize,
+    /// Time for which the server is silent after each of them.
+    pub pause: Duration,
 }
 
 impl Debug for Reply {
@@ -101,6 +104,7 @@
             cut: 0,
             end: End::Close,
             piece: 0,
+            pause: Duration::ZERO,
         };
         reply.push(&head, false);
         for part in parts {
@@ -147,6 +151,7 @@
             cut: wire.len(),
             end: End::Close,
             piece: 0,
+            pause: Duration::ZERO,
         }
     }
 
@@ -191,7 +196,10 @@
             if stream.write_all(piece).await.is_err() {
                 return;
             }
-            tokio::task::yield_now().await;
+            match self.pause {
+                Duration::ZERO => tokio::task::yield_now().await,
+                pause => tokio::time::sleep(pause).await,
+            }
         }
         // Errors are ignored: the reader may have closed the connection already.
         match self.end {
