--- a/src/http/tests/reply.rs
+++ b/src/http/tests/reply.rs
@@ -147,7 +147,6 @@
             head: wire.len(),
             wire: wire.into(),
             is_data: vec![false; wire.len()],
-            // The last byte is one that is never sent.
             cut: wire.len(),
             end: End::Close,
             piece: 0,
