--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -219,7 +219,7 @@
 }
 
 /// Percent-encodes a name for use in a path or a query.
-pub(super) fn escape(name: &str) -> String {
+pub(crate) fn escape(name: &str) -> String {
     utf8_percent_encode(name, PATH_ESCAPES).to_string()
 }
 
