Own interface: answer what is left before a stop ends

Requests that waited or ran when a stop of an entry reached `limits.stop_deadline` were cut without an answer, and broken ones were sent again until then. With a deadline under 3 s connections were still accepted when the process closed them.

Cause: the core refused new requests from the deadline on only, which is the instant at which the process closes its connections, and the listener drained after a constant 3 s.

The times of a stop are now those of the platform's entry, which move to `process`. At the answer time the core refuses waiting requests as not run, repeats nothing, and ends the running ones, whose exchange leaves its attempt and answers. Keyed requests go on: their outcome is kept for the caller that asks again.

a_running_request_is_answered_before_a_stop_ends failed before: the connection closed without an answer.

--- a/src/entry/core/config.rs
+++ b/src/entry/core/config.rs
@@ -43,6 +43,9 @@
     /// Time after [`super::EntryEvent::Stop`] for which new requests are still accepted, so that
     /// the load balancer has time to notice that the entry is not ready.
     pub stop_grace: Duration,
+    /// Time after [`super::EntryEvent::Stop`] by which every request is answered, except keyed ones in
+    /// progress, whose outcome is kept.
+    pub stop_answer_time: Duration,
 }
 
 impl EntryCoreConfig {
@@ -65,6 +68,7 @@
             isolation_after: Duration::from_secs(5),
             stall_timeout: Duration::from_secs(2),
             stop_grace: Duration::from_secs(3),
+            stop_answer_time: Duration::from_secs(59),
         }
     }
 }
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -14,6 +14,7 @@
 mod requests;
 mod stats;
 mod status;
+mod stop;
 #[cfg(test)]
 mod tests;
 mod traffic;
@@ -159,6 +160,7 @@
         }
         self.review_placement(now);
         self.send_due_heartbeats(now);
+        self.end_at_stop(now);
         self.dispatch_waiting(now);
         std::mem::take(&mut self.actions)
     }
@@ -170,6 +172,7 @@
             .into_iter()
             .chain(self.admission.next_expiry())
             .chain(self.placement.next_review())
+            .chain(self.next_stop_end())
             .min()
     }
 
--- a/src/entry/core/outcomes.rs
+++ b/src/entry/core/outcomes.rs
@@ -230,7 +230,7 @@
             max: MAX_ATTEMPTS,
             is_repeatable: true,
             is_harmful,
-            has_time_left,
+            has_time_left: has_time_left && !self.is_answer_time_over(now),
         };
         let retries = &mut self.retry_window;
         let take_retry = || retries.try_take(now, RETRY_LIMIT, 1);
--- a/src/entry/core/tests/membership.rs
+++ b/src/entry/core/tests/membership.rs
@@ -212,6 +212,38 @@
     assert!(f.core.is_drained());
 }
 
+/// Regression: requests that waited or ran at the end of a stop were cut without an answer, and broken
+/// ones were sent again until then.
+#[test]
+fn a_stopping_entry_answers_what_is_left() {
+    let mut f = Fixture::new(&[("h1", "a"), ("h2", "a")], 1);
+    f.core.cfg.stop_answer_time = Duration::from_millis(500);
+    let running = [(); 2].map(|()| f.arrive("answers", "small"));
+    let waiting = f.arrive("answers", "small");
+    f.handle(EntryEvent::Stop);
+    f.now += Duration::from_millis(499);
+    f.handle(EntryEvent::Tick);
+    assert!(f.refused.is_empty());
+    let end = f.core.next_wakeup().unwrap();
+    assert_eq!(end, f.now + Duration::from_millis(1));
+    f.now = end;
+    // It has no time to be sent again.
+    f.end_attempt(running[0], EntryAttemptOutcome::Broken { delivered: 0 });
+    f.handle(EntryEvent::Tick);
+    let expected = [
+        (running[0], Code::AnswerBroken),
+        (waiting, Code::Stopping),
+        (running[1], Code::AnswerBroken),
+    ];
+    assert_eq!(f.refused, expected);
+    assert_eq!(f.dispatched.len(), 2);
+    f.end_attempt(running[1], EntryAttemptOutcome::Answered);
+    assert!(f.completed.is_empty());
+    assert!(f.core.is_drained());
+    f.arrive("answers", "small");
+    assert_eq!(f.refusal_codes().last(), Some(&Code::Stopping));
+}
+
 #[test]
 fn new_configuration_is_sent_to_all_members_at_once() {
     let mut f = Fixture::new(TWO_HOSTS, 4);
--- a/src/entry/core/traffic.rs
+++ b/src/entry/core/traffic.rs
@@ -32,7 +32,7 @@
     }
 
     fn admit(&mut self, now: Instant, req: RequestId, meta: RequestMeta) -> Result<(), Refusal> {
-        if self.is_stop_grace_over(now) {
+        if self.is_stop_grace_over(now) || self.is_answer_time_over(now) {
             return Err(Refusal::new(Code::Stopping));
         }
         let config = self.config.in_force(now).map_err(Refusal::new)?;
@@ -80,11 +80,6 @@
         Ok(())
     }
 
-    fn is_stop_grace_over(&self, now: Instant) -> bool {
-        self.stop_requested_at
-            .is_some_and(|at| now >= at + self.cfg.stop_grace)
-    }
-
     /// Refuses at arrival when the target has no available endpoint, instead of queueing the
     /// request.
     fn check_available(&self, now: Instant, target: &str) -> Result<(), Refusal> {
@@ -168,7 +163,7 @@
         }
     }
 
-    fn reject_waiting(&mut self, now: Instant, code: Code) {
+    pub(super) fn reject_waiting(&mut self, now: Instant, code: Code) {
         for req in self.admission.take_all() {
             self.reject(now, req, code);
         }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -69,13 +69,17 @@
 
     /// Executes commands until the request has ended.
     pub(super) async fn run(mut self) {
-        while let Some(command) = self.next_command().await {
-            match command {
-                Command::Dispatch(dispatch) => self.run_attempt(&dispatch).await,
+        let mut next = self.next_command().await;
+        while let Some(command) = next {
+            next = match command {
+                Command::Dispatch(dispatch) => match self.run_attempt(&dispatch).await {
+                    Some(command) => Some(command),
+                    None => self.next_command().await,
+                },
                 Command::Refuse(refusal) => return self.refuse(refusal).await,
                 Command::Replay(text) => return self.replay(&text).await,
                 Command::Complete => return self.complete().await,
-            }
+            };
         }
     }
 
@@ -96,7 +100,8 @@
         }
     }
 
-    async fn run_attempt(&mut self, dispatch: &Dispatch) {
+    /// Runs an attempt to its end, or until the entry stops, with a command that is returned.
+    async fn run_attempt(&mut self, dispatch: &Dispatch) -> Option<Command> {
         let attempt = Attempt {
             client: &self.cx.client,
             control: &self.cx.control,
@@ -107,7 +112,13 @@
             request: &self.request,
             dispatch,
         };
-        match attempt.run(&mut self.caller, &mut self.delivered).await {
+        let is_keyed = self.is_keyed();
+        let run = tokio::select! {
+            biased;
+            run = attempt.run(&mut self.caller, &mut self.delivered) => run,
+            Some(command) = self.commands.recv(), if !is_keyed => return Some(command),
+        };
+        match run {
             AttemptRun::CallerGone => {
                 self.caller = Caller::Gone;
                 self.cx
@@ -128,6 +139,7 @@
                 });
             }
         }
+        None
     }
 
     fn report_caller_gone(&self) {
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -10,7 +10,7 @@
 use crate::clients::{HttpClient, HttpHostList, HttpObjectApi, HttpTimeouts};
 use crate::control::{ControlClients, ControlLimits, ControlServer};
 use crate::http::{BodyLimits, Listener, ListenerLimits, traffic_client};
-use crate::process::{Lifecycle, ProcessHandle};
+use crate::process::{Lifecycle, ProcessHandle, StopTimes};
 use crate::settings::EntrySettings;
 use crate::telemetry::Metrics;
 use crate::timer::Timer;
@@ -27,10 +27,6 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of an answer that is not streamed.
 const MAX_ANSWER_BYTES: usize = 900 * 1024;
-/// Time for which a stopping entry still accepts connections, so that the load balancer has time to
-/// notice that it is not ready.
-const STOP_GRACE: Duration = Duration::from_secs(3);
-
 /// A running entry. When it stops, it first reports that it is not ready and later stops accepting
 /// connections.
 pub type EntryHandle = ProcessHandle;
@@ -64,9 +60,10 @@
         kill,
     };
     let serving = tokio::spawn(listener.serve(move |req| traffic.clone().serve(req)));
+    let stop = StopTimes::new(settings.limits.stop_deadline);
     let drained = async move {
         control.send_event(EntryEvent::Stop);
-        tokio::time::sleep(STOP_GRACE).await;
+        tokio::time::sleep(stop.accept).await;
         drain.cancel();
         // An error here means that the task panicked, which has been reported already.
         let _ = serving.await;
@@ -127,6 +124,7 @@
     cfg.policy = settings.limits.routing;
     cfg.stall_timeout = settings.limits.stall_timeout;
     cfg.stop_grace = settings.limits.stop_deadline;
+    cfg.stop_answer_time = StopTimes::new(settings.limits.stop_deadline).answer;
     cfg
 }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,9 @@
 //! Lifecycle of a process of the system: running, draining, stopped.
 
+mod stop_times;
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +14,8 @@
 use crate::log_event;
 use crate::telemetry::Event;
 
+pub use stop_times::StopTimes;
+
 /// Handle to a running process. Dropping it aborts all connections and requests at once.
 #[derive(Debug)]
 pub struct ProcessHandle {
--- a/src/relay/tests/stop.rs
+++ b/src/process/tests.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 
-use crate::relay::StopTimes;
+use crate::process::StopTimes;
 
 /// The last part of the grace in which a request may be cut whose engine is at work.
 const LAST_PART: u32 = 6;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -22,4 +22,3 @@
 pub use dialect::{AnswerHead, Dialect, RequestHead, ResumePoint};
 pub use events::{EventSplitter, StreamEvent};
 pub use handle::Relay;
-pub use stop::StopTimes;
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -1,7 +1,6 @@
 //! Tests of the relay without processes.
 
 mod race;
-mod stop;
 
 use rstest::rstest;
 
--- a/tests/contract_entry.rs
+++ b/tests/contract_entry.rs
@@ -254,3 +254,27 @@
     let answer = outcome.answer().unwrap();
     assert_eq!(Some(answer.version.clone()), site.wanted_version());
 }
+
+/// Regression: a request that ran at the end of a stop was cut without an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_running_request_is_answered_before_a_stop_ends() {
+    let mut site = Site::builder()
+        .zones(1)
+        .entries(1)
+        .models(1)
+        .preloaded()
+        .entry_settings(|_, settings| settings.limits.stop_deadline = Duration::from_secs(2))
+        .start()
+        .await
+        .unwrap();
+    site.wait_ready(READY_TIMEOUT).await.unwrap();
+    let addr = site.entry_addrs()[0];
+    let long = ENDLESS_CHAT.replace("true", "false");
+    let call = tokio::spawn(async move { send_raw(addr, &chat_with(HEAD, &long)).await });
+    while site.models[0].engine.counters().requests == 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    site.take_entry(0).unwrap().stop().await;
+    let answer = call.await.unwrap();
+    assert_eq!(answer, (502, Some(3003), "unknown".to_owned()));
+}
