--- a/tests/platform/lifecycle.rs
+++ b/tests/platform/lifecycle.rs
@@ -4,6 +4,8 @@
 
 use hyper::StatusCode;
 use limpetloom_fakes::site::SiteEngineFaults;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use super::site::{STREAM_EVENTS, Site, request, send};
@@ -168,3 +170,25 @@
     let runs = site.plain_endpoints.iter().map(|e| e.runs().len());
     assert_eq!(runs.sum::<usize>(), 1);
 }
+
+/// A request whose body has not arrived by the end of the grace is refused, as it has not run.
+#[tokio::test]
+async fn a_request_whose_body_is_still_arriving_at_the_stop_is_refused_as_not_run() {
+    let mut site = Site::start_serving(93, 1).await;
+    site.declare_edited(2, &["key-1"], |config| {
+        config["limits"]["headerMs"] = 20_000.into();
+    });
+    site.wait_until(|site| site.entry_log().contains("adopted: version 2"))
+        .await;
+    let mut caller = TcpStream::connect(site.caller_addr()).await.unwrap();
+    let part = "POST /write/x HTTP/1.1\r\nhost: site.example\r\nrequest-id: part\r\n\
+                authorization: Token key-1\r\ncontent-length: 4\r\n\r\nbo";
+    caller.write_all(part.as_bytes()).await.unwrap();
+    site.signal_entry("-TERM").await;
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("2015"), "{answer}");
+    let ended = site.entry.as_mut().unwrap().wait().await.unwrap();
+    assert!(ended.success());
+}
