Take attempts back sooner whose way to the engine was long

Cause: 0.3 s before the end of a version attempts that have not begun are taken back, whatever the way is.

An attempt now keeps the time from its assignment until its connection stood, which holds the delay of this process and a round trip, and must have begun that much sooner; 0.3 s stay as the least. What could not be taken back in time is not sent. Event 409 has the time (way_ms).

Tests: dispatch::tests::recall::{an_attempt_whose_way_is_long_is_taken_back_sooner, an_attempt_that_could_not_be_taken_back_in_time_is_not_sent}. Before, the bound was later by the way (0.45 s in the long case), and the attempt of the second test was sent.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -220,6 +220,7 @@
             was_silent: false,
             model,
             version,
+            way: Duration::ZERO,
             start_bound: None,
             recall: None,
         });
--- a/src/dispatch/dispatcher/recall.rs
+++ b/src/dispatch/dispatcher/recall.rs
@@ -46,6 +46,7 @@
                         version: attempt.version,
                         waited: now.saturating_duration_since(attempt.since),
                         allowed: bound.saturating_duration_since(attempt.since),
+                        way: attempt.way,
                     });
                     is_recalled = true;
                 }
@@ -64,9 +65,18 @@
         attempts.find_map(|attempt| attempt.recall.clone())
     }
 
-    /// True when an attempt that was assigned to an endpoint may still be sent there. The process may have
-    /// stood still since, and the connection takes time.
-    pub fn may_send(&self, now: Instant, ticket: TicketId, endpoint: &str) -> bool {
+    /// True when an attempt that was assigned to an endpoint, and whose connection stands now, may still be
+    /// sent there. The process may have stood still since, and the connection takes time.
+    pub fn may_send(&mut self, now: Instant, ticket: TicketId, endpoint: &str) -> bool {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return false;
+        };
+        for attempt in request.open_attempts_mut() {
+            if *attempt.endpoint == *endpoint {
+                attempt.way = now.saturating_duration_since(attempt.since);
+            }
+        }
+        self.update_start_bound(now, ticket);
         let request = self.requests.get(&ticket);
         let attempt = request.and_then(|request| {
             let mut attempts = request.open_attempts();
@@ -83,10 +93,17 @@
         });
         attempt.recall.is_none()
             && end.is_none_or(|end| now < end)
+            && attempt.start_bound.is_none_or(|bound| now < bound)
             && listed
                 .is_some_and(|e| self.fleet.is_in_service(now, e) && self.fleet.accepts(now, e))
     }
 
+    /// True when an attempt of a request must begin by some time.
+    pub fn has_start_bound(&self, ticket: TicketId) -> bool {
+        let request = self.requests.get(&ticket);
+        request.is_some_and(|request| request.start_bound.is_some())
+    }
+
     /// Computes the bounds of all attempts anew, as another naming time of a version is known.
     pub(super) fn update_start_bounds(&mut self, now: Instant) {
         let open = self
@@ -162,5 +179,7 @@
         attempt.version = attempt.version.max(version);
     }
     let (model, version) = attempt.model.as_deref().zip(attempt.version)?;
-    fleet.version_end(now, model, version, grace)
+    let end = fleet.version_end(now, model, version, grace)?;
+    // A close is as late as the request was: this process is busy, or the link is.
+    Some(end.checked_sub(attempt.way).unwrap_or(end))
 }
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -123,6 +123,8 @@
     pub waited: Duration,
     /// Time from its sending until it had to begin; zero when that was already past.
     pub allowed: Duration,
+    /// Time from its assignment until its connection stood; zero when it does not stand yet.
+    pub way: Duration,
 }
 
 /// State of an admitted request.
@@ -196,6 +198,8 @@
     pub model: Option<Arc<str>>,
     /// Version that the endpoint is believed to begin it on; `None` for a plain service.
     pub version: Option<u64>,
+    /// Time from its assignment until its connection stood; zero until then. A close takes about as long.
+    pub way: Duration,
     /// Time by which it must have begun; `None` without one.
     pub start_bound: Option<Instant>,
     /// How it was taken back; `None` while it goes on.
--- a/src/dispatch/tests/recall.rs
+++ b/src/dispatch/tests/recall.rs
@@ -1,7 +1,7 @@
 //! Attempts that wait at an engine while its version ends.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 
@@ -174,6 +174,7 @@
         version: Some(1),
         waited: ms(3_500),
         allowed: ms(3_500),
+        way: Duration::ZERO,
     };
     let expected = is_recalled.then_some(expected);
     assert_eq!(core.recall_overdue(bound).len(), usize::from(is_recalled));
@@ -306,3 +307,42 @@
     let view = views.iter().find(|e| e.id == id);
     assert!(view.is_none_or(|e| (e.failing, e.own) == (0.0, 0)));
 }
+
+/// Regression: the close of an attempt that was taken back took as long as its request had, and the
+/// engine began it after the end of its version.
+#[rstest]
+#[case::short(20)]
+#[case::long(450)]
+fn an_attempt_whose_way_is_long_is_taken_back_sooner(#[case] way_ms: u64) {
+    let named_at = Instant::now();
+    let (mut core, ticket, assignment) = assigned_before_the_end(named_at, ms(6_400));
+    let stands_at = named_at + ms(6_400 + way_ms);
+    assert!(core.may_send(stands_at, ticket, &assignment.endpoint));
+    let bound = named_at + ms(7_500 - way_ms);
+    assert_eq!(core.next_wakeup(), Some(bound));
+    assert!(core.recall_overdue(bound - ms(1)).is_empty());
+    assert_eq!(core.recall_overdue(bound), [ticket]);
+}
+
+#[test]
+fn an_attempt_that_could_not_be_taken_back_in_time_is_not_sent() {
+    let named_at = Instant::now();
+    let (mut core, ticket, assignment) = assigned_before_the_end(named_at, ms(6_400));
+    // Requests are sent until 7 s, and this one would have to begin by 6.91 s.
+    let stands_at = named_at + ms(6_990);
+    assert!(!core.may_send(stands_at, ticket, &assignment.endpoint));
+}
+
+/// Dispatcher with an attempt on an older version, assigned `after` the naming of a newer one.
+fn assigned_before_the_end(
+    named_at: Instant,
+    after: Duration,
+) -> (Dispatcher, TicketId, Assignment) {
+    let mut core = core(named_at);
+    core.set_wanted_version(named_at, MODEL, 2, ChangeTime::At(named_at));
+    for host in [1, 2, 3] {
+        core.update_load(named_at + after, ip(host), load(0));
+    }
+    let (ticket, assignment) = send(&mut core, named_at + after, &request("chat"));
+    (core, ticket, assignment)
+}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -85,8 +85,15 @@
         let opening = async move {
             let id = &req.caller.request_id;
             let may_send = || {
-                let may_send = sender.core().may_send(Instant::now(), ticket, &endpoint);
+                let (may_send, has_start_bound) = {
+                    let mut core = sender.core();
+                    let may_send = core.may_send(Instant::now(), ticket, &endpoint);
+                    (may_send, core.has_start_bound(ticket))
+                };
                 sent.store(may_send, Ordering::Relaxed);
+                if has_start_bound {
+                    sender.start_bound_changed();
+                }
                 may_send
             };
             send_attempt(sender.dialect(), &req.outgoing, headers, addr, id, may_send).await
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -162,6 +162,11 @@
         self.inner.wakeup_changed.notify_one();
     }
 
+    /// Lets [`Relay::run_dispatch_loop`] look at the core's wake-up time again, which may be sooner.
+    pub(super) fn start_bound_changed(&self) {
+        self.inner.wakeup_changed.notify_one();
+    }
+
     /// Calls [`Relay::dispatch_waiting`] at each wake-up time of the core; never returns.
     pub async fn run_dispatch_loop(&self) {
         loop {
--- a/src/relay/recall.rs
+++ b/src/relay/recall.rs
@@ -35,6 +35,7 @@
             endpoint: &*recall.endpoint,
             version: recall.version.map_or(-1, |version| version as i64),
             allowed_ms: recall.allowed.as_millis() as u64,
+            way_ms: recall.way.as_millis() as u64,
             waited_ms: recall.waited.as_millis() as u64
         });
     }
