Date a version by the beginning of the answer that names it

What callers could see: requests on an older version for as long after its end as the answer took to arrive.

Cause: the answer to a watch was dated when it had been read to its end, exactly, and its body may take up to 8 s. Other entries' dates mend that through the agents where they had the answer sooner.

--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -72,6 +72,11 @@
     pub body: Duration,
 }
 
+/// Time at which the head of an answer arrived that [`HttpClient::send_large`] has read; an extension of
+/// that answer.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadArrival(pub Instant);
+
 /// HTTP client that pools connections; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -162,7 +167,8 @@
         let res = tokio::time::timeout(head, self.open(req))
             .await
             .unwrap_or_else(|_| Err(PlatformError::Lost(format!("no head in {head:?}"))))?;
-        let (parts, incoming) = res.into_parts();
+        let (mut parts, incoming) = res.into_parts();
+        parts.extensions.insert(HeadArrival(Instant::now()));
         let collected = collect_arriving(incoming, self.max_answer_bytes, idle, &self.large);
         let body = tokio::time::timeout(body, collected)
             .await
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -17,6 +17,6 @@
 pub use error::PlatformError;
 pub use hosts::{HostList, HttpHostList};
 pub(crate) use http::expect_ok;
-pub use http::{ArrivalTimeouts, HttpClient, HttpTimeouts};
+pub use http::{ArrivalTimeouts, HeadArrival, HttpClient, HttpTimeouts};
 pub use objects::{Change, HttpObjectApi, Object, ObjectApi};
 pub use weights::{HttpWeightSource, WeightSource};
