--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -17,7 +17,7 @@
 pub use endpoint::{EndpointAdmin, HttpEndpoint, JobState};
 pub use error::PlatformError;
 pub use hosts::{HostList, HttpHostList};
-pub use http::{ArrivalTimeouts, HttpClient, HttpTimeouts};
+pub use http::{ArrivalTimeouts, HeadArrival, HttpClient, HttpTimeouts};
 pub(crate) use http::{escape, expect_ok};
 pub(crate) use json::{Members, split_array};
 pub use objects::{Change, HttpObjectApi, Object, ObjectApi};
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -237,6 +237,7 @@
             was_silent: false,
             model,
             version,
+            way: Duration::ZERO,
             start_bound: None,
             recall: None,
         });
