Saturate the sums of an engine's reported load

The numbers of running and waiting requests that a report names were added without a bound. Numbers near the largest one overflow: a build with overflow checks panics ("attempt to add with overflow", in `Endpoint::in_system` and in `EngineModel::time_to_first_event`), one without them wraps round and takes the engine for idle (by reading). The sums saturate now, so the engine counts as full.

Both cases of the new test failed before with that panic, in a build with overflow checks.

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -188,7 +188,10 @@
     /// Estimated number of requests running or queued there, `entries` being the number of entries.
     pub fn in_system(&self, now: Instant, entries: u32) -> u32 {
         match self.fresh_report(now) {
-            Some(load) => self.occupancy.with_report(load.running + load.waiting),
+            Some(load) => {
+                let reported = load.running.saturating_add(load.waiting);
+                self.occupancy.with_report(reported)
+            }
             None => self.occupancy.without_report(entries),
         }
     }
@@ -239,7 +242,7 @@
             ),
             None => {
                 let slots = self.listed.slots.max(1);
-                let ahead = (in_system + 1).saturating_sub(slots);
+                let ahead = in_system.saturating_add(1).saturating_sub(slots);
                 let rounds = 1.0 + f64::from(ahead) / f64::from(slots);
                 Duration::from_secs_f64(self.mean_work_time * rounds)
             }
@@ -257,7 +260,8 @@
         entries: u32,
     ) -> Duration {
         let others = entries.saturating_sub(1);
-        let in_system = self.in_system(now, entries) + others * self.occupancy.since_report();
+        let of_others = others.saturating_mul(self.occupancy.since_report());
+        let in_system = self.in_system(now, entries).saturating_add(of_others);
         let pending = self.occupancy.pending_prefill() * f64::from(entries);
         self.modelled_start(now, engine, in_system, pending, prompt)
             .mul_f64(self.bias)
--- a/src/dispatch/estimate.rs
+++ b/src/dispatch/estimate.rs
@@ -61,8 +61,9 @@
         pending_prefill: f64,
         prompt: f64,
     ) -> Duration {
-        let pass = self.pass_duration(in_system + 1);
-        let ahead = (in_system + 1).saturating_sub(self.slots);
+        let with_new = in_system.saturating_add(1);
+        let pass = self.pass_duration(with_new);
+        let ahead = with_new.saturating_sub(self.slots);
         // On average a request arrives half a pass before the engine's next admission.
         pass / 2
             + self.prefill_time(pending_prefill + prompt)
--- a/src/dispatch/tests/endpoint_state.rs
+++ b/src/dispatch/tests/endpoint_state.rs
@@ -204,3 +204,19 @@
     core.update_endpoint(later, listed("e1", "engines", 1, "north"));
     assert!(chosen_endpoints(&mut core, later, "chat").contains("e1"));
 }
+
+/// Regression: numbers in a report whose sum overflows ended the task or made the engine look idle.
+#[rstest]
+#[case::sum(u32::MAX, 1)]
+#[case::one_more(u32::MAX, 0)]
+fn an_engine_with_an_absurd_load_gets_no_requests(#[case] running: u32, #[case] waiting: u32) {
+    let now = Instant::now();
+    let mut core = core(now);
+    for host in [1, 2] {
+        let mut load = load(running);
+        load.waiting = waiting;
+        core.update_load(now, ip(host), load);
+    }
+    assert_eq!(chosen_endpoints(&mut core, now, "chat"), names(&["e3"]));
+    core.snapshot(now);
+}
