Bound requests that may be repeated by their mean time in a planned stop

After one request that hung, all requests of its route that may be repeated would have been refused late in a stop, for one to two minutes: the longest recent time counted for them too. Cutting one of them is not grave, so the prediction counts alone.

--- a/src/dispatch/dispatcher/stop.rs
+++ b/src/dispatch/dispatcher/stop.rs
@@ -102,9 +102,6 @@
         endpoint: Option<&Endpoint>,
     ) -> Duration {
         let left = request.deadline.saturating_duration_since(now);
-        let longest = self
-            .work_times
-            .longest(now, &request.route.name, &request.target);
         let predicted = endpoint.map_or(Duration::ZERO, |e| {
             e.predict(now, engine, request.prompt_tokens, self.entries)
         });
@@ -115,15 +112,20 @@
                 let slowdown = endpoint.map_or(1.0, |e| e.slowdown(now).max(1.0));
                 predicted + engine.decode_time(tokens).mul_f64(slowdown)
             }
-            None => predicted.max(longest.unwrap_or_default()),
+            None => predicted,
         };
         let is_continued = request.version.is_some();
-        let run = match (request.route.repeat, longest) {
-            (Repeat::Never, Some(longest)) => expected.max(longest) * UNCERTAINTY_ONCE + OVERHEAD,
-            (Repeat::Never, None) => left,
+        let run = match request.route.repeat {
+            Repeat::Never => {
+                let times = &self.work_times;
+                match times.longest(now, &request.route.name, &request.target) {
+                    Some(longest) => expected.max(longest) * UNCERTAINTY_ONCE + OVERHEAD,
+                    None => left,
+                }
+            }
             // The caller has the beginning; an end that is missing loses nothing more.
-            (Repeat::Safe | Repeat::Resumable, _) if is_continued => expected,
-            (Repeat::Safe | Repeat::Resumable, _) => expected * UNCERTAINTY + OVERHEAD,
+            Repeat::Safe | Repeat::Resumable if is_continued => expected,
+            Repeat::Safe | Repeat::Resumable => expected * UNCERTAINTY + OVERHEAD,
         };
         run.min(left)
     }
