--- a/tests/platform/lifecycle.rs
+++ b/tests/platform/lifecycle.rs
@@ -192,3 +192,27 @@
     let ended = site.entry.as_mut().unwrap().wait().await.unwrap();
     assert!(ended.success());
 }
+
+/// Signals that come in series and overlap neither end the grace sooner nor leave a request unanswered.
+#[tokio::test]
+async fn a_stop_in_the_midst_of_reloads_answers_what_runs() {
+    let mut site = Site::start_serving(94, 1).await;
+    for endpoint in &site.plain_endpoints {
+        endpoint.set_faults(SiteEngineFaults {
+            silent_before_head: Duration::from_secs(4),
+            ..SiteEngineFaults::default()
+        });
+    }
+    let addr = site.caller_addr();
+    let call =
+        tokio::spawn(async move { send(addr, request("POST", "/write/x", "signals")).await });
+    site.wait_until(|site| site.plain_endpoints.iter().any(|e| !e.runs().is_empty()))
+        .await;
+    for signal in ["-HUP", "-HUP", "-TERM", "-HUP", "-TERM", "-HUP", "-TERM"] {
+        site.signal_entry(signal).await;
+    }
+    let answer = call.await.unwrap().expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (StatusCode::OK, true));
+    let ended = site.entry.as_mut().unwrap().wait().await.unwrap();
+    assert!(ended.success());
+}
