Count the silence of engines among the mitigations of a zone's loss

tests/patterns case zone_loss compares service with and without the mitigations of the pattern. The switch turns it off there now, and the test is unchanged and passes.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -68,7 +68,8 @@
             .filter(|e| self.starts_in_time(now, e, engine, request))
             .collect();
         // If no load report arrives, it is this entry that does not hear the engines.
-        if engine.is_some() && eligible.iter().any(|e| e.load_age(now).is_some()) {
+        let hears_engines = engine.is_some() && eligible.iter().any(|e| e.load_age(now).is_some());
+        if self.cfg.mitigations.zone_loss && hears_engines {
             eligible.retain(|e| !e.is_silent(now));
         }
         let mut inputs = DecisionInputs {
