Don't count requests for whole answers as unstarted

What callers saw: refusals while engines and plain services had free places, on routes whose answers are no streams.

Cause: only the first event of a stream ends the time for which a request counts as unstarted. A whole answer has none, so its request counted as unstarted until its end: beside the load report that counts it as running, times the number of entries, and not as this entry's part of the running ones. The load of a plain service was computed with the same estimate, which is meant for engines.

Requests on routes without streams now don't count as unstarted, and the load of a plain service is computed as before.

Test: dispatch::tests::shared_places::whole_answers_use_the_places_that_load_reports_show_as_free. Before, all five cases failed: 79, 43 and 15 of 134 requests were sent to three engines by one of 1, 5 and 16 entries (at least 100 expected), and 61 and 46 of 80 to plain services by one of 4 and 16 (all expected).

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -118,7 +118,10 @@
         };
         let start_budget = waiting.start_budget(now);
         let starts_soon = |choice: &Choice| {
-            let load = choice.endpoint.load_shared(now, self.entries);
+            let load = match engine {
+                Some(_) => choice.endpoint.load_shared(now, self.entries),
+                None => choice.endpoint.load(now, self.entries),
+            };
             should_send(choice.predicted_shared, start_budget, load)
         };
         let (preferred, others): (Vec<&Endpoint>, Vec<&Endpoint>) = admitting
@@ -221,7 +224,8 @@
             load_age: endpoint.load_age(now),
             version: endpoint.version(request.model.as_deref()),
         };
-        endpoint.sent(now, request.prompt_tokens);
+        let is_stream = request.route.is_stream;
+        endpoint.sent(now, request.prompt_tokens, is_stream);
         endpoint.limit.sent(now, entries);
         let version = assignment.version;
         let model = endpoint.model(request.model.as_deref()).map(Arc::from);
@@ -233,6 +237,7 @@
             process: endpoint.process(),
             since: now,
             predicted,
+            is_stream,
             started: false,
             was_silent: false,
             model,
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -29,7 +29,7 @@
         running.recall = None;
         let took = now.saturating_duration_since(running.since);
         if let Some(endpoint) = self.fleet.get_mut(&running.endpoint) {
-            endpoint.started(request.prompt_tokens);
+            endpoint.started(request.prompt_tokens, running.is_stream);
             endpoint.answered(now);
             if !running.was_silent {
                 endpoint.record_start_time(took, running.predicted);
@@ -136,7 +136,12 @@
             endpoint.answered(now);
         }
         let by_caller = matches!(outcome, AttemptOutcome::CallerGone);
-        endpoint.occupancy.ended(prompt, running.started, by_caller);
+        let RunningAttempt {
+            is_stream, started, ..
+        } = *running;
+        endpoint
+            .occupancy
+            .ended(prompt, is_stream, started, by_caller);
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Rejected => {
                 endpoint.health.succeeded();
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -348,17 +348,17 @@
         }
     }
 
-    /// Counts a request of this entry that is being sent.
-    pub(super) fn sent(&mut self, now: Instant, prompt: u32) {
-        self.occupancy.sent(prompt);
+    /// Counts a request of this entry that is being sent; `is_stream` when its answer is a stream.
+    pub(super) fn sent(&mut self, now: Instant, prompt: u32, is_stream: bool) {
+        self.occupancy.sent(prompt, is_stream);
         if self.cold_deadline.is_some_and(|until| now < until) {
             self.cold.sent(now);
         }
     }
 
     /// Records that the first event of a request of this entry has arrived.
-    pub(super) fn started(&mut self, prompt: u32) {
-        self.occupancy.started(prompt);
+    pub(super) fn started(&mut self, prompt: u32, is_stream: bool) {
+        self.occupancy.started(prompt, is_stream);
         self.health.started();
     }
 
--- a/src/dispatch/patterns/departures.rs
+++ b/src/dispatch/patterns/departures.rs
@@ -8,8 +8,9 @@
     own: u32,
     /// Requests sent minus requests ended since the last load report.
     since_report: i64,
-    /// Requests of this entry without their first event. No load report is needed to count them, and the
-    /// engine may not have counted them yet in its last one.
+    /// Requests of this entry whose answer is a stream, without its first event. No load report is needed
+    /// to count them, and the engine may not have counted them yet in its last one. Of another answer only
+    /// the end is seen, so it does not tell how long its request has waited.
     unstarted: u32,
     /// Prompt tokens of this entry's requests that have not started to answer.
     pending_prefill: f64,
@@ -31,7 +32,7 @@
         self.own
     }
 
-    /// Requests of this entry without their first event.
+    /// Requests of this entry whose answer is a stream, without its first event.
     pub fn unstarted(&self) -> u32 {
         self.unstarted
     }
@@ -63,29 +64,30 @@
         self.since_report = 0;
     }
 
-    /// Counts a request sent with a prompt of `prompt` tokens.
-    pub fn sent(&mut self, prompt: u32) {
+    /// Counts a request sent with a prompt of `prompt` tokens; `is_stream` when its answer is a stream.
+    pub fn sent(&mut self, prompt: u32, is_stream: bool) {
         self.own += 1;
-        self.unstarted += 1;
+        self.unstarted += u32::from(is_stream);
         self.since_report += 1;
         self.pending_prefill += f64::from(prompt);
     }
 
-    /// Records the first event of a request of this entry.
-    pub fn started(&mut self, prompt: u32) {
-        self.unstarted = self.unstarted.saturating_sub(1);
+    /// Records the first event of a request of this entry; `is_stream` as it was counted when sent.
+    pub fn started(&mut self, prompt: u32, is_stream: bool) {
+        self.unstarted = self.unstarted.saturating_sub(u32::from(is_stream));
         self.pending_prefill = (self.pending_prefill - f64::from(prompt)).max(0.0);
     }
 
-    /// Removes a request of this entry; `by_caller` when it ended because its caller left.
-    pub fn ended(&mut self, prompt: u32, started: bool, by_caller: bool) {
+    /// Removes a request of this entry; `is_stream` as it was counted when sent, `by_caller` when it
+    /// ended because its caller left.
+    pub fn ended(&mut self, prompt: u32, is_stream: bool, started: bool, by_caller: bool) {
         if by_caller && self.keeps_cancelled {
             return;
         }
         self.own = self.own.saturating_sub(1);
         self.since_report -= 1;
         if !started {
-            self.started(prompt);
+            self.started(prompt, is_stream);
         }
         if self.own == 0 {
             self.pending_prefill = 0.0;
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -190,6 +190,8 @@
     pub since: Instant,
     /// Predicted time to the start of the answer.
     pub predicted: Duration,
+    /// True when its answer is a stream, whose first event shows that it has begun.
+    pub is_stream: bool,
     /// True once the first event has arrived.
     pub started: bool,
     /// True once it has counted as silent; its times then tell nothing of the endpoint's speed.
--- a/src/dispatch/tests/shared_places.rs
+++ b/src/dispatch/tests/shared_places.rs
@@ -1,5 +1,6 @@
 //! What several entries together leave unstarted at an engine: each decides without the others.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -135,3 +136,59 @@
     let (_, assignment) = send(&mut core, now, &request("chat"));
     assert_eq!(&*assignment.endpoint, "e1");
 }
+
+/// Regression: a request whose answer is no stream counted as waiting until its end, beside the load report
+/// that counted it as running, and engines and plain services with free places refused requests.
+#[rstest]
+#[case::engines_of_one_entry("summary", 1, 950, 3, 100)]
+#[case::engines_of_five_entries("summary", 5, 950, 3, 100)]
+#[case::engines_of_sixteen_entries("summary", 16, 950, 3, 100)]
+#[case::plain_services_of_four_entries("look", 4, 330, 5, 80)]
+#[case::plain_services_of_sixteen_entries("look", 16, 330, 5, 80)]
+fn whole_answers_use_the_places_that_load_reports_show_as_free(
+    #[case] route_name: &str,
+    #[case] number: u32,
+    #[case] answer_ms: u64,
+    #[case] pause_steps: u32,
+    #[case] expected: u32,
+) {
+    let start = Instant::now();
+    let mut core = entries(start, number).remove(0);
+    let summary = Route {
+        is_stream: false,
+        ..route("summary", "engines", Repeat::Safe)
+    };
+    let routes = routes().into_iter().chain([summary]).collect();
+    core.set_configuration(Arc::new(configuration(2, routes)));
+    let mut open: Vec<(Instant, TicketId, Assignment)> = Vec::new();
+    let mut sent = 0;
+    for step in 0..400_u32 {
+        let now = start + ms(10) * step;
+        open.retain(|(since, ticket, _)| {
+            let has_ended = now >= *since + ms(answer_ms);
+            if has_ended {
+                core.attempt_ended(now, *ticket, AttemptOutcome::Answered);
+            }
+            !has_ended
+        });
+        for host in [1, 2, 3, 11, 12] {
+            let running = open.iter().filter(|o| o.2.addr == addr(host)).count();
+            core.update_load(now, ip(host), load(running as u32));
+        }
+        if step % pause_steps == 0 {
+            let req = CallerRequest {
+                prompt_tokens: if route_name == "look" { 0 } else { 1_000 },
+                fingerprint: u64::from(step),
+                ..request(route_name)
+            };
+            core.admit(now, &req).unwrap();
+        }
+        for (ticket, decision) in core.dispatch_waiting(now) {
+            if let Decision::Send(assignment) = decision {
+                sent += 1;
+                open.push((now, ticket, assignment));
+            }
+        }
+    }
+    assert!(sent >= expected, "{sent} requests sent");
+}
