Reset an HTTP/1.0 caller's connection until its answer is written

What callers could see: a stream without length and chunks whose last bytes are missing, ended in good order, when its connection was closed at the end of a stop while the caller was slow to read.

Cause: the close in good order was restored by the next write after the body had ended in this process. The connection may hold the last bytes still, and does when the caller's buffers are full.

A write now only makes a close reset the connection; the shutdown, which comes after everything has been written, takes that back.

Test: http::tests::unframed::only_a_shutdown_ends_an_answer_without_chunks_in_good_order; before, the case without a shutdown ended in good order after 23 bytes of a cut answer. It drives the stream by itself: a connection that is killed with such a rest was not reproduced end to end (with one 32 MiB piece the body's end is not asked for).

--- a/src/http/tests/unframed.rs
+++ b/src/http/tests/unframed.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::Response;
+use http_body_util::BodyExt;
+use hyper::{Response, Version};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::http::unframed::{ResettingStream, UnframedAnswer};
 use crate::http::{Listener, ListenerLimits, channel};
 
 /// How the sender of a body ends it.
@@ -67,3 +69,38 @@
     assert_eq!(rest.is_ok(), is_whole, "{rest:?}");
     assert!(answer.ends_with(EVENT));
 }
+
+/// Regression: an answer whose body had ended, and whose last bytes were not all written when the connection
+/// was closed, ended in good order.
+#[rstest]
+#[case::closed_before_the_rest(false)]
+#[case::shut_down(true)]
+#[tokio::test]
+async fn only_a_shutdown_ends_an_answer_without_chunks_in_good_order(#[case] is_shut_down: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut caller = TcpStream::connect(listener.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    let unframed = UnframedAnswer::default();
+    let mut stream = ResettingStream::new(stream, unframed.clone());
+    let (tx, body) = channel();
+    let mut answer = unframed.watch(Version::HTTP_10, Response::new(body));
+    tokio::spawn(async move {
+        tx.send(Bytes::from_static(b"id: 1\n\n")).await;
+        tx.finish().await
+    });
+    let mut events = 0;
+    stream.write_all(b"HTTP/1.0 200 OK\r\n\r\n").await.unwrap();
+    while let Some(Ok(_)) = answer.body_mut().frame().await {
+        events += 1;
+    }
+    // The connection has the whole body, and writes a part of it.
+    stream.write_all(b"id: ").await.unwrap();
+    if is_shut_down {
+        stream.shutdown().await.unwrap();
+    }
+    drop(stream);
+    let rest = caller.read_to_end(&mut Vec::new()).await;
+    assert_eq!((rest.is_ok(), events), (is_shut_down, 1), "{rest:?}");
+}
--- a/src/http/unframed.rs
+++ b/src/http/unframed.rs
@@ -100,15 +100,22 @@
         }
     }
 
-    /// Makes a close of the connection end it as the current answer needs.
-    fn update(&mut self) -> io::Result<()> {
-        let resets = self.answer.is_incomplete();
-        if resets != self.resets {
-            match resets {
-                true => self.stream.set_zero_linger()?,
-                false => socket2::SockRef::from(&self.stream).set_linger(None)?,
-            }
-            self.resets = resets;
+    /// Makes a close reset the connection if the current answer needs that. What is written may not be all
+    /// of an answer whose body has ended, so a write never takes that back.
+    fn update_for_write(&mut self) -> io::Result<()> {
+        if self.answer.is_incomplete() && !self.resets {
+            self.stream.set_zero_linger()?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+
+    /// Lets the connection end in good order if its answer is complete; everything has been written.
+    fn update_for_shutdown(&mut self) -> io::Result<()> {
+        self.update_for_write()?;
+        if self.resets && !self.answer.is_incomplete() {
+            socket2::SockRef::from(&self.stream).set_linger(None)?;
+            self.resets = false;
         }
         Ok(())
     }
@@ -130,7 +137,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.update()?;
+        self.update_for_write()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -139,7 +146,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.update()?;
+        self.update_for_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -152,7 +159,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.update()?;
+        self.update_for_shutdown()?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
