--- a/tests/platform/lifecycle.rs
+++ b/tests/platform/lifecycle.rs
@@ -4,6 +4,8 @@
 
 use hyper::StatusCode;
 use limpetloom_fakes::site::SiteEngineFaults;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use super::site::{STREAM_EVENTS, Site, request, send};
@@ -168,3 +170,49 @@
     let runs = site.plain_endpoints.iter().map(|e| e.runs().len());
     assert_eq!(runs.sum::<usize>(), 1);
 }
+
+/// A request whose body has not arrived by the end of the grace is refused, as it has not run.
+#[tokio::test]
+async fn a_request_whose_body_is_still_arriving_at_the_stop_is_refused_as_not_run() {
+    let mut site = Site::start_serving(93, 1).await;
+    site.declare_edited(2, &["key-1"], |config| {
+        config["limits"]["headerMs"] = 20_000.into();
+    });
+    site.wait_until(|site| site.entry_log().contains("adopted: version 2"))
+        .await;
+    let mut caller = TcpStream::connect(site.caller_addr()).await.unwrap();
+    let part = "POST /write/x HTTP/1.1\r\nhost: site.example\r\nrequest-id: part\r\n\
+                authorization: Token key-1\r\ncontent-length: 4\r\n\r\nbo";
+    caller.write_all(part.as_bytes()).await.unwrap();
+    site.signal_entry("-TERM").await;
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("2015"), "{answer}");
+    let ended = site.entry.as_mut().unwrap().wait().await.unwrap();
+    assert!(ended.success());
+}
+
+/// Signals that come in series and overlap neither end the grace sooner nor leave a request unanswered.
+#[tokio::test]
+async fn a_stop_in_the_midst_of_reloads_answers_what_runs() {
+    let mut site = Site::start_serving(94, 1).await;
+    for endpoint in &site.plain_endpoints {
+        endpoint.set_faults(SiteEngineFaults {
+            silent_before_head: Duration::from_secs(4),
+            ..SiteEngineFaults::default()
+        });
+    }
+    let addr = site.caller_addr();
+    let call =
+        tokio::spawn(async move { send(addr, request("POST", "/write/x", "signals")).await });
+    site.wait_until(|site| site.plain_endpoints.iter().any(|e| !e.runs().is_empty()))
+        .await;
+    for signal in ["-HUP", "-HUP", "-TERM", "-HUP", "-TERM", "-HUP", "-TERM"] {
+        site.signal_entry(signal).await;
+    }
+    let answer = call.await.unwrap().expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (StatusCode::OK, true));
+    let ended = site.entry.as_mut().unwrap().wait().await.unwrap();
+    assert!(ended.success());
+}
