--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -75,10 +75,11 @@
             tried: &request.tried,
         };
         let predict = |e: &Endpoint| e.predict(now, engine, request.prompt_tokens, self.entries);
+        let sharing = self.fleet.sharing(now, &request.target, self.entries);
         let mut eligible: Vec<&Endpoint> = self
             .fleet
             .eligible(now, query, self.cfg.version_grace)
-            .filter(|e| self.starts_in_time(now, e, engine, request))
+            .filter(|e| self.starts_in_time(now, e, engine, request, sharing))
             .collect();
         // If no load report arrives, it is this entry that does not hear the engines.
         let hears_engines = engine.is_some() && eligible.iter().any(|e| e.load_age(now).is_some());
@@ -120,7 +121,7 @@
         let start_budget = waiting.start_budget(now);
         let starts_soon = |choice: &Choice| {
             let load = match engine {
-                Some(_) => choice.endpoint.load_shared(now, self.entries),
+                Some(_) => choice.endpoint.load_shared(now, sharing),
                 None => choice.endpoint.load(now, self.entries),
             };
             should_send(choice.predicted_shared, start_budget, load)
@@ -137,7 +138,7 @@
             let choices = compared.into_iter().map(|endpoint| {
                 let predicted = predict(endpoint);
                 let shared = engine.map(|engine| {
-                    endpoint.predict_shared(now, engine, request.prompt_tokens, self.entries)
+                    endpoint.predict_shared(now, engine, request.prompt_tokens, sharing)
                 });
                 Choice {
                     predicted,
--- a/src/dispatch/dispatcher/recall.rs
+++ b/src/dispatch/dispatcher/recall.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::estimate::EngineModel;
 use crate::dispatch::fleet::Fleet;
 use crate::dispatch::request::{Recall, RequestState, RunningAttempt, TicketId};
+use crate::dispatch::shared_places::Sharing;
 
 use super::Dispatcher;
 use super::assign::engine_model;
@@ -153,6 +154,7 @@
         endpoint: &Endpoint,
         engine: Option<&EngineModel>,
         request: &RequestState,
+        sharing: Sharing,
     ) -> bool {
         let model = request.model.as_deref();
         let version = endpoint.model(model).zip(endpoint.version(model));
@@ -162,7 +164,7 @@
         let Some((end, engine)) = end.zip(engine) else {
             return true;
         };
-        let predicted = endpoint.predict_crowded(now, engine, request.prompt_tokens, self.entries);
+        let predicted = endpoint.predict_crowded(now, engine, request.prompt_tokens, sharing);
         let uncertainty = endpoint.load_age(now).unwrap_or(UNKNOWN_WAIT);
         now + predicted * START_UNCERTAINTY + uncertainty < end
     }
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -10,7 +10,7 @@
 use super::estimate::EngineModel;
 use super::limit::Limit;
 use super::patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
-use super::shared_places::{Rounding, part_of_places};
+use super::shared_places::{Rounding, Sharing};
 use super::statement::Statement;
 
 /// Age from which a load report is ignored.
@@ -161,7 +161,7 @@
     fn restarted(&mut self) {
         self.report = None;
         self.answered_at = None;
-        self.occupancy.reported();
+        self.occupancy.restarted();
         self.health.restarted();
         self.limit = Limit::default();
         self.bias = 1.0;
@@ -178,7 +178,7 @@
         }
         self.listed.models.clone_from(&load.models);
         self.report = Some((now, load));
-        self.occupancy.reported();
+        self.occupancy.reported(now);
     }
 
     /// Age of the last load report; `None` when it is too old to be used.
@@ -280,39 +280,40 @@
         now: Instant,
         engine: &EngineModel,
         prompt: u32,
-        entries: u32,
+        sharing: Sharing,
     ) -> Duration {
-        let in_system = self.in_system_shared(now, entries);
+        let in_system = self.in_system_shared(now, sharing);
         let pending = self.occupancy.pending_prefill();
         self.modelled_start(now, engine, in_system, pending, prompt)
             .mul_f64(self.bias)
     }
 
     /// Number of requests there if each entry fills its part of the free places.
-    fn in_system_shared(&self, now: Instant, entries: u32) -> u32 {
+    fn in_system_shared(&self, now: Instant, sharing: Sharing) -> u32 {
         // The last report counts however old it is: a silent engine does not become free.
         let running = self.report.as_ref().map_or(0, |(_, load)| load.running);
         let unstarted = self.occupancy.unstarted();
         let own = self.occupancy.own().saturating_sub(unstarted);
-        let part = part_of_places(own, running, entries);
-        let unstarted_of_all = unstarted.saturating_add(self.rounding.others(unstarted, part));
-        let shared = running.saturating_add(unstarted_of_all);
-        self.in_system(now, entries).max(shared)
+        let part = sharing.part_of_places(own, running);
+        let uncounted = self.occupancy.uncounted();
+        let uncounted_of_all = uncounted.saturating_add(self.rounding.others(uncounted, part));
+        let shared = running.saturating_add(uncounted_of_all);
+        self.in_system(now, sharing.entries).max(shared)
     }
 
-    /// Predicted time to the first event if each of `entries` entries has sent as much since the last
+    /// Predicted time to the first event if each of the entries has sent as much since the last
     /// load report as this one.
     pub(super) fn predict_crowded(
         &self,
         now: Instant,
         engine: &EngineModel,
         prompt: u32,
-        entries: u32,
+        sharing: Sharing,
     ) -> Duration {
-        let others = entries.saturating_sub(1);
-        let of_others = others.saturating_mul(self.occupancy.since_report());
+        let entries = sharing.entries;
+        let of_others = (entries - 1).saturating_mul(self.occupancy.since_report());
         let in_system = self.in_system(now, entries).saturating_add(of_others);
-        let in_system = in_system.max(self.in_system_shared(now, entries));
+        let in_system = in_system.max(self.in_system_shared(now, sharing));
         let pending = self.occupancy.pending_prefill() * f64::from(entries);
         self.modelled_start(now, engine, in_system, pending, prompt)
             .mul_f64(self.bias)
@@ -344,11 +345,11 @@
 
     /// The same if each entry fills its part of the free places, where this entry has an unstarted request
     /// there.
-    pub(super) fn load_shared(&self, now: Instant, entries: u32) -> f64 {
+    pub(super) fn load_shared(&self, now: Instant, sharing: Sharing) -> f64 {
         match self.occupancy.unstarted() {
-            0 => self.load(now, entries),
+            0 => self.load(now, sharing.entries),
             _ => {
-                f64::from(self.in_system_shared(now, entries)) / f64::from(self.listed.slots.max(1))
+                f64::from(self.in_system_shared(now, sharing)) / f64::from(self.listed.slots.max(1))
             }
         }
     }
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -13,6 +13,7 @@
 use super::leaving::Leaving;
 use super::patterns::{Mitigations, ends_before_change};
 use super::rest::Rests;
+use super::shared_places::Sharing;
 use super::subset::{Candidate, preferred};
 
 /// Time for which an endpoint whose lease expired during a store outage is still used. Live
@@ -191,6 +192,20 @@
         Some(endpoint)
     }
 
+    /// How `entries` entries share the endpoints of a target, by those whose load is known.
+    pub(super) fn sharing(&self, now: Instant, target: &str, entries: u32) -> Sharing {
+        let known = self.endpoints.values();
+        let known = known.filter(|e| *e.listed.target == *target && e.load_age(now).is_some());
+        let (own, all) = known.fold((0_u32, 0_u32), |(own, all), e| {
+            let in_system = e.in_system(now, entries);
+            (
+                own.saturating_add(e.occupancy.own()),
+                all.saturating_add(in_system),
+            )
+        });
+        Sharing::new(own, all, entries)
+    }
+
     /// Prepares the limits that endpoints name for another number of entries; `entries` is the one up
     /// to now.
     pub(super) fn settle_limits(&mut self, now: Instant, entries: u32) {
--- a/src/dispatch/patterns/departures.rs
+++ b/src/dispatch/patterns/departures.rs
@@ -1,6 +1,12 @@
 //! Caller departures: the slot of a caller that disconnects counts as free at once, so that it is
 //! neither counted against new requests nor attributed to other entries.
 
+use std::time::{Duration, Instant};
+
+/// Time after which a load report counts what was sent before: an engine's state is read and reported a
+/// little later than it was true.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+
 /// Number of requests at one endpoint, as estimated by this entry.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Occupancy {
@@ -12,6 +18,11 @@
     /// to count them, and the engine may not have counted them yet in its last one. Of another answer only
     /// the end is seen, so it does not tell how long its request has waited.
     unstarted: u32,
+    /// Requests whose answer is a stream, sent since a load report and between that and the one before it, both
+    /// at least [`REPORT_LAG`] apart. Later reports count the ones before.
+    recent: [u32; 2],
+    /// Arrival of the load report since which the first of `recent` counts.
+    recent_since: Option<Instant>,
     /// Prompt tokens of this entry's requests that have not started to answer.
     pending_prefill: f64,
     /// True when slots of callers that left stay counted; disables the mitigation.
@@ -37,6 +48,13 @@
         self.unstarted
     }
 
+    /// Requests of this entry that the last load report may not count, since it is older than they are. What is
+    /// sent to an engine that no longer reports stays here.
+    pub fn uncounted(&self) -> u32 {
+        let recent = self.recent[0].saturating_add(self.recent[1]);
+        self.unstarted.min(recent)
+    }
+
     /// Prompt tokens of this entry's requests that have not started to answer.
     pub fn pending_prefill(&self) -> f64 {
         self.pending_prefill
@@ -59,15 +77,27 @@
         self.own.saturating_mul(entries.max(1))
     }
 
+    /// Forgets what was sent since the last load report, as the endpoint has restarted.
+    pub fn restarted(&mut self) {
+        self.since_report = 0;
+        self.recent = [0; 2];
+    }
+
     /// Resets the count for a new load report, which includes everything so far.
-    pub fn reported(&mut self) {
+    pub fn reported(&mut self, now: Instant) {
         self.since_report = 0;
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= REPORT_LAG;
+        if self.recent_since.is_none_or(is_due) {
+            self.recent = [0, self.recent[0]];
+            self.recent_since = Some(now);
+        }
     }
 
     /// Counts a request sent with a prompt of `prompt` tokens; `is_stream` when its answer is a stream.
     pub fn sent(&mut self, prompt: u32, is_stream: bool) {
         self.own += 1;
         self.unstarted += u32::from(is_stream);
+        self.recent[0] += u32::from(is_stream);
         self.since_report += 1;
         self.pending_prefill += f64::from(prompt);
     }
--- a/src/dispatch/shared_places.rs
+++ b/src/dispatch/shared_places.rs
@@ -10,12 +10,33 @@
 /// Least time between two draws: by then what was sent before has begun, or a load report counts it.
 const REDRAW_INTERVAL: Duration = Duration::from_millis(400);
 
-/// An entry's part of the free places of an engine, of which `own` of `running` requests are this
-/// entry's: as much as of the others, so that entries which get more requests have more places, and at
-/// least an equal part.
-pub(super) fn part_of_places(own: u32, running: u32, entries: u32) -> f64 {
-    let equal = 1.0 / f64::from(entries.max(1));
-    (f64::from(own) / f64::from(running.max(1))).clamp(equal, 1.0)
+/// How the entries share the engines of a target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sharing {
+    /// Number of entries, at least 1.
+    pub entries: u32,
+    /// This entry's part of the requests at all engines of the target.
+    part: f64,
+}
+
+impl Sharing {
+    /// `own` of the `all` requests at the engines of the target are this entry's, begun or not. An equal part
+    /// counts as one request of each entry, so that few requests change little.
+    pub fn new(own: u32, all: u32, entries: u32) -> Self {
+        let entries = entries.max(1);
+        let part = (f64::from(own) + 1.0) / (f64::from(all.max(own)) + f64::from(entries));
+        Self {
+            entries,
+            part: part.clamp(1.0 / f64::from(entries), 1.0),
+        }
+    }
+
+    /// This entry's part of the free places of an engine, of which `own` of `running` requests are this
+    /// entry's: as much as of those, so that entries which get more requests have more places. At
+    /// least its part of the whole target, since others that send nothing elsewhere send nothing here.
+    pub fn part_of_places(&self, own: u32, running: u32) -> f64 {
+        (f64::from(own) / f64::from(running.max(1))).clamp(self.part, 1.0)
+    }
 }
 
 /// Rounding of an entry's part of the free places of one engine.
--- a/src/dispatch/tests/shared_places.rs
+++ b/src/dispatch/tests/shared_places.rs
@@ -192,3 +192,43 @@
     }
     assert!(sent >= expected, "{sent} requests sent");
 }
+
+/// Requests of a burst of 30 at one entry of `number` that are sent to three idle engines. Reports arrive each
+/// 10 ms, the first events 230 ms after their requests.
+fn sent_of_a_burst(number: u32) -> usize {
+    let start = Instant::now();
+    let mut core = core(start);
+    core.set_entry_count(start, number);
+    for _ in 0..30 {
+        core.admit(start, &request("chat")).unwrap();
+    }
+    let mut sent: Vec<(Instant, TicketId, String)> = Vec::new();
+    for at_ms in (0..500).step_by(10) {
+        let now = start + ms(at_ms);
+        for (at, ticket, _) in &sent {
+            if now == *at + ms(230) {
+                core.attempt_started(now, *ticket, Some(1));
+            }
+        }
+        for (host, name) in [(1, "e1"), (2, "e2"), (3, "e3")] {
+            let there = sent.iter().filter(|(.., id)| id == name);
+            core.update_load(now, ip(host), load(there.count() as u32));
+        }
+        for (ticket, decision) in core.dispatch_waiting(now) {
+            if let Decision::Send(assignment) = decision {
+                sent.push((now, ticket, assignment.endpoint.to_string()));
+            }
+        }
+    }
+    sent.len()
+}
+
+/// Regression: an entry that alone took all callers refused most of a burst at idle engines, since their
+/// places were kept free for entries that sent nothing.
+#[rstest]
+#[case::five_entries(5)]
+#[case::sixteen_entries(16)]
+fn an_entry_that_alone_has_requests_uses_the_places_of_the_others(#[case] number: u32) {
+    let (alone, among) = (sent_of_a_burst(1), sent_of_a_burst(number));
+    assert!(among * 3 >= alone * 2, "{among} sent, alone {alone}");
+}
