--- a/src/clients/json.rs
+++ b/src/clients/json.rs
@@ -1,7 +1,7 @@
 //! Splits JSON text without reading the parts, so that each can be read and judged by itself.
 //!
-//! The parts may be nested to any depth, and need not be valid: numbers, strings and their encoding are
-//! not looked at. What is found is the text of a part, whose end is told by brackets and quotes alone.
+//! Only brackets and quotes are interpreted, so parts may be nested to any depth and need not be valid:
+//! numbers, escapes and the encoding of strings are not checked.
 
 /// Members of an object, in order, as text that is not read yet.
 #[derive(Clone, Debug, Default)]
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -81,9 +81,9 @@
             .eligible(now, query, self.cfg.version_grace)
             .filter(|e| self.starts_in_time(now, e, engine, request, sharing))
             .collect();
-        // If no load report arrives, it is this entry that does not hear the engines.
-        let hears_engines = engine.is_some() && eligible.iter().any(|e| e.load_age(now).is_some());
-        if self.cfg.mitigations.zone_loss && hears_engines {
+        // Without a recent report of any engine, this entry is cut off from the agents.
+        let has_reports = engine.is_some() && eligible.iter().any(|e| e.load_age(now).is_some());
+        if self.cfg.mitigations.zone_loss && has_reports {
             eligible.retain(|e| !e.is_silent(now));
         }
         let mut inputs = DecisionInputs {
--- a/src/dispatch/dispatcher/stop.rs
+++ b/src/dispatch/dispatcher/stop.rs
@@ -1,7 +1,7 @@
 //! Planned stop of the entry: nothing is begun that may not end before it.
 //!
-//! A request that is refused is tried at another entry at once; one that the stop interrupts has run
-//! in part, and its caller does not know the outcome. So bounds on the time of a request are cautious,
+//! The caller of a refused request can try another entry at once; a request that the stop interrupts has
+//! run in part, and its outcome is unknown. So bounds on the time of a request are cautious,
 //! most of all where it must run once.
 
 use std::time::{Duration, Instant};
--- a/src/dispatch/shared_places.rs
+++ b/src/dispatch/shared_places.rs
@@ -61,11 +61,11 @@
         self.drawn = Some((now, value));
     }
 
-    /// Unstarted requests of the other entries to assume beside one more of this entry, which has
-    /// `unstarted` there and `part` of the places.
-    pub fn others(&self, unstarted: u32, part: f64) -> u32 {
+    /// Requests of the other entries that no load report counts, to assume beside one more of this entry,
+    /// which has `uncounted` such requests there and `part` of the places.
+    pub fn others(&self, uncounted: u32, part: f64) -> u32 {
         let value = self.drawn.map_or(0.0, |(_, value)| value);
-        let all = (f64::from(unstarted) + 1.0 - value) / part;
-        (all.ceil() as u32).saturating_sub(unstarted + 1)
+        let all = (f64::from(uncounted) + 1.0 - value) / part;
+        (all.ceil() as u32).saturating_sub(uncounted + 1)
     }
 }
--- a/src/dispatch/work_times.rs
+++ b/src/dispatch/work_times.rs
@@ -8,7 +8,7 @@
 
 /// Time after which an observation may be forgotten; it is after twice this time.
 const WINDOW: Duration = Duration::from_secs(60);
-/// Number of recent answers from which the longest of them tells how long others may take.
+/// Number of recent answers below which the longest of them is not used as a bound.
 const MIN_ANSWERS: u32 = 8;
 /// Maximum number of observed routes. Beyond it, those without recent requests are dropped.
 const MAX_ROUTES: usize = 4_096;
--- a/src/relay/stop.rs
+++ b/src/relay/stop.rs
@@ -7,7 +7,7 @@
 use super::dialect::Dialect;
 use super::handle::Relay;
 
-/// Tells the requests in progress when the process stops.
+/// Time at which the process stops, which requests in progress wait for.
 #[derive(Clone, Debug)]
 pub(super) struct Stop {
     /// Time by which every request ends; `None` before a stop.
