--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -39,6 +39,8 @@
     StoreEraNew = 209,
     /// the era in an answer of the store cannot be read and is ignored
     StoreEraInvalid = 210,
+    /// an answer of the object API to a watch was read slowly
+    StoreAnswerSlow = 211,
     /// control connection lost
     PeerLost = 300,
     /// control connection is up
@@ -144,6 +146,7 @@
             Self::StoreHistoryGone => log::Level::Info,
             Self::StoreEraNew => log::Level::Warn,
             Self::StoreEraInvalid => log::Level::Warn,
+            Self::StoreAnswerSlow => log::Level::Info,
             Self::PeerLost => log::Level::Warn,
             Self::PeerBack => log::Level::Info,
             Self::DatagramRefused => log::Level::Warn,
