--- a/fakes/src/site/mod.rs
+++ b/fakes/src/site/mod.rs
@@ -13,4 +13,4 @@
 pub use faults::SiteEngineFaults;
 pub use origin::{SiteOrigin, piece};
 pub use run::SiteRun;
-pub use store::SiteStore;
+pub use store::{SiteStore, Withheld};
--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -23,6 +23,15 @@
 /// Largest number of objects in an answer to a list.
 const PAGE_SIZE: usize = 50;
 
+/// Answers about a kind of object that the store keeps back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Withheld {
+    /// Answers to watches that may wait for a change.
+    Watches,
+    /// All answers.
+    Everything,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Revision of the newest change.
@@ -50,6 +59,8 @@
     has_endless_lists: bool,
     /// True when answers do not name the era.
     hides_era: bool,
+    /// Answers that are kept back, by kind.
+    withheld: BTreeMap<String, Withheld>,
 }
 
 /// Running stand-in for the metadata store; dropping it stops it.
@@ -160,6 +171,11 @@
         self.changed.send_replace(revision);
     }
 
+    /// Keeps back answers about a kind, also of calls that wait already.
+    pub fn withhold(&self, kind: &str, withheld: Withheld) {
+        lock(&self.state).withheld.insert(kind.to_owned(), withheld);
+    }
+
     /// Leaves the era out of the answers, or names it again.
     pub fn hide_era(&self, is_hidden: bool) {
         lock(&self.state).hides_era = is_hidden;
@@ -243,7 +259,13 @@
             return Some(raw.into_response());
         }
     }
-    let mut res = answer_call(state.clone(), changed, req).await?;
+    let kind = req.uri().path().strip_prefix(OBJECTS_PATH)?.to_owned();
+    let may_wait = query_number(&req, "waitMs") > 0;
+    let mut res = answer_call(state.clone(), changed, &kind, &req).await?;
+    let withheld = lock(&state).withheld.get(&kind).copied();
+    if withheld == Some(Withheld::Everything) || (may_wait && withheld == Some(Withheld::Watches)) {
+        std::future::pending::<()>().await;
+    }
     let state = lock(&state);
     if !state.hides_era {
         res.headers_mut().insert(ERA_HEADER, state.era.into());
@@ -254,17 +276,17 @@
 async fn answer_call(
     state: Arc<Mutex<State>>,
     mut changed: watch::Receiver<u64>,
-    req: Request<Incoming>,
+    kind: &str,
+    req: &Request<Incoming>,
 ) -> Reply {
-    let kind = req.uri().path().strip_prefix(OBJECTS_PATH)?.to_owned();
     if req.method() != Method::GET {
         return Some(answer(StatusCode::METHOD_NOT_ALLOWED, ""));
     }
-    if query_param(&req, "watch").is_none() {
-        return Some(list(&lock(&state), &kind, query_param(&req, "after")));
+    if query_param(req, "watch").is_none() {
+        return Some(list(&lock(&state), kind, query_param(req, "after")));
     }
-    let since = query_number(&req, "watch");
-    let wait = Duration::from_millis(query_number(&req, "waitMs"));
+    let since = query_number(req, "watch");
+    let wait = Duration::from_millis(query_number(req, "waitMs"));
     let started_at = tokio::time::Instant::now();
     let started_era = lock(&state).era;
     let next_changes = async {
@@ -275,7 +297,7 @@
                 if state.era != started_era {
                     return None;
                 }
-                (changes_since(&state, &kind, since), state.history_time)
+                (changes_since(&state, kind, since), state.history_time)
             };
             if let Some(changes) = changes {
                 let is_gone = history_time.is_some_and(|time| started_at.elapsed() > time);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod cuts;
 mod faults;
+mod late_configurations;
 mod lifecycle;
 mod limits;
 mod metrics;
