An entry handles news apart from traffic, and takes on what its processor bears

Cause: the watches of the store, the applying of configurations, timers and heartbeats waited in one run queue behind requests, and nothing bounded how many requests it took on. A request was denied without knowing that the configuration is the newest.

Change: a thread of its own for traffic; requests are refused (2022) while the control loop does not run in time, and by share (2021) while the traffic loop runs late; before 401 and 404 the store is asked for newer configurations, and where that can't be told the answer is 503, not run; of the configurations that wait, the newest is applied. Why it works: news no longer waits behind requests, and what waits in the traffic loop is bounded by its measured delay. Metrics news_age and loop_delay.

--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -66,6 +66,10 @@
     LimitReached = 2019,
     /// every endpoint for this work has asked for rest or leaves
     NoneAccepts = 2020,
+    /// the process has no processor time for the request
+    Overloaded = 2021,
+    /// the process can not tell whether its state is the newest
+    StateOutdated = 2022,
     /// the request may have run and its outcome is not known
     OutcomeUnknown = 3001,
     /// a request with this key is running
@@ -153,6 +157,8 @@
         Self::EndpointLeaving,
         Self::LimitReached,
         Self::NoneAccepts,
+        Self::Overloaded,
+        Self::StateOutdated,
         Self::OutcomeUnknown,
         Self::StillRunning,
         Self::AnswerBroken,
@@ -214,6 +220,8 @@
             Self::EndpointLeaving => 503,
             Self::LimitReached => 503,
             Self::NoneAccepts => 503,
+            Self::Overloaded => 503,
+            Self::StateOutdated => 503,
             Self::OutcomeUnknown => 502,
             Self::StillRunning => 409,
             Self::AnswerBroken => 502,
@@ -276,6 +284,8 @@
             Self::EndpointLeaving => RunState::NotRun,
             Self::LimitReached => RunState::NotRun,
             Self::NoneAccepts => RunState::NotRun,
+            Self::Overloaded => RunState::NotRun,
+            Self::StateOutdated => RunState::NotRun,
             Self::OutcomeUnknown => RunState::Unknown,
             Self::StillRunning => RunState::Running,
             Self::AnswerBroken => RunState::Unknown,
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -437,6 +437,11 @@
         Refusal::new(code).with_retry_after(retry_after_overload(&mut self.rng))
     }
 
+    /// Refusal of a request that can't be decided on by the state of this process.
+    pub fn refuse_outdated(&mut self) -> Refusal {
+        self.refuse_unavailable(Code::StateOutdated)
+    }
+
     /// Refusal with the retry delay for when nothing can serve the request.
     fn refuse_unavailable(&mut self, code: Code) -> Refusal {
         Refusal::new(code).with_retry_after(retry_after_unavailable(&mut self.rng))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod heartbeat;
 pub mod http;
 pub mod membership;
+pub mod overload;
 pub mod placement;
 #[path = "../platform/mod.rs"]
 pub mod platform;
--- /dev/null
+++ b/src/overload/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the pulse and the load shedder.
+
+mod pulse;
+mod shedder;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod stop_times;
 #[cfg(test)]
 mod tests;
+mod traffic;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use crate::telemetry::Event;
 
 pub use stop_times::StopTimes;
+pub use traffic::TrafficRuntime;
 
 /// Handle to a running process. Dropping it aborts all connections and requests at once.
 #[derive(Debug)]
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -54,6 +54,9 @@
     /// Returns the code of the refusal when the head is malformed.
     fn parse_request_head(&self, head: &request::Parts) -> Result<RequestHead, Code>;
 
+    /// Id of a caller's request; `None` where its head names none.
+    fn request_id(&self, headers: &HeaderMap) -> Option<Arc<str>>;
+
     /// Builds the headers of an attempt from those of the caller. `time_left` is the time that the
     /// caller still waits.
     fn attempt_headers(
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -21,6 +21,7 @@
 
 use super::answer::{BodyReader, OutgoingRequest};
 use super::dialect::{Dialect, RequestHead};
+use super::guards::Guards;
 use super::notice::{count_notice, digest_text, log_notice, prompt_parts_text};
 use super::race::{Progress, Race, Refused};
 use super::stream;
@@ -67,6 +68,7 @@
     /// Time by which every request ends because the process stops; `None` before a stop.
     pub stop_tx: watch::Sender<Option<Instant>>,
     pub body_reader: BodyReader,
+    pub guards: Guards,
     pub metrics: Metrics,
 }
 
@@ -86,7 +88,7 @@
 
 impl<D: Dialect> Relay<D> {
     /// Creates a relay that drives `core`.
-    pub fn new(dialect: D, core: Dispatcher, metrics: Metrics) -> Self {
+    pub fn new(dialect: D, core: Dispatcher, guards: Guards, metrics: Metrics) -> Self {
         let inner = Inner {
             dialect,
             core: Mutex::new(core),
@@ -95,6 +97,7 @@
             recalled: Notify::new(),
             stop_tx: watch::Sender::new(None),
             body_reader: BodyReader::default(),
+            guards,
             metrics,
         };
         Self {
@@ -191,6 +194,10 @@
             return answer;
         }
         let arrived = Instant::now();
+        let req = match self.refuse_on_arrival(arrived, req).await {
+            Ok(req) => req,
+            Err(answer) => return answer,
+        };
         let (parts, body) = req.into_parts();
         let mut head = match self.inner.dialect.parse_request_head(&parts) {
             Ok(head) => head,
@@ -230,18 +237,15 @@
         body: Bytes,
     ) -> Response<AnswerBody> {
         let RequestHead { req, last_event_id } = head;
-        let admission = {
-            let mut core = self.core();
-            core.admit(Instant::now(), &req).map(|id| {
-                let deadline = core.deadline(id).unwrap_or(arrived);
-                (id, deadline, core.route(id))
-            })
+        let admission = match self.admit_to_core(arrived, &req) {
+            Err(refusal) => match self.confirmed(refusal).await {
+                Some(refusal) => Err(refusal),
+                None => self.admit_to_core(arrived, &req),
+            },
+            admitted => admitted,
         };
         let (id, deadline, route) = match admission {
-            Ok((id, deadline, Some(route))) => (id, deadline, route),
-            Ok((_, _, None)) => {
-                return self.refuse(arrived, Some(&req), "", &Refusal::new(Code::UnknownRoute));
-            }
+            Ok(admitted) => admitted,
             Err(refusal) => return self.refuse(arrived, Some(&req), "", &refusal),
         };
         let ticket = Ticket {
@@ -269,6 +273,19 @@
         self.run_attempts(ticket, admitted).await
     }
 
+    /// Admits a request to the core, and returns its deadline and route.
+    fn admit_to_core(
+        &self,
+        arrived: Instant,
+        req: &CallerRequest,
+    ) -> Result<(TicketId, Instant, Arc<Route>), Refusal> {
+        let mut core = self.core();
+        let id = core.admit(Instant::now(), req)?;
+        let route = core.route(id);
+        let route = route.ok_or_else(|| Refusal::new(Code::UnknownRoute))?;
+        Ok((id, core.deadline(id).unwrap_or(arrived), route))
+    }
+
     /// Asks for the core's decision on a request.
     pub(super) fn request_decision(&self, id: TicketId) -> oneshot::Receiver<Decision> {
         let (tx, rx) = oneshot::channel();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod dialect;
 mod events;
+mod guards;
 mod handle;
 mod notice;
 mod race;
@@ -21,4 +22,5 @@
 
 pub use dialect::{AnswerHead, Dialect, RequestHead, ResumePoint};
 pub use events::{EventSplitter, StreamEvent};
+pub use guards::{ConfigurationCheck, Guards};
 pub use handle::Relay;
--- a/src/relay/race.rs
+++ b/src/relay/race.rs
@@ -13,7 +13,7 @@
 };
 use crate::http::AnswerBody;
 use crate::log_fields;
-use crate::telemetry::Event;
+use crate::telemetry::{Event, News};
 use crate::timer::sleep_until;
 use crate::types::{EndpointId, Refusal};
 
@@ -145,7 +145,7 @@
                 Input::Recalled(recall) => self.end_recalled(&recall),
                 Input::Decided(decision) => self.decided(decision),
                 Input::Running(Received::Head(statement)) => {
-                    self.silent_at = self.silence_deadline();
+                    self.await_silence();
                     if let Some(statement) = statement {
                         let mut core = self.relay.core();
                         core.record_statement(Instant::now(), self.ticket.id, &statement);
@@ -213,7 +213,7 @@
         match decision {
             Decision::Send(assignment) => {
                 self.running = Some(self.start(assignment));
-                self.silent_at = self.silence_deadline();
+                self.await_silence();
                 None
             }
             Decision::KeepSilent(code, inputs) => {
@@ -259,7 +259,7 @@
                 self.record_start();
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.events += 1;
-                self.silent_at = self.silence_deadline();
+                self.await_silence();
                 Some(Progress::Event(event))
             }
             // The answer has begun, and no event came.
@@ -390,7 +390,7 @@
     /// Makes the silent attempt the running one, as the core has.
     fn keep_silent(&mut self) {
         self.running = self.silent.take();
-        self.silent_at = self.silence_deadline();
+        self.await_silence();
     }
 
     /// Lets the request wait for another endpoint beside the running attempt, if that is allowed.
@@ -412,13 +412,16 @@
                 self.silent = self.running.take();
                 self.decision = Some(self.relay.request_decision(id));
             }
-            Err(RetryDenied::OverBudget) => self.silent_at = self.silence_deadline(),
+            Err(RetryDenied::OverBudget) => self.await_silence(),
             Err(_) => {}
         }
     }
 
     /// Ends all attempts at the deadline of the request.
     fn time_out(&mut self) -> Option<Progress> {
+        let late = self.stop.bound(self.admitted.deadline).elapsed();
+        let metrics = &self.relay.inner.metrics;
+        metrics.record_news_age(News::Deadline, late);
         match self.running {
             Some(_) => {
                 self.end_silent(AttemptOutcome::TimedOut);
@@ -428,6 +431,11 @@
         self.end_running(AttemptOutcome::TimedOut)
     }
 
+    /// Begins to wait until the running attempt counts as silent.
+    fn await_silence(&mut self) {
+        self.silent_at = self.silence_deadline();
+    }
+
     /// Time from which the running attempt counts as silent; `None` when the request can't be sent to
     /// another endpoint.
     fn silence_deadline(&self) -> Option<Instant> {
--- a/src/relay/tests/race.rs
+++ b/src/relay/tests/race.rs
@@ -21,7 +21,7 @@
 use crate::relay::handle::{AdmittedRequest, Relay};
 use crate::relay::race::{Progress, Race};
 use crate::relay::ticket::Ticket;
-use crate::relay::{AnswerHead, Dialect, RequestHead, ResumePoint};
+use crate::relay::{AnswerHead, Dialect, Guards, RequestHead, ResumePoint};
 use crate::telemetry::Metrics;
 use crate::types::{ChangeTime, Refusal};
 
@@ -41,6 +41,10 @@
         Err(Code::Malformed)
     }
 
+    fn request_id(&self, _: &HeaderMap) -> Option<Arc<str>> {
+        None
+    }
+
     fn attempt_headers(
         &self,
         _: &HeaderMap,
@@ -75,7 +79,13 @@
 }
 
 fn relay() -> Relay<PlainDialect> {
-    Relay::new(PlainDialect, fixture::core(Instant::now()), Metrics::new())
+    let now = Instant::now();
+    Relay::new(
+        PlainDialect,
+        fixture::core(now),
+        Guards::new(now, 1),
+        Metrics::new(),
+    )
 }
 
 /// An admitted request whose attempts have not been decided.
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -17,6 +17,8 @@
     Reloaded = 105,
     /// process stood still
     Stalled = 106,
+    /// requests were refused on arrival, since the process runs late
+    LoadShed = 107,
     /// configuration adopted
     ConfigAdopted = 200,
     /// object API does not answer
@@ -135,6 +137,7 @@
             Self::Cut => log::Level::Warn,
             Self::Reloaded => log::Level::Info,
             Self::Stalled => log::Level::Warn,
+            Self::LoadShed => log::Level::Warn,
             Self::ConfigAdopted => log::Level::Info,
             Self::StoreLost => log::Level::Warn,
             Self::StoreBack => log::Level::Info,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -92,6 +92,51 @@
     Leaving,
 }
 
+/// Kind of news that a process acts on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum News {
+    /// A configuration that the store announced.
+    Configuration,
+    /// A change of the endpoints that the store announced.
+    Endpoints,
+    /// A change of the evacuated zones that the store announced.
+    Zones,
+    /// A version that the store announced.
+    Version,
+    /// The deadline of a request.
+    Deadline,
+}
+
+impl News {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Endpoints => "endpoints",
+            Self::Zones => "zones",
+            Self::Version => "version",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
+/// Loop of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loop {
+    /// Handles what other processes send, and timers.
+    Control,
+    /// Carries requests.
+    Traffic,
+}
+
+impl Loop {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Control => "control",
+            Self::Traffic => "traffic",
+        }
+    }
+}
+
 /// A datagram between entries and agents.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Datagram {
@@ -137,6 +182,8 @@
     endpoint_signals: Counter<u64>,
     datagrams: Counter<u64>,
     datagram_bytes: Counter<u64>,
+    news_age: Histogram<f64>,
+    loop_delay: Histogram<f64>,
 }
 
 impl Metrics {
@@ -198,6 +245,18 @@
                 .u64_counter("control_bytes")
                 .with_description("Bytes of datagrams between entries and agents")
                 .build(),
+            news_age: meter
+                .f64_histogram("news_age")
+                .with_description("Age of news when the process acted on it")
+                .with_unit("s")
+                .with_boundaries(BUCKETS_SECONDS.to_vec())
+                .build(),
+            loop_delay: meter
+                .f64_histogram("loop_delay")
+                .with_description("Delay of the periodic ticks of a loop")
+                .with_unit("s")
+                .with_boundaries(BUCKETS_SECONDS.to_vec())
+                .build(),
             registry,
             _provider: provider,
         };
@@ -292,6 +351,18 @@
         self.inner.datagram_bytes.add(bytes as u64, &labels);
     }
 
+    /// Records the age of news at which the process acts on it.
+    pub fn record_news_age(&self, news: News, age: Duration) {
+        let labels = [KeyValue::new("news", news.name())];
+        self.inner.news_age.record(age.as_secs_f64(), &labels);
+    }
+
+    /// Records by how much a tick of a loop was late.
+    pub fn record_loop_delay(&self, of: Loop, delay: Duration) {
+        let labels = [KeyValue::new("loop", of.name())];
+        self.inner.loop_delay.record(delay.as_secs_f64(), &labels);
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_in_flight(&self) -> InFlight {
         self.inner.in_flight.add(1, &[]);
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -11,6 +11,7 @@
 pub use events::Event;
 pub use logs::{LogError, start_logs};
 pub use metrics::{
-    AttemptResult, Datagram, EndpointSignal, InFlight, Metrics, Operation, RequestResult,
+    AttemptResult, Datagram, EndpointSignal, InFlight, Loop, Metrics, News, Operation,
+    RequestResult,
 };
 pub use rate_limited::{LogRateLimiter, start_rate_limited_logs};
