A busy entry puts off the attempt beside a silent one once, not until its caller leaves

Cause: a timer that is 100 ms late was taken for a process that had stood still and set 100 ms ahead, again and again; timers of a busy process are as late each time.

Why it works: what arrived while a process stood still is read before the second turn of the timer, so once is enough.

Test: relay::tests::race::a_busy_process_tries_another_endpoint_beside_a_silent_one; 3 and 4 of 10 requests were answered before.

--- a/src/relay/race.rs
+++ b/src/relay/race.rs
@@ -33,8 +33,8 @@
 /// The same time when the route has no goal for the gap.
 const DEFAULT_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Delay of a timer from which this process has stood still, so that what arrived meanwhile is not
-/// read yet.
+/// Delay of a timer from which this process may have stood still, so that what arrived meanwhile is not
+/// read yet. A busy process is as late each time, so the timer is put off once.
 const STALL_DELAY: Duration = Duration::from_millis(100);
 
 /// Runs the attempts of an admitted request.
@@ -51,6 +51,8 @@
     stop: Stop,
     /// Time from which the running attempt counts as silent.
     silent_at: Option<Instant>,
+    /// True once `silent_at` was put off, until something arrives.
+    is_put_off: bool,
     /// The last whole answer that reports a failure of the endpoint. It is forwarded only when no other
     /// attempt gets an answer.
     failure: Option<Response<AnswerBody>>,
@@ -120,6 +122,7 @@
             silent: None,
             decision,
             silent_at: None,
+            is_put_off: false,
             failure: None,
             last_event_id: None,
             version: None,
@@ -400,7 +403,8 @@
             .silent_at
             .take()
             .map(|due| now.saturating_duration_since(due));
-        if delay.is_some_and(|delay| delay >= STALL_DELAY) {
+        if delay.is_some_and(|delay| delay >= STALL_DELAY) && !self.is_put_off {
+            self.is_put_off = true;
             self.silent_at = Some(now + STALL_DELAY);
             return;
         }
@@ -434,6 +438,7 @@
     /// Begins to wait until the running attempt counts as silent.
     fn await_silence(&mut self) {
         self.silent_at = self.silence_deadline();
+        self.is_put_off = false;
     }
 
     /// Time from which the running attempt counts as silent; `None` when the request can't be sent to
