--- a/src/dispatch/tests/silence.rs
+++ b/src/dispatch/tests/silence.rs
@@ -273,3 +273,30 @@
     let (next, _) = send(&mut core, now, &request("chat"));
     assert_eq!(core.attempt_silent(now, next), Err(RetryDenied::OverBudget));
 }
+
+/// Guards against streams that are continued at an engine that stands still too: its last load report, 0.9 s old,
+/// shows free places for as long as the others are full.
+#[rstest]
+#[case::before_its_first_event(false)]
+#[case::in_the_stream(true)]
+fn a_silent_stream_goes_on_at_an_engine_that_still_reports(#[case] has_started: bool) {
+    let start = Instant::now();
+    let mut core = core(start);
+    for (host, running) in [(1, 14), (2, 0), (3, 14)] {
+        core.update_load(start, ip(host), load(running));
+    }
+    let (ticket, first) = send(&mut core, start, &request("chat"));
+    assert_eq!(&*first.endpoint, "e2");
+    if has_started {
+        core.attempt_started(start + ms(20), ticket, Some(1));
+    }
+    for step in 1..=9 {
+        core.update_load(start + ms(100) * step, ip(3), load(16));
+    }
+    let now = start + ms(900);
+    assert_eq!(core.attempt_silent(now, ticket), Ok(()));
+    match decide(&mut core, now, ticket) {
+        Some(Decision::Send(second)) => assert_eq!(&*second.endpoint, "e3"),
+        other => panic!("{other:?}"),
+    }
+}
--- a/src/relay/tests/race.rs
+++ b/src/relay/tests/race.rs
@@ -12,10 +12,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
+use tokio::task::JoinSet;
 
 use crate::codes::Code;
-use crate::dispatch::Assignment;
 use crate::dispatch::tests::fixture;
+use crate::dispatch::{Assignment, ListedEndpoint};
 use crate::http::AnswerBody;
 use crate::relay::answer::OutgoingRequest;
 use crate::relay::handle::{AdmittedRequest, Relay};
@@ -30,6 +31,14 @@
 const BODY_END: &[u8] = b"0\r\n\r\n";
 /// Deadline of a request.
 const DEADLINE: Duration = Duration::from_secs(6);
+/// Second byte of the engines' addresses in [`fixture::core`]. Tests that serve engines differ in it.
+const NETWORK: u8 = 199;
+/// Requests in a busy process.
+const REQUESTS: usize = 10;
+/// Tasks that take turns with each request in a busy process, and how long each takes a turn. A timer runs up
+/// to 250 ms late then, and the process never stands still for longer than one turn.
+const BUSY_TASKS: usize = 5;
+const BUSY_TASK_TIME: Duration = Duration::from_millis(5);
 /// Longest wait before a test fails.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -78,8 +87,30 @@
     Relay::new(PlainDialect, fixture::core(Instant::now()), Metrics::new())
 }
 
+/// The same with the engines on another network.
+fn relay_to(network: u8) -> Relay<PlainDialect> {
+    let relay = relay();
+    for (id, host, region) in [("e1", 1, "north"), ("e2", 2, "north"), ("e3", 3, "south")] {
+        let listed = ListedEndpoint {
+            addr: engine_addr(network, host),
+            ..fixture::listed(id, "engines", host, region)
+        };
+        relay.core().update_endpoint(Instant::now(), listed);
+    }
+    relay
+}
+
+fn engine_addr(network: u8, host: u8) -> SocketAddr {
+    SocketAddr::from(([127, network, 0, host], fixture::addr(host).port()))
+}
+
 /// An admitted request whose attempts have not been decided.
 fn race(relay: &Relay<PlainDialect>) -> Race<PlainDialect> {
+    race_within(relay, DEADLINE)
+}
+
+/// The same with the time within which the whole answer must arrive.
+fn race_within(relay: &Relay<PlainDialect>, time: Duration) -> Race<PlainDialect> {
     let now = Instant::now();
     let caller = fixture::request("chat");
     let (id, route) = {
@@ -104,21 +135,23 @@
         },
         route,
         arrived: now,
-        deadline: now + DEADLINE,
-        caller_deadline: now + DEADLINE,
+        deadline: now + time,
+        caller_deadline: now + time,
         caller,
     };
     Race::new(ticket, admitted)
 }
 
 /// Runs `serve` for each connection to an engine, with the number of connections before it.
-async fn serve_engines<F>(serve: impl Fn(TcpStream, usize) -> F + Clone + Send + 'static)
-where
+async fn serve_engines<F>(
+    network: u8,
+    serve: impl Fn(TcpStream, usize) -> F + Clone + Send + 'static,
+) where
     F: Future<Output = ()> + Send + 'static,
 {
     let connections = Arc::new(AtomicUsize::new(0));
     for host in [1, 2, 3] {
-        let addr: SocketAddr = fixture::addr(host);
+        let addr = engine_addr(network, host);
         let listener = TcpListener::bind(addr).await.unwrap();
         let (serve, connections) = (serve.clone(), connections.clone());
         tokio::spawn(async move {
@@ -173,7 +206,7 @@
 /// Guards against a second attempt that is closed because the silent one beside it ends without an event.
 #[tokio::test]
 async fn a_silent_attempt_that_ends_without_an_event_leaves_the_other_one() {
-    serve_engines(async |mut stream: TcpStream, number| {
+    serve_engines(NETWORK, async |mut stream: TcpStream, number| {
         stream.write_all(HEAD).await.unwrap();
         let (delay, rest) = match number {
             0 => (Duration::from_millis(2_600), BODY_END),
@@ -188,3 +221,35 @@
     let mut race = race(&relay);
     assert!(matches!(progress(&mut race).await, Progress::Event(_)));
 }
+
+/// Guards against a second attempt that a busy process puts off until the caller has left, since its timers are as
+/// late as after it stood still.
+#[tokio::test]
+async fn a_busy_process_tries_another_endpoint_beside_a_silent_one() {
+    let network = 198;
+    serve_engines(network, async |mut stream: TcpStream, number| {
+        if number >= REQUESTS {
+            stream.write_all(HEAD).await.unwrap();
+            stream.write_all(EVENT).await.unwrap();
+        }
+        tokio::time::sleep(WAIT_LIMIT).await;
+    })
+    .await;
+    let relay = relay_to(network);
+    let mut requests = JoinSet::new();
+    // The timers of the requests are due in different turns.
+    for _ in 0..REQUESTS {
+        let mut race = race_within(&relay, WAIT_LIMIT);
+        requests.spawn(async move { matches!(progress(&mut race).await, Progress::Event(_)) });
+        for _ in 0..BUSY_TASKS {
+            tokio::spawn(async {
+                loop {
+                    std::thread::sleep(BUSY_TASK_TIME);
+                    tokio::task::yield_now().await;
+                }
+            });
+        }
+    }
+    let answered = requests.join_all().await;
+    assert_eq!(answered, [true; REQUESTS]);
+}
