--- a/src/relay/guards.rs
+++ b/src/relay/guards.rs
@@ -177,14 +177,13 @@
         let result = RequestResult::Refused(refusal.code);
         self.inner.metrics.count_request("", result);
         let id = self.inner.dialect.request_id(req.headers());
-        let mut answer = self
-            .inner
-            .dialect
-            .refusal_response(id.as_ref(), &refusal);
+        let mut answer = self.inner.dialect.refusal_response(id.as_ref(), &refusal);
         // The body of a caller that waits for permission to send it is not read.
         let is_read = req.body().is_end_stream()
             || !req.headers().contains_key(EXPECT)
-                && read_body(req.into_body(), REFUSED_BODY_LIMITS).await.is_ok();
+                && read_body(req.into_body(), REFUSED_BODY_LIMITS)
+                    .await
+                    .is_ok();
         if !is_read {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
