Passes over waiting requests are paced, and an arriving one is decided alone

Each arrival and each end decided on every waiting request again, over every endpoint. Now a request that begins to wait is decided alone, if it is the first or if nothing has changed for the others since the last pass; ends, reports and news only ask for a pass, which the dispatch loop makes. A full pass is followed by a pause of four times its duration (3 to 20 ms); a pass over expired requests is late by 3 ms at most. It takes in those that come before them if something may have changed, so nobody takes a place that an earlier one could have had. The next deadline is looked up instead of searched for.

Tests: dispatch::tests::{pacing, passes}; the fuzzing of the dispatcher runs with a paced and late driver too, under the same checks.

--- a/src/dispatch/dispatcher/crashes.rs
+++ b/src/dispatch/dispatcher/crashes.rs
@@ -135,6 +135,7 @@
 
     fn notify_blame(&mut self, changes: Vec<BlameChange>, source: BlameSource) {
         for change in changes {
+            self.is_changed = true;
             self.notify(Notice::BlameChanged { change, source });
         }
     }
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -30,6 +30,7 @@
     Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
+use super::waiting::{Place, WaitingRequests};
 use super::work_times::WorkTimes;
 
 pub use snapshot::{EndpointView, Snapshot};
@@ -40,6 +41,8 @@
 const DEFAULT_ENTRY_COUNT: u32 = 4;
 /// Maximum number of notices kept for a driver that does not take them; later ones are dropped.
 const MAX_NOTICES: usize = 256;
+/// Time after a pass over all waiting requests for which it counts; predictions change slowly.
+const PASS_VALIDITY: Duration = Duration::from_millis(20);
 
 /// Settings of the dispatcher.
 #[derive(Clone, Debug)]
@@ -114,12 +117,11 @@
     fleet: Fleet,
     requests: HashMap<TicketId, RequestState>,
     start_bounds: StartBounds,
-    /// Waiting requests as (is returning, time of first attempt, ticket): callers that return after
-    /// a refusal come last; otherwise the oldest comes first. A request that waits again after a
-    /// failed attempt does not count as returning.
-    ///
     /// Invariant: contains exactly the requests with `is_waiting` set.
-    queue: BTreeSet<(bool, Instant, TicketId)>,
+    queue: WaitingRequests,
+    /// True when something may have changed for waiting requests since the last
+    /// [`Self::dispatch_waiting`].
+    is_changed: bool,
     last_ticket: TicketId,
     retry_budgets: HashMap<TargetId, RetryWindow>,
     crash_watch: CrashWatch,
@@ -150,7 +152,8 @@
             configuration: None,
             requests: HashMap::new(),
             start_bounds: StartBounds::new(),
-            queue: BTreeSet::new(),
+            queue: WaitingRequests::default(),
+            is_changed: false,
             last_ticket: 0,
             retry_budgets: HashMap::new(),
             crash_watch: CrashWatch::default(),
@@ -172,6 +175,7 @@
             .is_none_or(|old| old.version < configuration.version);
         if newer {
             self.configuration = Some(configuration);
+            self.is_changed = true;
         }
         newer
     }
@@ -198,6 +202,7 @@
 
     /// Adds or updates an endpoint from the list. Returns true when it is new or has restarted.
     pub fn update_endpoint(&mut self, now: Instant, listed: ListedEndpoint) -> bool {
+        self.is_changed = true;
         let id = listed.id.clone();
         if listed.is_leaving {
             self.crash_watch.leaving(EndpointProcess {
@@ -222,6 +227,7 @@
     /// outage, and live endpoints are back on the list within two seconds, so the endpoint stays in
     /// use for a grace period.
     pub fn remove_endpoint(&mut self, now: Instant, id: &str, after_outage: bool) {
+        self.is_changed = true;
         let endpoint = self.fleet.get(id);
         let is_leaving = |e: &Endpoint| self.fleet.leaving.contains(&e.key());
         if after_outage && endpoint.is_some_and(|e| !is_leaving(e)) {
@@ -237,6 +243,7 @@
     /// Sets the zones whose endpoints get no new requests.
     pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneId>) {
         self.fleet.set_evacuated_zones(zones);
+        self.is_changed = true;
     }
 
     /// Records a report on the time at which a version became the wanted one of a model.
@@ -249,6 +256,7 @@
     ) -> VersionUpdate {
         let update = self.fleet.set_wanted_version(model, version, named);
         if update.is_changed {
+            self.is_changed = true;
             self.update_start_bounds(now);
         }
         update
@@ -264,6 +272,7 @@
         if endpoint.rounding.is_due(now) {
             endpoint.rounding.draw(now, self.rounding_rng.random());
         }
+        self.is_changed = true;
         let (id, current) = (endpoint.listed.id.clone(), endpoint.listed.incarnation);
         // An earlier incarnation does not speak for the current one.
         if incarnation == current {
@@ -278,6 +287,7 @@
         if entries != self.entries {
             self.fleet.settle_limits(now, self.entries);
             self.entries = entries;
+            self.is_changed = true;
         }
     }
 
@@ -360,11 +370,12 @@
             .or_insert_with(|| RetryWindow::new(window))
             .record_request(now);
         self.last_ticket += 1;
-        self.queue.insert((
+        let place = (
             request.is_returning,
             request.first_attempt_at,
             self.last_ticket,
-        ));
+        );
+        self.queue.insert(place, request.latest_decision());
         self.requests.insert(self.last_ticket, request);
         Ok(self.last_ticket)
     }
@@ -373,37 +384,86 @@
     /// long.
     pub fn dispatch_waiting(&mut self, now: Instant) -> Vec<(TicketId, Decision)> {
         self.last_dispatch = Some(now);
+        let places = self.queue.places();
+        let decided = self.dispatch(now, places);
+        self.is_changed = false;
+        decided
+    }
+
+    /// Decides on a request that has just begun to wait, without the others: none of those before it could
+    /// be sent when they were decided on last, and nothing has changed for them since. Returns
+    /// `None` when it keeps waiting, also for the next [`Self::dispatch_waiting`].
+    pub fn dispatch_alone(&mut self, now: Instant, ticket: TicketId) -> Option<Decision> {
+        let place = self.place(ticket)?;
+        let is_valid = |last: Instant| now.saturating_duration_since(last) < PASS_VALIDITY;
+        self.is_changed |= !self.last_dispatch.is_some_and(is_valid);
+        if self.is_pass_wanted(now) && !self.queue.is_first(&place) {
+            return None;
+        }
+        let decided = self.dispatch(now, vec![place]).pop();
+        decided.map(|(_, decision)| decision)
+    }
+
+    /// Decides on the requests that may wait no longer, and on those that come before them if something may
+    /// have changed for these.
+    pub fn dispatch_expired(&mut self, now: Instant) -> Vec<(TicketId, Decision)> {
+        let expired = self.queue.expired(now);
+        let places = match expired.last() {
+            Some(last) if self.is_pass_wanted(now) => self.queue.places_up_to(*last),
+            _ => expired,
+        };
+        self.dispatch(now, places)
+    }
+
+    fn dispatch(&mut self, now: Instant, places: Vec<Place>) -> Vec<(TicketId, Decision)> {
         self.settle_answers(now);
         self.end_rests(now);
         self.refresh_subset();
-        let queue: Vec<_> = self.queue.iter().copied().collect();
         let mut decided = Vec::new();
-        for key in queue {
-            if let Some(decision) = self.try_assign(now, key.2) {
-                self.queue.remove(&key);
-                decided.push((key.2, decision));
+        for place in places {
+            if let Some(decision) = self.try_assign(now, place.2) {
+                self.queue.remove(&place);
+                decided.push((place.2, decision));
             }
         }
         decided
     }
 
+    /// Place of a waiting request.
+    fn place(&self, ticket: TicketId) -> Option<Place> {
+        let request = self.requests.get(&ticket)?;
+        let places = request.possible_places(ticket);
+        places.into_iter().find(|place| self.queue.contains(place))
+    }
+
+    /// True when waiting requests have to be decided on again, since something may have changed for them.
+    pub fn is_pass_wanted(&self, now: Instant) -> bool {
+        let is_due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
+        !self.queue.is_empty() && (self.is_changed || is_due(self.next_change()))
+    }
+
+    /// Earliest time until which a waiting request may wait.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.queue.next_deadline()
+    }
+
+    /// Next time at which time alone changes something for waiting requests.
+    pub fn next_change(&self) -> Option<Instant> {
+        let rest_end = self.fleet.rests.next_end();
+        let rest_end = rest_end.filter(|_| !self.queue.is_empty());
+        rest_end.into_iter().chain(self.next_stop_check()).min()
+    }
+
+    /// Next time at which [`Self::recall_overdue`] takes back an attempt.
+    pub fn next_recall(&self) -> Option<Instant> {
+        self.start_bounds.first().map(|(at, _)| *at)
+    }
+
     /// Latest time at which [`Self::dispatch_waiting`] and [`Self::recall_overdue`] must be called
     /// again.
     pub fn next_wakeup(&self) -> Option<Instant> {
-        let waiting = self
-            .queue
-            .iter()
-            .filter_map(|key| self.requests.get(&key.2));
-        let deadlines = waiting.map(|request| request.queue_deadline.min(request.deadline));
-        let rest_end = self.fleet.rests.next_end();
-        let rest_end = rest_end.filter(|_| !self.queue.is_empty());
-        let bound = self.start_bounds.first().map(|(at, _)| *at);
-        let stop_check = self.next_stop_check();
-        deadlines
-            .chain(rest_end)
-            .chain(bound)
-            .chain(stop_check)
-            .min()
+        let times = [self.next_deadline(), self.next_change(), self.next_recall()];
+        times.into_iter().flatten().min()
     }
 
     /// Route of a request.
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -25,6 +25,7 @@
         let Some(running) = request.running.as_mut().filter(|running| !running.started) else {
             return;
         };
+        self.is_changed = true;
         running.started = true;
         running.recall = None;
         let took = now.saturating_duration_since(running.since);
@@ -112,6 +113,7 @@
             self.work_times
                 .record(now, route, target, took, is_answered);
         }
+        self.is_changed = true;
         self.update_start_bound(now, ticket);
         self.record_outcome(now, attempt, prompt, outcome);
         self.record_ended(now, attempt, &suspects, outcome);
@@ -233,7 +235,8 @@
             Some(_) => now + RESUME_QUEUE_TIME,
             None => now + max_queue_time(request.route.start_goal),
         };
-        self.queue.insert((false, request.first_attempt_at, ticket));
+        let place = (false, request.first_attempt_at, ticket);
+        self.queue.insert(place, request.latest_decision());
         Ok(())
     }
 
@@ -243,6 +246,7 @@
         self.clear_start_bound(ticket);
         let request = self.requests.remove(&ticket)?;
         self.unqueue(ticket, &request);
+        self.is_changed |= request.open_attempts().next().is_some();
         let gone = AttemptOutcome::CallerGone;
         for attempt in request.open_attempts() {
             self.record_outcome(now, attempt, request.prompt_tokens, gone);
@@ -260,10 +264,8 @@
 
     /// Removes a request from the queue.
     pub(super) fn unqueue(&mut self, ticket: TicketId, request: &RequestState) {
-        // A request that waits again after a failed attempt is queued with `false`.
-        for is_returning in [request.is_returning, false] {
-            self.queue
-                .remove(&(is_returning, request.first_attempt_at, ticket));
+        for place in request.possible_places(ticket) {
+            self.queue.remove(&place);
         }
     }
 }
--- a/src/dispatch/dispatcher/silence.rs
+++ b/src/dispatch/dispatcher/silence.rs
@@ -28,6 +28,7 @@
             return Err(RetryDenied::Exhausted);
         };
         running.was_silent = true;
+        self.is_changed = true;
         if let Some(endpoint) = self.fleet.get_mut(&running.endpoint) {
             endpoint.health.failed(now);
         }
--- a/src/dispatch/dispatcher/statements.rs
+++ b/src/dispatch/dispatcher/statements.rs
@@ -44,6 +44,7 @@
         attempt: &RunningAttempt,
         statement: &Statement,
     ) {
+        self.is_changed = true;
         let (id, process) = (attempt.endpoint.clone(), attempt.process);
         let key = (process.incarnation, id.clone());
         self.record_rest(now, key.clone(), &statement.rest);
@@ -90,6 +91,7 @@
     /// Ends the rests whose time has passed.
     pub(super) fn end_rests(&mut self, now: Instant) {
         for ((incarnation, endpoint), answers) in self.fleet.rests.end_passed(now) {
+            self.is_changed = true;
             self.notify(Notice::RestEnded {
                 endpoint,
                 incarnation,
--- a/src/dispatch/dispatcher/stop.rs
+++ b/src/dispatch/dispatcher/stop.rs
@@ -30,6 +30,7 @@
     /// later call changes nothing.
     pub fn begin_stop(&mut self, stop_at: Instant) {
         self.stop_at.get_or_insert(stop_at);
+        self.is_changed = true;
     }
 
     /// Time by which every request ends because the entry stops; `None` before a stop.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod limit;
 mod notice;
+mod pacing;
 mod patterns;
 mod request;
 mod rest;
@@ -20,6 +21,7 @@
 mod subset;
 #[cfg(test)]
 pub(crate) mod tests;
+mod waiting;
 mod work_times;
 
 pub use configuration::{CallerLimits, Configuration, Customer, Repeat, Route, Target};
@@ -31,6 +33,7 @@
 pub use estimate::EngineModel;
 pub use fleet::{Fleet, VersionUpdate};
 pub use notice::{BlameSource, CrashSign, Notice};
+pub use pacing::{Pass, PassPacing};
 pub use patterns::{ColdRateLimiter, Health, Mitigations, Occupancy};
 pub use request::{Assignment, AttemptOutcome, CallerRequest, Departure, Recall, TicketId};
 pub use statement::{LimitStatement, RestStatement, Statement, StatementSource};
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -9,6 +9,7 @@
 
 use super::configuration::{Customer, Route, Target};
 use super::crash_watch::EndpointProcess;
+use super::waiting::Place;
 
 /// Identifies a request within this process.
 pub type TicketId = u64;
@@ -171,6 +172,17 @@
 }
 
 impl RequestState {
+    /// Time until which it may wait.
+    pub fn latest_decision(&self) -> Instant {
+        self.queue_deadline.min(self.deadline)
+    }
+
+    /// Places that it may have among the waiting requests; one that waits again after a failed attempt
+    /// does not count as returning.
+    pub fn possible_places(&self, ticket: TicketId) -> [Place; 2] {
+        [self.is_returning, false].map(|is_returning| (is_returning, self.first_attempt_at, ticket))
+    }
+
     /// Its attempts in progress.
     pub fn open_attempts(&self) -> impl Iterator<Item = &RunningAttempt> {
         self.running.iter().chain(&self.silent)
--- a/src/dispatch/tests/fuzz/mod.rs
+++ b/src/dispatch/tests/fuzz/mod.rs
@@ -79,12 +79,25 @@
     admitted: u32,
     ended: u32,
     stop: StopModel,
+    driver: Driver,
+    pacing: PassPacing,
+    /// Number of passes so far.
+    passes: u64,
+}
+
+/// When the driver lets the dispatcher decide on waiting requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Driver {
+    /// On all of them after each operation.
+    Eager,
+    /// On an arriving one alone, and on the others when [`PassPacing`] allows and some time later.
+    Paced,
 }
 
 type Check = Result<(), TestCaseError>;
 
 impl World {
-    fn new(fault: InjectedFault) -> Self {
+    fn new(fault: InjectedFault, driver: Driver) -> Self {
         let now = Instant::now();
         Self {
             now,
@@ -101,6 +114,9 @@
             admitted: 0,
             ended: 0,
             stop: StopModel::default(),
+            driver,
+            pacing: PassPacing::default(),
+            passes: 0,
         }
         .joined()
     }
@@ -222,10 +238,50 @@
                 );
             }
         }
-        self.dispatch_waiting()?;
+        self.dispatch()?;
         self.recall()
     }
 
+    /// Lets the dispatcher decide as the driver does.
+    fn dispatch(&mut self) -> Check {
+        if self.driver == Driver::Eager {
+            return self.dispatch_waiting();
+        }
+        let (is_wanted, deadline) = (
+            self.core.is_pass_wanted(self.now),
+            self.core.next_deadline(),
+        );
+        let Some(pass) = self.pacing.due(self.now, is_wanted, deadline) else {
+            return Ok(());
+        };
+        self.passes += 1;
+        let decisions = match pass {
+            Pass::Full => self.core.dispatch_waiting(self.now),
+            Pass::Expired => self.core.dispatch_expired(self.now),
+        };
+        let took = ms(self.passes % 7);
+        self.pacing.passed(pass, self.now, self.now + took);
+        self.decided(decisions)
+    }
+
+    /// Time at which the driver calls the dispatcher next.
+    fn next_turn(&self) -> Option<Instant> {
+        let wakeup = self.core.next_wakeup();
+        if self.driver == Driver::Eager {
+            return wakeup;
+        }
+        let is_wanted = self.core.is_pass_wanted(self.now);
+        let pass = self
+            .pacing
+            .next(self.now, is_wanted, self.core.next_deadline());
+        // The process is busy with other things.
+        let late = ms(self.passes % 3);
+        let pass = pass.map(|at| at.max(self.now) + late);
+        let others = [self.core.next_change(), self.core.next_recall()];
+        let others = others.into_iter().flatten().filter(|at| *at > self.now);
+        pass.into_iter().chain(others).min()
+    }
+
     /// Moves the clock, and wakes the dispatcher at each time that it asks for.
     fn advance(&mut self, by: Duration) -> Check {
         let end = self.now + by;
@@ -238,12 +294,12 @@
 
     fn advance_to(&mut self, end: Instant) -> Check {
         while self.fault != InjectedFault::WakeupIgnored
-            && let Some(at) = self.core.next_wakeup().filter(|at| *at <= end)
+            && let Some(at) = self.next_turn().filter(|at| *at <= end)
         {
             self.now = self.now.max(at);
             self.recall()?;
-            self.dispatch_waiting()?;
-            if self.core.next_wakeup() == Some(at) {
+            self.dispatch()?;
+            if self.next_turn() == Some(at) {
                 break;
             }
         }
@@ -284,6 +340,15 @@
                 version: 0,
             };
             self.tickets.insert(ticket, request);
+            if self.driver == Driver::Paced {
+                let decision = self.core.dispatch_alone(self.now, ticket);
+                return self.decided(
+                    decision
+                        .map(|decision| (ticket, decision))
+                        .into_iter()
+                        .collect(),
+                );
+            }
         }
         Ok(())
     }
@@ -351,7 +416,12 @@
     }
 
     fn dispatch_waiting(&mut self) -> Check {
-        for (ticket, decision) in self.core.dispatch_waiting(self.now) {
+        let decisions = self.core.dispatch_waiting(self.now);
+        self.decided(decisions)
+    }
+
+    fn decided(&mut self, decisions: Vec<(TicketId, Decision)>) -> Check {
+        for (ticket, decision) in decisions {
             match decision {
                 Decision::Refuse(refusal, _) => self.refused(ticket, refusal.code.run_state())?,
                 Decision::Send(assignment) => self.sent(ticket, &assignment)?,
@@ -446,18 +516,18 @@
     }
 }
 
-fn run_sequences(fault: InjectedFault) -> Result<(), TestError<Vec<Op>>> {
+fn run_sequences(fault: InjectedFault, driver: Driver) -> Result<(), TestError<Vec<Op>>> {
     let mut runner = TestRunner::new(fuzz_config(CASES));
     runner.run(&sequence(), |ops| {
-        let mut world = World::new(fault);
+        let mut world = World::new(fault, driver);
         ops.iter().try_for_each(|op| world.run(op))?;
         world.finish()
     })
 }
 
-#[test]
-fn random_sequences_violate_no_invariant() {
-    if let Err(err) = run_sequences(InjectedFault::NoFault) {
+#[rstest]
+fn random_sequences_violate_no_invariant(#[values(Driver::Eager, Driver::Paced)] driver: Driver) {
+    if let Err(err) = run_sequences(InjectedFault::NoFault, driver) {
         panic!("{err}");
     }
 }
@@ -473,6 +543,9 @@
 #[case::recall_ignored(InjectedFault::RecallIgnored)]
 #[case::wakeup_ignored(InjectedFault::WakeupIgnored)]
 #[case::stop_not_applied(InjectedFault::StopNotApplied)]
-fn an_injected_fault_is_detected(#[case] fault: InjectedFault) {
-    assert!(run_sequences(fault).is_err());
+fn an_injected_fault_is_detected(
+    #[case] fault: InjectedFault,
+    #[values(Driver::Eager, Driver::Paced)] driver: Driver,
+) {
+    assert!(run_sequences(fault, driver).is_err());
 }
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -11,6 +11,8 @@
 mod limits;
 mod limits_fuzz;
 mod overload;
+mod pacing;
+mod passes;
 mod prompt_parts;
 mod prompt_parts_fuzz;
 mod recall;
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -12,7 +12,8 @@
 
 use crate::codes::Code;
 use crate::dispatch::{
-    Assignment, AttemptOutcome, CallerRequest, Decision, Dispatcher, Route, TicketId,
+    Assignment, AttemptOutcome, CallerRequest, Decision, Dispatcher, Notice, Pass, PassPacing,
+    Route, TicketId,
 };
 use crate::http::{AnswerBody, BodyLimits, read_body};
 use crate::log_fields;
@@ -43,6 +44,14 @@
     Decided(Decision),
 }
 
+/// Times at which [`Relay::run_dispatch_loop`] calls the core.
+#[derive(Default)]
+struct Pacing {
+    passes: PassPacing,
+    /// Time until which the loop sleeps; `None` when it sleeps until it is woken.
+    wakeup: Option<Instant>,
+}
+
 /// Driver that sends requests to endpoints; clones share its state.
 pub struct Relay<D> {
     pub(super) inner: Arc<Inner<D>>,
@@ -60,6 +69,7 @@
     pub dialect: D,
     core: Mutex<Dispatcher>,
     pending: Mutex<PendingDecisions>,
+    pacing: Mutex<Pacing>,
     /// Notified when the core's next wake-up time may have changed.
     wakeup_changed: Notify,
     /// Wakes the requests when the core takes back an attempt of some of them.
@@ -91,6 +101,7 @@
             dialect,
             core: Mutex::new(core),
             pending: Mutex::new(PendingDecisions::new()),
+            pacing: Mutex::default(),
             wakeup_changed: Notify::new(),
             recalled: Notify::new(),
             stop_tx: watch::Sender::new(None),
@@ -135,34 +146,64 @@
         changed
     }
 
-    /// Lets the core decide on waiting requests and take back attempts, and delivers the decisions to
-    /// the requests' tasks.
+    /// Takes back attempts that are overdue, and lets [`Relay::run_dispatch_loop`] decide on the waiting
+    /// requests soon if something may have changed for them.
     pub fn dispatch_waiting(&self) {
         let notices = {
             let now = Instant::now();
             let mut core = self.core();
-            if !core.recall_overdue(now).is_empty() {
-                self.inner.recalled.notify_waiters();
-            }
-            let decisions = core.dispatch_waiting(now);
-            // The core stays locked, so that no task discards a decision before it is here.
-            let mut pending = self.lock_pending();
-            for (ticket, decision) in decisions {
-                match pending.remove(&ticket) {
-                    // Sending fails when the task is gone; its `Ticket` then ends the request.
-                    Some(PendingDecision::Awaited(tx)) => drop(tx.send(decision)),
-                    Some(PendingDecision::Decided(_)) | None => {
-                        pending.insert(ticket, PendingDecision::Decided(decision));
-                    }
-                }
-            }
+            self.recall_overdue(&mut core, now);
+            self.wake_if_sooner(&core, now);
             core.take_notices()
         };
-        for notice in &notices {
+        self.record_notices(&notices);
+    }
+
+    fn recall_overdue(&self, core: &mut Dispatcher, now: Instant) {
+        if !core.recall_overdue(now).is_empty() {
+            self.inner.recalled.notify_waiters();
+        }
+    }
+
+    fn record_notices(&self, notices: &[Notice]) {
+        for notice in notices {
             log_notice(notice);
             count_notice(&self.inner.metrics, notice);
         }
-        self.inner.wakeup_changed.notify_one();
+    }
+
+    /// Delivers decisions to the requests' tasks. The core stays locked, so that no task discards a decision
+    /// before it is here.
+    fn deliver(&self, _core: &Dispatcher, decisions: Vec<(TicketId, Decision)>) {
+        let mut pending = self.lock_pending();
+        for (ticket, decision) in decisions {
+            match pending.remove(&ticket) {
+                // Sending fails when the task is gone; its `Ticket` then ends the request.
+                Some(PendingDecision::Awaited(tx)) => drop(tx.send(decision)),
+                Some(PendingDecision::Decided(_)) | None => {
+                    pending.insert(ticket, PendingDecision::Decided(decision));
+                }
+            }
+        }
+    }
+
+    fn lock_pacing(&self) -> MutexGuard<'_, Pacing> {
+        self.inner
+            .pacing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes [`Relay::run_dispatch_loop`] if it sleeps beyond the time at which the core has to be called.
+    fn wake_if_sooner(&self, core: &Dispatcher, now: Instant) {
+        let mut pacing = self.lock_pacing();
+        let next = next_turn(core, &pacing.passes, now);
+        if let Some(next) = next
+            && pacing.wakeup.is_none_or(|wakeup| next < wakeup)
+        {
+            pacing.wakeup = Some(next);
+            self.inner.wakeup_changed.notify_one();
+        }
     }
 
     /// Lets [`Relay::run_dispatch_loop`] look at the core's wake-up time again, which may be sooner.
@@ -170,21 +211,45 @@
         self.inner.wakeup_changed.notify_one();
     }
 
-    /// Calls [`Relay::dispatch_waiting`] at each wake-up time of the core; never returns.
+    /// Lets the core take back attempts and decide on waiting requests, at the times that it asks for and
+    /// the pacing allows; never returns.
     pub async fn run_dispatch_loop(&self) {
         loop {
-            let wakeup = self.core().next_wakeup();
+            let wakeup = self.dispatch_due();
             tokio::select! {
                 () = self.inner.wakeup_changed.notified() => {}
-                () = crate::timer::sleep_until(wakeup) => {
-                    self.dispatch_waiting();
-                    // The core may return the same instant again; let other tasks run first.
-                    tokio::task::yield_now().await;
-                }
+                () = crate::timer::sleep_until(wakeup) => {}
             }
+            // The core may return the same instant again; let other tasks run first.
+            tokio::task::yield_now().await;
         }
     }
 
+    /// Makes the pass over waiting requests that is due, if any, and returns the time of the next turn.
+    fn dispatch_due(&self) -> Option<Instant> {
+        let now = Instant::now();
+        let (notices, wakeup) = {
+            let mut core = self.core();
+            self.recall_overdue(&mut core, now);
+            let mut pacing = self.lock_pacing();
+            let due = pacing
+                .passes
+                .due(now, core.is_pass_wanted(now), core.next_deadline());
+            if let Some(pass) = due {
+                let decisions = match pass {
+                    Pass::Full => core.dispatch_waiting(now),
+                    Pass::Expired => core.dispatch_expired(now),
+                };
+                self.deliver(&core, decisions);
+                pacing.passes.passed(pass, now, Instant::now());
+            }
+            pacing.wakeup = next_turn(&core, &pacing.passes, now);
+            (core.take_notices(), pacing.wakeup)
+        };
+        self.record_notices(&notices);
+        wakeup
+    }
+
     /// Handles one request and returns its response.
     pub async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
         if let Some(answer) = self.inner.dialect.local_answer(&req) {
@@ -282,7 +347,17 @@
                 }
             }
         }
-        self.dispatch_waiting();
+        let notices = {
+            let now = Instant::now();
+            let mut core = self.core();
+            self.recall_overdue(&mut core, now);
+            if let Some(decision) = core.dispatch_alone(now, id) {
+                self.deliver(&core, vec![(id, decision)]);
+            }
+            self.wake_if_sooner(&core, now);
+            core.take_notices()
+        };
+        self.record_notices(&notices);
         rx
     }
 
@@ -386,6 +461,15 @@
     }
 }
 
+/// Next time at which [`Relay::run_dispatch_loop`] has to call the core.
+fn next_turn(core: &Dispatcher, passes: &PassPacing, now: Instant) -> Option<Instant> {
+    let pass = passes.next(now, core.is_pass_wanted(now), core.next_deadline());
+    // What has changed already is in the next pass.
+    let change = core.next_change().filter(|at| *at > now);
+    let times = [pass, change, core.next_recall()];
+    times.into_iter().flatten().min()
+}
+
 /// Digest of the path, the customer's key (without one, the host name) and the body; every process
 /// computes the same for every copy of a request.
 fn fingerprint(req: &CallerRequest, body: &[u8]) -> u64 {
