--- a/src/relay/tests/race.rs
+++ b/src/relay/tests/race.rs
@@ -251,6 +251,8 @@
     })
     .await;
     let relay = relay_to(network);
+    let dispatching_relay = relay.clone();
+    tokio::spawn(async move { dispatching_relay.run_dispatch_loop().await });
     let mut requests = JoinSet::new();
     // The timers of the requests are due in different turns.
     for _ in 0..REQUESTS {
