What has become certain is applied while no request waits

Passes over waiting requests did this besides, after each end and each report; without a waiting request there are none since they are paced.

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -415,10 +415,16 @@
         self.dispatch(now, places)
     }
 
-    fn dispatch(&mut self, now: Instant, places: Vec<Place>) -> Vec<(TicketId, Decision)> {
+    /// Applies what has become certain since the last call, also while no request waits. The driver calls it
+    /// after each report and each end of an attempt.
+    pub fn settle(&mut self, now: Instant) {
         self.settle_answers(now);
         self.end_rests(now);
         self.refresh_subset();
+    }
+
+    fn dispatch(&mut self, now: Instant, places: Vec<Place>) -> Vec<(TicketId, Decision)> {
+        self.settle(now);
         let mut decided = Vec::new();
         for place in places {
             if let Some(decision) = self.try_assign(now, place.2) {
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -153,6 +153,7 @@
             let now = Instant::now();
             let mut core = self.core();
             self.recall_overdue(&mut core, now);
+            core.settle(now);
             self.wake_if_sooner(&core, now);
             core.take_notices()
         };
