Log: one write for all lines that wait, with a pause after each

Each line woke the thread that writes and cost a write of its own. Lines are now collected for 10 ms.

--- a/src/telemetry/rate_limited.rs
+++ b/src/telemetry/rate_limited.rs
@@ -1,6 +1,7 @@
 //! Non-blocking, rate-limited log on standard output.
 
 use std::io::{self, Write};
+use std::iter;
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant};
@@ -23,6 +24,9 @@
 /// Period over which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Pause after a write, in which lines are collected: a wake-up and a system call for each line would cost
+/// more than the line.
+const WRITE_PAUSE: Duration = Duration::from_millis(10);
 /// Longest wait of a flush: a process that ends is not held up by a reader of standard output that
 /// stands still.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -156,17 +160,25 @@
 }
 
 fn write_lines(rx: &Receiver<Command>, mut out: impl Write) {
-    while let Ok(command) = rx.recv() {
-        match command {
-            Command::Line(line) => {
-                // A closed standard output cannot be reported anywhere.
-                if out.write_all(&line).and_then(|()| out.flush()).is_err() {
-                    return;
-                }
+    let mut lines = Vec::new();
+    let mut marks = Vec::new();
+    while let Ok(first) = rx.recv() {
+        for command in iter::once(first).chain(rx.try_iter()).take(QUEUE_LINES) {
+            match command {
+                Command::Line(line) => lines.extend(line),
+                Command::Flush(tx) => marks.push(tx),
             }
+        }
+        // A closed standard output cannot be reported anywhere.
+        if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+        lines.clear();
+        for mark in marks.drain(..) {
             // The sender may have given up.
-            Command::Flush(tx) => drop(tx.try_send(())),
+            let _ = mark.try_send(());
         }
+        std::thread::sleep(WRITE_PAUSE);
     }
 }
 
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -1,4 +1,5 @@
 use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -118,3 +119,44 @@
     assert_eq!(flushed.unwrap_err().kind(), io::ErrorKind::TimedOut);
     assert_eq!(written, 0);
 }
+
+/// Output that counts its writes; the first one takes until the other end of `gate` is dropped.
+struct GatedOutput {
+    gate: Receiver<()>,
+    begun: SyncSender<()>,
+    writes: Arc<Mutex<Vec<usize>>>,
+}
+
+impl Write for GatedOutput {
+    fn write(&mut self, lines: &[u8]) -> io::Result<usize> {
+        let count = lines.iter().filter(|byte| **byte == b'\n').count();
+        self.writes.lock().unwrap().push(count);
+        let _ = self.begun.try_send(());
+        let _ = self.gate.recv();
+        Ok(lines.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_that_wait_are_written_together() {
+    let writes = Arc::new(Mutex::new(Vec::new()));
+    let (open, gate) = sync_channel(0);
+    let (begun, is_writing) = sync_channel(1);
+    let writer = RateLimitedWriter::spawn(GatedOutput {
+        gate,
+        begun,
+        writes: writes.clone(),
+    });
+    let record = Record::builder().level(Level::Info).build();
+    let write = || writer.write(&mut DeferredNow::new(), &record).unwrap();
+    write();
+    is_writing.recv().unwrap();
+    (0..100).for_each(|_| write());
+    drop(open);
+    writer.flush().unwrap();
+    assert_eq!(*writes.lock().unwrap(), [1, 100]);
+}
