--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay without processes.
 
+mod guards;
 mod race;
 
 use rstest::rstest;
--- a/src/relay/tests/race.rs
+++ b/src/relay/tests/race.rs
@@ -43,7 +43,7 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 /// Sends no headers and takes every answer for the endpoint's own.
-struct PlainDialect;
+pub(super) struct PlainDialect;
 
 impl Dialect for PlainDialect {
     fn parse_request_head(&self, _: &request::Parts) -> Result<RequestHead, Code> {
