Test of a revoked key waits until the entry can confirm its configuration

The store had just returned as an older copy and the entry had read the evacuations anew, and not yet the configuration. In that time the entry can't tell whether its configuration is the newest, so it refuses as not run (2022) and denies nothing: what the redesign means. The test now takes the first answer that is not such a refusal, checks that each one before says that nothing has run, and still wants 401: an answer by the revoked key fails it as before.

--- a/tests/platform/store_era.rs
+++ b/tests/platform/store_era.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use serde_json::json;
+use serde_json::{Value, json};
 
-use super::site::Site;
+use super::site::{Answer, Site, WAIT_LIMIT};
 
 /// Changes that the store loses besides the ones a test is about.
 const UNRELATED_CHANGES: usize = 20;
@@ -82,6 +82,23 @@
         .await;
 }
 
+/// The first answer by which the entry knows that its configuration is the newest; those before say that
+/// the request has not run.
+async fn confirmed_answer(site: &Site) -> Answer {
+    let start = tokio::time::Instant::now();
+    loop {
+        let answer = site.call("read").await;
+        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        if body["name"] != "StateOutdated" {
+            return answer;
+        }
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(body["run"], "not run");
+        assert!(start.elapsed() < WAIT_LIMIT, "nothing is confirmed");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 // Guards against a revoked key that is accepted again since the store returned with the older
 // configuration.
 #[tokio::test]
@@ -102,10 +119,16 @@
         .await;
     let last = site.entry_events(205).pop().unwrap();
     assert!(last.to_string().contains("zone-y"), "{last}");
-    assert_eq!(site.call("read").await.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(
+        confirmed_answer(&site).await.status,
+        StatusCode::UNAUTHORIZED
+    );
     site.declare(2, &["key-2"]);
     site.store.remove("evacuations", "zone-y");
     site.wait_until(|site| site.entry_events(205).len() >= evacuations + 2)
         .await;
-    assert_eq!(site.call("read").await.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(
+        confirmed_answer(&site).await.status,
+        StatusCode::UNAUTHORIZED
+    );
 }
