--- a/review/standin/origin.rs
+++ b/review/standin/origin.rs
@@ -27,7 +27,7 @@
 
 pub struct Origin {
     record: Arc<Record>,
-    /// True while one digit of each manifest is another one.
+    /// True while one digit of each manifest of a later version than the first is another one.
     pub spoils_manifests: AtomicBool,
     /// True once it is off its address; it then closes connections without an answer.
     pub is_gone: AtomicBool,
@@ -76,7 +76,7 @@
             return Ok(false);
         }
         let version = req.query_number("version").unwrap_or(1);
-        let is_spoiling = self.spoils_manifests.load(Ordering::SeqCst);
+        let is_spoiling = self.spoils_manifests.load(Ordering::SeqCst) && version > 1;
         self.answers.fetch_add(1, Ordering::SeqCst);
         if let Some(model) = req.path().strip_prefix("/limpetloom/manifest/") {
             let mut manifest = self.manifest(model, version);
