--- a/fakes/src/site/store.rs
+++ b/fakes/src/site/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's metadata store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -61,6 +61,8 @@
     hides_era: bool,
     /// Answers that are kept back, by kind.
     withheld: BTreeMap<String, Withheld>,
+    /// Kinds whose next answer to a watch that may wait is lost on a connection that stays open.
+    lost_watches: BTreeSet<String>,
 }
 
 /// Running stand-in for the metadata store; dropping it stops it.
@@ -176,6 +178,12 @@
         lock(&self.state).withheld.insert(kind.to_owned(), withheld);
     }
 
+    /// Loses the next answer to a watch of a kind that may wait. Its connection stays open, and all other
+    /// answers are sent.
+    pub fn lose_watch_answer(&self, kind: &str) {
+        lock(&self.state).lost_watches.insert(kind.to_owned());
+    }
+
     /// Leaves the era out of the answers, or names it again.
     pub fn hide_era(&self, is_hidden: bool) {
         lock(&self.state).hides_era = is_hidden;
@@ -263,7 +271,11 @@
     let may_wait = query_number(&req, "waitMs") > 0;
     let mut res = answer_call(state.clone(), changed, &kind, &req).await?;
     let withheld = lock(&state).withheld.get(&kind).copied();
-    if withheld == Some(Withheld::Everything) || (may_wait && withheld == Some(Withheld::Watches)) {
+    let is_lost = may_wait && lock(&state).lost_watches.remove(&kind);
+    if is_lost
+        || withheld == Some(Withheld::Everything)
+        || (may_wait && withheld == Some(Withheld::Watches))
+    {
         std::future::pending::<()>().await;
     }
     let state = lock(&state);
--- a/src/clients/error.rs
+++ b/src/clients/error.rs
@@ -1,5 +1,7 @@
 //! Errors of the clients.
 
+use std::time::Duration;
+
 use displaydoc::Display;
 
 use crate::types::Generation;
@@ -11,6 +13,8 @@
     Refused(String),
     /// no answer, effect unknown: {0}
     Lost(String),
+    /// no answer begun within {0:?}, effect unknown
+    Unanswered(Duration),
     /// version conflict: the object has version {current}
     Conflict {
         /// Current version of the object; 0 when it does not exist or the version is unknown.
@@ -29,7 +33,7 @@
     pub fn is_without_effect(&self) -> bool {
         match self {
             Self::Refused(_) | Self::Conflict { .. } | Self::Missing => true,
-            Self::Lost(_) | Self::Invalid(_) => false,
+            Self::Lost(_) | Self::Unanswered(_) | Self::Invalid(_) => false,
         }
     }
 }
--- a/src/clients/http.rs
+++ b/src/clients/http.rs
@@ -99,24 +99,18 @@
         Self::with_pool(timeouts, 0)
     }
 
+    /// Creates a client with a pool of its own, which holds no connection yet. Limits on what is read at
+    /// the same time stay shared.
+    pub fn with_new_connections(&self) -> Self {
+        Self {
+            client: pooled_client(self.timeouts.connect, usize::MAX),
+            ..self.clone()
+        }
+    }
+
     fn with_pool(timeouts: HttpTimeouts, max_idle_connections: usize) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(timeouts.connect));
-        connector.set_nodelay(true);
-        // With these a network path that drops packets is detected within seconds, not only at the
-        // timeout of a long poll.
-        connector.set_keepalive(Some(KEEPALIVE_IDLE));
-        connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
-        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-        connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(max_idle_connections)
-            .http1_max_buf_size(MAX_ANSWER_HEAD_BYTES)
-            .build(connector);
         Self {
-            client,
+            client: pooled_client(timeouts.connect, max_idle_connections),
             timeouts,
             max_answer_bytes: MAX_ANSWER_BYTES,
             large: Arc::new(Semaphore::new(MAX_LARGE_ANSWERS)),
@@ -157,7 +151,7 @@
     /// Like [`HttpClient::send`], for an answer that may take long to arrive.
     ///
     /// # Errors
-    /// As [`HttpClient::send`].
+    /// As [`HttpClient::send`], and `Unanswered` when the head does not arrive in time.
     pub async fn send_large(
         &self,
         req: Request<Full<Bytes>>,
@@ -166,7 +160,7 @@
         let ArrivalTimeouts { head, idle, body } = timeouts;
         let res = tokio::time::timeout(head, self.open(req))
             .await
-            .unwrap_or_else(|_| Err(PlatformError::Lost(format!("no head in {head:?}"))))?;
+            .unwrap_or(Err(PlatformError::Unanswered(head)))?;
         let (mut parts, incoming) = res.into_parts();
         parts.extensions.insert(HeadArrival(Instant::now()));
         let collected = collect_arriving(incoming, self.max_answer_bytes, idle, &self.large);
@@ -210,6 +204,28 @@
     }
 }
 
+/// Creates a client that detects a dead network path within seconds.
+fn pooled_client(
+    connect_timeout: Duration,
+    max_idle_connections: usize,
+) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(connect_timeout));
+    connector.set_nodelay(true);
+    // With these a network path that drops packets is detected within seconds, not only at the
+    // timeout of a long poll.
+    connector.set_keepalive(Some(KEEPALIVE_IDLE));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle_connections)
+        .http1_max_buf_size(MAX_ANSWER_HEAD_BYTES)
+        .build(connector)
+}
+
 /// Builds a request for `path_and_query` at `addr`.
 pub(super) fn request(
     method: Method,
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -43,6 +43,8 @@
     StoreEraInvalid = 210,
     /// an answer of the object API to a watch was read slowly
     StoreAnswerSlow = 211,
+    /// the object API did not answer a watch in time; it is repeated on a new connection
+    StoreAnswerLost = 212,
     /// control connection lost
     PeerLost = 300,
     /// control connection is up
@@ -150,6 +152,7 @@
             Self::StoreEraNew => log::Level::Warn,
             Self::StoreEraInvalid => log::Level::Warn,
             Self::StoreAnswerSlow => log::Level::Info,
+            Self::StoreAnswerLost => log::Level::Warn,
             Self::PeerLost => log::Level::Warn,
             Self::PeerBack => log::Level::Info,
             Self::DatagramRefused => log::Level::Warn,
