--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -48,6 +48,8 @@
     agents: Vec<Child>,
     /// Second byte of the loopback addresses; unique to each test.
     network: u8,
+    /// Limits of each process, as in the platform's settings.
+    pub limits: Value,
     /// Holds the settings and the logs of the processes.
     folder: PathBuf,
 }
@@ -98,6 +100,7 @@
             entry: None,
             agents: Vec::new(),
             network,
+            limits: json!({"linkMbps": 100.0}),
             folder,
         };
         site.list_servers();
@@ -227,7 +230,7 @@
             "nodeName": format!("{role}-{ip}"), "role": role, "ip": ip.to_string(),
             "zone": "zone-a", "region": "north", "zones": {"zone-a": "north"},
             "listen": listen, "portRange": [INTERNAL_PORT, INTERNAL_PORT + 15],
-            "limits": {"linkMbps": 100.0}, "app": engine.map(|addr| addr.to_string()),
+            "limits": self.limits, "app": engine.map(|addr| addr.to_string()),
             "platform": {"address": self.store.addr().to_string(),
                          "historyS": HISTORY_TIME.as_secs_f64()},
             "bounds": {"drainMs": 2_000, "graceS": 8, "version_ms": 2_500},
@@ -268,6 +271,17 @@
         peak_memory(self.entry.as_ref().unwrap())
     }
 
+    /// Number of files and sockets that the entry has open.
+    pub fn entry_descriptors(&self) -> usize {
+        let id = self.entry.as_ref().and_then(Child::id).unwrap();
+        fs::read_dir(format!("/proc/{id}/fd")).unwrap().count()
+    }
+
+    /// True while the entry has not ended.
+    pub fn entry_is_running(&mut self) -> bool {
+        self.entry.as_mut().unwrap().try_wait().unwrap().is_none()
+    }
+
     /// Most memory that an agent has used at any time, in bytes.
     pub fn agent_peak_memory(&self, n: usize) -> u64 {
         peak_memory(&self.agents[n])
