--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -8,7 +8,9 @@
 use crate::dispatch::endpoint::Endpoint;
 use crate::dispatch::estimate::EngineModel;
 use crate::dispatch::fleet::{EndpointQuery, NoneAccepts};
-use crate::dispatch::patterns::{WaitingRequest, retry_after_rest, sample, should_send};
+use crate::dispatch::patterns::{
+    Rank, START_SHARE, WaitingRequest, leaves_room, retry_after_rest, sample, should_send,
+};
 use crate::dispatch::request::{Assignment, RequestState, RunningAttempt, TicketId};
 use crate::types::{EndpointId, Refusal};
 
@@ -118,13 +120,28 @@
             is_continued: request.version.is_some() || request.silent.is_some(),
             is_retry: request.is_returning || !request.tried.is_empty(),
         };
+        let rank_cap = self
+            .rank_traffic
+            .get(&request.target)
+            .and_then(|traffic| traffic.start_cap(now, request.route.priority, START_SHARE))
+            .filter(|_| request.rank.is_some() && !waiting.is_continued);
         let start_budget = waiting.start_budget(now);
         let starts_soon = |choice: &Choice| {
             let load = match engine {
                 Some(_) => choice.endpoint.load_shared(now, sharing),
                 None => choice.endpoint.load(now, self.entries),
             };
-            should_send(choice.predicted_shared, start_budget, load)
+            let leaves_room = match (engine, rank_cap) {
+                (Some(engine), Some(cap)) => {
+                    leaves_room(engine, choice.predicted_shared, load, cap)
+                }
+                _ => true,
+            };
+            let budget = match leaves_room {
+                true => start_budget,
+                false => Duration::ZERO,
+            };
+            should_send(choice.predicted_shared, budget, load)
         };
         let (preferred, others): (Vec<&Endpoint>, Vec<&Endpoint>) = admitting
             .into_iter()
@@ -225,6 +242,7 @@
             in_system: endpoint.in_system(now, entries),
             load_age: endpoint.load_age(now),
             version: endpoint.version(request.model.as_deref()),
+            priority: request.rank.map(Rank::engine_priority),
         };
         let is_stream = request.route.is_stream;
         endpoint.sent(now, request.prompt_tokens, is_stream);
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -27,7 +27,8 @@
 use super::fleet::{Fleet, VersionUpdate};
 use super::notice::{CrashSign, Notice};
 use super::patterns::{
-    Mitigations, RefusedCallers, max_queue_time, retry_after_overload, retry_after_unavailable,
+    Mitigations, RankTraffic, RefusedCallers, max_queue_time, retry_after_overload,
+    retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
 use super::waiting::{Place, WaitingRequests};
@@ -124,6 +125,7 @@
     is_changed: bool,
     last_ticket: TicketId,
     retry_budgets: HashMap<TargetId, RetryWindow>,
+    rank_traffic: HashMap<TargetId, RankTraffic>,
     crash_watch: CrashWatch,
     suspects: Suspects,
     refused_callers: RefusedCallers,
@@ -156,6 +158,7 @@
             is_changed: false,
             last_ticket: 0,
             retry_budgets: HashMap::new(),
+            rank_traffic: HashMap::new(),
             crash_watch: CrashWatch::default(),
             suspects: Suspects::default(),
             refused_callers: RefusedCallers::default(),
@@ -342,7 +345,17 @@
         let first = first.filter(|_| self.cfg.mitigations.retry_abuse);
         let is_returning = first.is_some();
         let first_attempt_at = first.unwrap_or(now);
+        let rank = match self.cfg.mitigations.ranks {
+            true => self.rank_traffic.entry(target.clone()).or_default().record(
+                now,
+                route.priority,
+                customer.as_ref().and_then(|customer| customer.priority),
+                route.start_goal,
+            ),
+            false => None,
+        };
         let request = RequestState {
+            rank,
             target: target.clone(),
             admitted_target,
             customer,
@@ -371,6 +384,7 @@
             .record_request(now);
         self.last_ticket += 1;
         let place = (
+            request.rank,
             request.is_returning,
             request.first_attempt_at,
             self.last_ticket,
@@ -427,9 +441,10 @@
         self.settle(now);
         let mut decided = Vec::new();
         for place in places {
-            if let Some(decision) = self.try_assign(now, place.2) {
+            let (.., ticket) = place;
+            if let Some(decision) = self.try_assign(now, ticket) {
                 self.queue.remove(&place);
-                decided.push((place.2, decision));
+                decided.push((ticket, decision));
             }
         }
         decided
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -235,7 +235,7 @@
             Some(_) => now + RESUME_QUEUE_TIME,
             None => now + max_queue_time(request.route.start_goal),
         };
-        let place = (false, request.first_attempt_at, ticket);
+        let place = (request.rank, false, request.first_attempt_at, ticket);
         self.queue.insert(place, request.latest_decision());
         Ok(())
     }
--- a/src/dispatch/patterns/burst.rs
+++ b/src/dispatch/patterns/burst.rs
@@ -9,7 +9,7 @@
 /// Share of the goal (the route's objective for the time to the first event) that the predicted
 /// time to the first event may take when a request is sent. The rest covers prediction errors and
 /// the time already waited. 0.6, 0.7 and 0.85 were compared in simulations of a day's traffic.
-const START_SHARE: f64 = 0.7;
+pub(in crate::dispatch) const START_SHARE: f64 = 0.7;
 /// The same share for a retried request, which is already late. It is lower because an answer on
 /// time is worth four late ones.
 const LATE_START_SHARE: f64 = 0.5;
--- a/src/dispatch/patterns/mod.rs
+++ b/src/dispatch/patterns/mod.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod hot_key;
 mod push;
+mod ranks;
 mod retry_abuse;
 mod zone_loss;
 
@@ -12,9 +13,10 @@
 pub use departures::Occupancy;
 pub use zone_loss::Health;
 
-pub(super) use burst::{WaitingRequest, max_queue_time, should_send};
+pub(super) use burst::{START_SHARE, WaitingRequest, max_queue_time, should_send};
 pub(super) use hot_key::sample;
 pub(super) use push::ends_before_change;
+pub(super) use ranks::{Rank, RankTraffic, leaves_room};
 pub(super) use retry_abuse::{
     RefusedCallers, retry_after_overload, retry_after_rest, retry_after_stop,
     retry_after_unavailable,
@@ -38,6 +40,8 @@
     pub cold_return: bool,
     /// Engines switch their weight version.
     pub push: bool,
+    /// Requests of several priorities compete for the same engines.
+    pub ranks: bool,
 }
 
 impl Default for Mitigations {
@@ -50,6 +54,7 @@
             zone_loss: true,
             cold_return: true,
             push: true,
+            ranks: true,
         }
     }
 }
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -9,6 +9,7 @@
 
 use super::configuration::{Customer, Route, Target};
 use super::crash_watch::EndpointProcess;
+use super::patterns::Rank;
 use super::waiting::Place;
 
 /// Identifies a request within this process.
@@ -111,6 +112,8 @@
     pub load_age: Option<Duration>,
     /// Weight version that the endpoint is believed to serve; `None` for a plain service.
     pub version: Option<u64>,
+    /// Priority with which the engine should admit it, 0 first; `None` while its target has no ranks.
+    pub priority: Option<u8>,
 }
 
 /// An attempt that was taken back because its engine's version ends.
@@ -156,6 +159,8 @@
     pub is_returning: bool,
     /// Time until which it may wait for an endpoint.
     pub queue_deadline: Instant,
+    /// Its rank among the requests for the target when it was admitted; `None` when they had one priority.
+    pub rank: Option<Rank>,
     /// Endpoints that it was sent to; they are not chosen again.
     pub tried: Vec<EndpointId>,
     /// Attempts sent, and whether one may have run.
@@ -180,7 +185,8 @@
     /// Places that it may have among the waiting requests; one that waits again after a failed attempt
     /// does not count as returning.
     pub fn possible_places(&self, ticket: TicketId) -> [Place; 2] {
-        [self.is_returning, false].map(|is_returning| (is_returning, self.first_attempt_at, ticket))
+        [self.is_returning, false]
+            .map(|is_returning| (self.rank, is_returning, self.first_attempt_at, ticket))
     }
 
     /// Its attempts in progress.
--- a/src/dispatch/tests/fixture.rs
+++ b/src/dispatch/tests/fixture.rs
@@ -148,6 +148,10 @@
 }
 
 fn empty_core_with_retries(seed: u64, ratio: f64, slack: f64) -> Dispatcher {
+    empty_core_with(seed, ratio, slack, Mitigations::default())
+}
+
+fn empty_core_with(seed: u64, ratio: f64, slack: f64, mitigations: Mitigations) -> Dispatcher {
     Dispatcher::new(DispatchConfig {
         zone: "north-a".into(),
         region: "north".into(),
@@ -159,7 +163,7 @@
         cold_rate_adjustment: (1.0, 0.0),
         version_grace: ms(7_000),
         version_start_grace: ms(7_500),
-        mitigations: Mitigations::default(),
+        mitigations,
         seed,
     })
 }
@@ -182,6 +186,11 @@
     core
 }
 
+/// The same with other mitigations.
+pub fn core_with_mitigations(now: Instant, mitigations: Mitigations) -> Dispatcher {
+    filled(now, empty_core_with(7, 0.2, 100.0, mitigations))
+}
+
 fn filled(now: Instant, mut core: Dispatcher) -> Dispatcher {
     core.set_configuration(Arc::new(configuration(1, routes())));
     for (id, host, region) in [("e1", 1, "north"), ("e2", 2, "north"), ("e3", 3, "south")] {
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -15,6 +15,7 @@
 mod passes;
 mod prompt_parts;
 mod prompt_parts_fuzz;
+mod ranks;
 mod recall;
 mod rests;
 mod rests_fuzz;
--- a/src/dispatch/waiting.rs
+++ b/src/dispatch/waiting.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+use super::patterns::Rank;
 use super::request::TicketId;
 
-/// Place of a waiting request: (is returning, time of first attempt, ticket). Callers that return after a
-/// refusal come last; otherwise the oldest comes first. A request that waits again after a failed attempt
-/// does not count as returning.
-pub(super) type Place = (bool, Instant, TicketId);
+/// Place of a waiting request: (rank, is returning, time of first attempt, ticket). The most urgent come
+/// first; within a rank, callers that return after a refusal come last, and otherwise the oldest comes first. A
+/// request that waits again after a failed attempt does not count as returning.
+pub(super) type Place = (Option<Rank>, bool, Instant, TicketId);
 
 /// Waiting requests in the order in which they are decided on, with the time until which each may wait.
 #[derive(Debug, Default)]
