--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -337,7 +337,8 @@
             return Err(refusal.with_prompt_parts(prompt_parts(&blamed)));
         }
         let target = self.choose_target(&route);
-        let Some(admitted_target) = configuration.targets.get(&target).cloned() else {
+        let admitted = target.and_then(|id| Some((configuration.targets.get(&id)?.clone(), id)));
+        let Some((admitted_target, target)) = admitted else {
             return Err(self.refuse_unavailable(Code::NoEndpoint));
         };
         let timeout = req.timeout.unwrap_or(route.timeout);
@@ -494,23 +495,24 @@
             .map(|request| request.route.clone())
     }
 
-    /// Selects one of a route's targets at random by weight, preferring those that have endpoints.
-    fn choose_target(&mut self, route: &Route) -> TargetId {
+    /// Selects one of a route's targets at random by weight, preferring those that have endpoints. One of
+    /// weight 0 is never selected: operators take its traffic away. `None` when all have weight 0.
+    fn choose_target(&mut self, route: &Route) -> Option<TargetId> {
         let has_endpoints = |id: &TargetId| self.fleet.endpoints().any(|e| e.listed.target == *id);
-        let candidates: Vec<&(TargetId, u32)> = route
-            .targets
-            .iter()
-            .filter(|(id, weight)| *weight > 0 && (route.targets.len() == 1 || has_endpoints(id)))
-            .collect();
+        let weighted = || route.targets.iter().filter(|(_, weight)| *weight > 0);
+        let mut candidates: Vec<_> = weighted().filter(|(id, _)| has_endpoints(id)).collect();
+        if candidates.is_empty() {
+            candidates = weighted().collect();
+        }
         let total: u32 = candidates.iter().map(|(_, weight)| weight).sum();
         let mut remaining = self.rng.random_range(0..total.max(1));
         for (id, weight) in &candidates {
             if remaining < *weight {
-                return id.clone();
+                return Some(id.clone());
             }
             remaining -= weight;
         }
-        route.targets[0].0.clone()
+        None
     }
 
     /// Refusal with the retry delay for overload.
--- a/src/dispatch/tests/admission.rs
+++ b/src/dispatch/tests/admission.rs
@@ -102,3 +102,51 @@
         assert_eq!(&*assignment.endpoint, "e3");
     }
 }
+
+// Regression: requests went to a target of weight 0 while none of the others had an endpoint.
+#[rstest]
+#[case::without_endpoint_of_the_other(&[("engines", 0), ("elsewhere", 5)], Some("elsewhere"))]
+#[case::weight_with_endpoint(&[("engines", 0), ("desk", 5)], Some("desk"))]
+#[case::all_zero(&[("engines", 0), ("desk", 0)], None)]
+#[case::alone_with_zero(&[("desk", 0)], None)]
+fn a_target_of_weight_zero_gets_no_requests(
+    #[case] targets: &[(&str, u32)],
+    #[case] expected: Option<&str>,
+) {
+    let now = Instant::now();
+    let mut core = core(now);
+    let weighted = Route {
+        targets: targets
+            .iter()
+            .map(|(id, weight)| ((*id).into(), *weight))
+            .collect(),
+        ..route("look", "desk", Repeat::Safe)
+    };
+    let all = configuration(2, Vec::new());
+    let mut declared: Vec<_> = all.targets.values().map(|t| Target::clone(t)).collect();
+    declared.push(Target {
+        id: "elsewhere".into(),
+        engine: None,
+        models: Vec::new(),
+        cold_rate: 0.0,
+    });
+    let next = Configuration::new(2, vec![weighted], None, declared, all.limits);
+    assert!(core.set_configuration(Arc::new(next)));
+    for _ in 0..20 {
+        let admitted = core.admit(now, &request("look"));
+        let Some(expected) = expected else {
+            assert_eq!(admitted.unwrap_err().code, Code::NoEndpoint);
+            continue;
+        };
+        let decision = decide(&mut core, now, admitted.unwrap());
+        let sent_to = match &decision {
+            Some(Decision::Send(assignment)) => core
+                .fleet()
+                .get(&assignment.endpoint)
+                .map(|endpoint| endpoint.listed.target.clone()),
+            _ => None,
+        };
+        let has_endpoint = expected == "desk";
+        assert_eq!(sent_to.as_deref(), has_endpoint.then_some(expected));
+    }
+}
