--- a/tests/untrusted_clients/main.rs
+++ b/tests/untrusted_clients/main.rs
@@ -39,6 +39,9 @@
 /// Connections without a request, more than `DESCRIPTORS`.
 const IDLE_CLIENTS: usize = 700;
 
+/// Objects of another writer, of a megabyte each.
+const LARGE_OBJECTS: usize = 12;
+
 /// Starts an entry with low limits.
 async fn start(network: u8) -> Site {
     start_with_head_time(network, 3_000).await
@@ -154,6 +157,26 @@
     assert_unharmed(&mut site).await;
 }
 
+// Guards against objects of another writer among the servers, whose parsed form takes many times their text.
+#[tokio::test]
+async fn large_objects_of_another_writer_do_not_exhaust_the_memory() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut site = start(113).await;
+    // As many bytes as the platform's store takes.
+    let list = format!("[{}0]", "0,".repeat(500_000));
+    site.store.set_page_size(1);
+    for n in 0..LARGE_OBJECTS {
+        let object = format!(r#"{{"metadata":{{"name":"odd-{n}"}},"spec":{list}}}"#);
+        site.store.put_raw("servers", &format!("odd-{n}"), object);
+    }
+    // A lost history makes the entry list all of them.
+    site.store.compact_history();
+    site.store.remove("servers", "plain-1");
+    site.wait_until(|site| site.entry_log().contains("plain-1 gone"))
+        .await;
+    assert_unharmed(&mut site).await;
+}
+
 // Guards against limits that a single client inside those of the configuration meets.
 #[rstest]
 #[case::whole(111, Upload::with_length(BODY_BYTES, BODY_BYTES))]
