--- a/src/http/activity.rs
+++ b/src/http/activity.rs
@@ -127,16 +127,22 @@
 /// Open connections of a listener.
 #[derive(Debug, Default)]
 pub(super) struct OpenConnections {
-    activities: Mutex<(u64, BTreeMap<u64, Activity>)>,
+    registry: Mutex<Registry>,
+}
+
+#[derive(Debug, Default)]
+struct Registry {
+    next_id: u64,
+    activities: BTreeMap<u64, Activity>,
 }
 
 impl OpenConnections {
     /// Adds a connection; it is removed when the returned guard is dropped.
     pub fn insert(self: &Arc<Self>, activity: Activity) -> OpenGuard {
-        let mut activities = self.lock();
-        let id = activities.0;
-        activities.0 += 1;
-        activities.1.insert(id, activity);
+        let mut registry = self.lock();
+        let id = registry.next_id;
+        registry.next_id += 1;
+        registry.activities.insert(id, activity);
         OpenGuard {
             connections: self.clone(),
             id,
@@ -145,9 +151,9 @@
 
     /// Tells the connections that have idled longest to close.
     pub fn close_idle(&self, now: Instant) {
-        let activities = self.lock();
-        let mut idle: Vec<_> = activities
-            .1
+        let registry = self.lock();
+        let mut idle: Vec<_> = registry
+            .activities
             .values()
             .filter_map(|activity| Some((activity.idle_since()?, activity)))
             .filter(|(since, _)| now.saturating_duration_since(*since) >= MIN_IDLE_TIME)
@@ -158,10 +164,8 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, (u64, BTreeMap<u64, Activity>)> {
-        self.activities
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -174,6 +178,6 @@
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.connections.lock().1.remove(&self.id);
+        self.connections.lock().activities.remove(&self.id);
     }
 }
--- a/src/http/body_budget/ledger.rs
+++ b/src/http/body_budget/ledger.rs
@@ -15,9 +15,9 @@
 pub(super) enum Claim {
     /// The bytes are the claimant's.
     Granted,
-    /// There will be room once these bodies are dropped, and those that were told to give way before.
+    /// There will be room once these bodies are dropped, and those that were evicted before.
     Wait {
-        /// Bodies that have to give way from now on.
+        /// Bodies that are evicted by this claim.
         evicted: Vec<HolderId>,
     },
     /// There is no room, and none is being made.
@@ -35,7 +35,7 @@
     is_reading: bool,
     /// True while it waits for a claim, so that its own lack of progress does not count.
     is_waiting: bool,
-    /// True once it was told to give way; it gets nothing more.
+    /// True once it has to give way to others; it gets nothing more.
     is_evicted: bool,
 }
 
--- a/src/http/body_budget/mod.rs
+++ b/src/http/body_budget/mod.rs
@@ -25,8 +25,6 @@
 
 #[derive(Debug)]
 struct Shared {
-    /// Limit without regard to the largest body.
-    bytes: usize,
     state: Mutex<State>,
     /// Notified when bytes are free again.
     released: Notify,
@@ -60,16 +58,14 @@
         };
         Self {
             shared: Arc::new(Shared {
-                bytes,
                 state: Mutex::new(state),
                 released: Notify::new(),
             }),
         }
     }
 
-    /// Lets the budget hold one body of `largest` bytes at least.
-    pub fn fit_body(&self, largest: usize) {
-        let bytes = self.shared.bytes.max(largest);
+    /// Replaces the limit. Bodies that are held stay.
+    pub fn set_limit(&self, bytes: usize) {
         self.lock().ledger.set_limit(bytes);
     }
 
--- a/src/http/body_budget/tests.rs
+++ b/src/http/body_budget/tests.rs
@@ -112,7 +112,7 @@
     prop::collection::vec((0..300_u64, op), 1..300)
 }
 
-/// Oracle: what each body was granted, and which bodies were told to give way.
+/// Oracle: what each body was granted, and which bodies were evicted.
 #[derive(Default)]
 struct Oracle {
     granted: BTreeMap<HolderId, usize>,
@@ -140,7 +140,7 @@
                     Claim::Wait { evicted } => {
                         assert!(!evicted.contains(&id), "it gives way to itself");
                         for victim in evicted {
-                            assert!(self.evicted.insert(victim), "a body is told twice");
+                            assert!(self.evicted.insert(victim), "a body is evicted twice");
                         }
                     }
                     Claim::Refused => {}
--- a/src/process/resources.rs
+++ b/src/process/resources.rs
@@ -8,6 +8,10 @@
 /// Share of the rest that request bodies may take together. What remains is for answers and for memory
 /// that the allocator keeps.
 const BODY_SHARE: f64 = 0.35;
+/// The same for the sake of one body, when the configuration allows large ones.
+const MAX_BODY_SHARE: f64 = 0.55;
+/// Memory for request bodies however little a process has, in bytes: one body of the usual limit.
+const MIN_BODY_MEMORY: usize = 4 << 20;
 /// Memory of one connection: its task, the buffer for a head, and a body too small for the budget of bodies.
 const CONNECTION_BYTES: u64 = 48 * 1024;
 /// Descriptors for files, which the platform counts apart from sockets.
@@ -38,10 +42,12 @@
             .max(MIN_CONNECTIONS)
     }
 
-    /// Memory in bytes that all request bodies may take together: that for one of `largest` bytes at least.
+    /// Memory in bytes that all request bodies may take together: that for one of `largest` bytes at least, if
+    /// the process has so much.
     pub fn body_memory(self, largest: usize) -> usize {
-        let share = (self.spare_memory() as f64 * BODY_SHARE) as usize;
-        share.max(largest)
+        let spare = self.spare_memory() as f64;
+        let most = ((spare * MAX_BODY_SHARE) as usize).max(MIN_BODY_MEMORY);
+        ((spare * BODY_SHARE) as usize).max(largest).min(most)
     }
 
     fn spare_memory(self) -> u64 {
@@ -77,6 +83,17 @@
         assert!(connections + 200 < descriptors, "{connections}");
     }
 
+    // Guards against a configuration whose largest body is more than a process has.
+    #[test]
+    fn a_limit_on_bodies_beyond_the_memory_does_not_lift_the_budget() {
+        let resources = ProcessResources {
+            memory: 260 << 20,
+            descriptors: 4_100,
+        };
+        assert!(resources.body_memory(1 << 30) < 160 << 20);
+        assert!(resources.body_memory(64 << 20) >= 64 << 20);
+    }
+
     #[test]
     fn a_process_with_little_memory_takes_one_largest_body_and_some_connections() {
         let resources = ProcessResources {
--- a/tests/untrusted_clients/main.rs
+++ b/tests/untrusted_clients/main.rs
@@ -1,5 +1,5 @@
-//! Clients outside anybody's control against the real binary. Whatever they send, the entry lives, stays within
-//! the memory and the descriptors of its settings, and answers an ordinary request afterwards.
+//! Clients outside anybody's control against the real binary. Whatever they send, the entry keeps running, stays
+//! within the memory and the descriptors of its settings, and answers an ordinary request afterwards.
 //!
 //! The tests run one after another, since each of them fills the memory of a process.
 
