--- a/src/http/activity.rs
+++ b/src/http/activity.rs
@@ -149,7 +149,7 @@
         }
     }
 
-    /// Tells the connections that have idled longest to close.
+    /// Closes the connections that have idled longest, as soon as their tasks run.
     pub fn close_idle(&self, now: Instant) {
         let registry = self.lock();
         let mut idle: Vec<_> = registry
