Weights: an outage of the origin is no silence of the chunks' owners

Cause: hosts counted the time of the outage as silence of the owners, so many took over the same chunks, the lowest index first, when the origin was back. The wait for a takeover now begins at the origin's last failure, is two of its chunk times at least, and the chunk of the lowest rank comes first.

--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -81,14 +81,15 @@
             return None;
         }
         let waited = transfer.takeover_wait(now);
+        let delay = transfer.takeover_delay(self.cfg.takeover_delay);
+        let rank = |index: &u32| transfer.origin_ranks[*index as usize];
+        // The lowest rank comes first: hosts that may take over several chunks then take different ones.
         (0..transfer.chunks())
             .filter(|index| !reachable.contains(*index))
             .filter(|index| !transfer.have.contains(*index))
             .filter(|index| !transfer.in_flight.contains_key(index))
-            .find(|index| {
-                let rank = transfer.origin_ranks[*index as usize];
-                waited >= self.cfg.takeover_delay * u32::from(rank)
-            })
+            .filter(|index| waited >= delay * u32::from(rank(index)))
+            .min_by_key(rank)
     }
 
     pub(super) fn usable_origin(
@@ -279,10 +280,17 @@
         }
         match finished.result {
             Ok(took) => {
-                if let Source::Peer(host) = &finished.source
-                    && let Some(stats) = self.peer_stats.get_mut(host)
-                {
-                    stats.record_success(took);
+                match &finished.source {
+                    Source::Peer(host) => {
+                        if let Some(stats) = self.peer_stats.get_mut(host) {
+                            stats.record_success(took);
+                        }
+                    }
+                    Source::Origin(_) => {
+                        if let Some(transfer) = self.transfers.get_mut(version) {
+                            transfer.origin_chunk_time = took;
+                        }
+                    }
                 }
                 self.add_verified_chunk(now, version, finished.index, out);
             }
@@ -451,6 +459,7 @@
                     transfer
                         .origin_retry_at
                         .insert(*origin, now + self.cfg.origin_retry_delay);
+                    transfer.origin_failed_at = Some(now);
                 }
             }
         }
--- a/src/weights/core/transfer.rs
+++ b/src/weights/core/transfer.rs
@@ -15,6 +15,9 @@
 /// arrive. It bounds how many chunks are downloaded from the origin twice.
 const UNREACHABLE_DIVISOR: u32 = 16;
 
+/// Chunk times of the origin after which the owner of a chunk counts as silent.
+const TAKEOVER_CHUNK_TIMES: u32 = 2;
+
 /// A running fetch of a chunk.
 #[derive(Clone, Debug)]
 pub(super) struct ActiveFetch {
@@ -58,6 +61,10 @@
     pub manifest_fetch: Option<Source>,
     /// Earliest time of the next request to each origin that failed, by its index.
     pub origin_retry_at: BTreeMap<usize, Instant>,
+    /// Last time at which a request to an origin failed.
+    pub origin_failed_at: Option<Instant>,
+    /// Time that the last chunk from an origin took.
+    pub origin_chunk_time: Duration,
     /// Rank of this host for the manifest; lower ranks download it from the origin earlier.
     pub manifest_rank: u8,
     /// Rank of this host for each chunk; rank 0 owns its download from the origin.
@@ -93,6 +100,8 @@
             is_open: false,
             manifest_fetch: None,
             origin_retry_at: BTreeMap::new(),
+            origin_failed_at: None,
+            origin_chunk_time: Duration::ZERO,
             manifest_rank: 0,
             origin_ranks: Vec::new(),
             region_ranks: Vec::new(),
@@ -278,10 +287,18 @@
     /// Time that counts towards the takeover of chunks owned by other hosts.
     ///
     /// The time since the last new chunk, or since only few chunks are unreachable, whichever is
-    /// longer.
+    /// longer; but no longer than the origin answers, as its outage tells nothing of the owners.
     pub fn takeover_wait(&self, now: Instant) -> Duration {
         let few_unreachable = self.few_unreachable_since.unwrap_or(now);
-        now - self.last_new_chunk_at.min(few_unreachable)
+        let since = self.last_new_chunk_at.min(few_unreachable);
+        let since = since.max(self.origin_failed_at.unwrap_or(since));
+        now.saturating_duration_since(since)
+    }
+
+    /// Wait after which the host of the next rank takes a chunk over, `least` at least: longer where the
+    /// origin is so busy that the owners need longer.
+    pub fn takeover_delay(&self, least: Duration) -> Duration {
+        least.max(self.origin_chunk_time * TAKEOVER_CHUNK_TIMES)
     }
 
     /// Returns the approximate memory of the state in bytes, without the chunks themselves.
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -52,6 +52,36 @@
     );
 }
 
+// Guards against hosts that count an outage of the origin as silence of the owners of its chunks: once it is
+// back, they all took over the same ones, and it sent two copies and more over the link that all wait for.
+#[rstest]
+#[case::short(SECOND)]
+#[case::long(6 * SECOND)]
+fn an_origin_that_returns_sends_few_chunks_twice(#[case] outage: Duration) {
+    let mut fleet = busy_origin_fleet();
+    fleet.want_everywhere(&wanted("m", "v1"));
+    fleet.run_for(SECOND / 2);
+    fleet.origin_up = false;
+    fleet.run_for(outage);
+    fleet.origin_up = true;
+    assert!(fleet.run_until_held("v1").is_some());
+    let sent = fleet.origin_chunks;
+    assert!(sent <= CHUNKS * 5 / 4, "{sent} for {CHUNKS}");
+}
+
+/// Hosts whose takeover delay is shorter than the time that the origin takes for a chunk of each owner.
+fn busy_origin_fleet() -> Fleet {
+    let mut fleet = Fleet::new(34, 3);
+    fleet.share_origin_download = true;
+    fleet.takeover_delay = SECOND / 2;
+    fleet.origin_chunk_time = Duration::from_millis(60);
+    fleet.link_chunk_time = (0..34)
+        .map(|host| (host, Duration::from_millis(35)))
+        .collect();
+    (0..34).for_each(|host| fleet.start(host));
+    fleet
+}
+
 #[test]
 fn dead_chunk_owners_do_not_block_regions_that_share_the_download() {
     let mut fleet = Fleet::with_shared_origin_download(16, 2);
--- a/src/weights/tests/fleet.rs
+++ b/src/weights/tests/fleet.rs
@@ -44,6 +44,11 @@
     pub max_versions: usize,
     /// Longest wait on a link that hosts that are started afterwards allow their chunks to cause.
     pub max_link_wait: Duration,
+    /// Takeover delay of hosts that are started afterwards.
+    pub takeover_delay: Duration,
+    /// Time that the link of the origin takes to carry one chunk; all running downloads share it.
+    pub origin_chunk_time: Duration,
+    origin_free_at: Instant,
     /// True when all regions share one download from the origin.
     pub share_origin_download: bool,
     pub origin_up: bool,
@@ -85,6 +90,9 @@
             share_origin_download: false,
             max_versions: usize::MAX,
             max_link_wait: MAX_REQUEST_WAIT / 2,
+            takeover_delay: Duration::from_secs(2),
+            origin_chunk_time: Duration::ZERO,
+            origin_free_at: Instant::now(),
             origin_up: true,
             origin_manifest_changed: false,
             origin_chunks: 0,
@@ -115,7 +123,8 @@
 
     pub fn start(&mut self, host: usize) {
         let mut cfg = WeightsConfig::new(self.peer(host), vec![self.peer(0).addr]);
-        cfg.takeover_delay = Duration::from_secs(2);
+        cfg.takeover_delay = self.takeover_delay;
+        cfg.origin_retry_delay = cfg.origin_retry_delay.min(self.takeover_delay / 2);
         cfg.fetch_timeout = FETCH_TIMEOUT;
         cfg.max_link_wait = self.max_link_wait;
         cfg.max_chunk_memory = self.max_chunk_memory;
@@ -370,6 +379,7 @@
             }
         };
         let (result, delay) = match result {
+            Ok(_) if matches!(source, Source::Origin(_)) => self.carry_origin_chunk(host),
             Ok(_) => self.carry_chunk(host),
             Err(FetchError::TimedOut) => (result, FETCH_TIMEOUT),
             Err(_) => (result, DELAY),
@@ -390,6 +400,17 @@
         self.schedule(host, delay, event);
     }
 
+    /// Puts a chunk on the link of the origin and then on that of a host.
+    fn carry_origin_chunk(&mut self, host: usize) -> (Result<Duration, FetchError>, Duration) {
+        self.origin_free_at = self.origin_free_at.max(self.now) + self.origin_chunk_time;
+        let sent_after = self.origin_free_at - self.now;
+        let (result, delay) = self.carry_chunk(host);
+        match (result, sent_after + delay <= FETCH_TIMEOUT) {
+            (Ok(took), true) => (Ok(sent_after + took), sent_after + delay),
+            _ => (Err(FetchError::TimedOut), FETCH_TIMEOUT),
+        }
+    }
+
     /// Puts a chunk on the link of a host; returns the result of its fetch and the time until then.
     /// A chunk that arrives after the timeout occupies the link all the same.
     fn carry_chunk(&mut self, host: usize) -> (Result<Duration, FetchError>, Duration) {
