Refuse at once what no endpoint will start in time

An entry now refuses at once while no engine of the target may begin a request by its version nor is changing it, with a Retry-After that is longer than that of an overload; and, where requests have ranks, a request before which more wait than are sent in its time. Without ranks the second does not act.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -9,7 +9,8 @@
 use crate::dispatch::estimate::EngineModel;
 use crate::dispatch::fleet::{EndpointQuery, NoneAccepts};
 use crate::dispatch::patterns::{
-    Rank, START_SHARE, WaitingRequest, leaves_room, retry_after_rest, sample, should_send,
+    Rank, START_SHARE, WaitingRequest, leaves_room, retry_after_change, retry_after_rest, sample,
+    should_send,
 };
 use crate::dispatch::request::{Assignment, RequestState, RunningAttempt, TicketId};
 use crate::types::{EndpointId, Refusal};
@@ -95,6 +96,17 @@
         };
         let has_fitting = !eligible.is_empty();
         let latest = request.queue_deadline.min(request.deadline);
+        let left = latest.saturating_duration_since(now);
+        let is_continued = request.version.is_some() || request.silent.is_some();
+        if !has_fitting
+            && engine.is_some()
+            && !is_continued
+            && self
+                .fleet
+                .lacks_version(now, query, self.cfg.version_grace, left)
+        {
+            return Some(self.reject_unversioned(now, ticket, inputs));
+        }
         if !has_fitting
             && let Some(NoneAccepts { first_end }) =
                 self.fleet.none_accepts(now, query, self.cfg.version_grace)
@@ -117,7 +129,7 @@
         let waiting = WaitingRequest {
             goal,
             deadline: request.deadline,
-            is_continued: request.version.is_some() || request.silent.is_some(),
+            is_continued,
             is_retry: request.is_returning || !request.tried.is_empty(),
         };
         let rank_cap = self
@@ -178,7 +190,9 @@
         inputs.start_budget = Some(start_budget);
         inputs.since_first_attempt = now.saturating_duration_since(request.first_attempt_at);
         if self.cfg.mitigations.burst && !starts_soon(&choice) {
-            return is_expired.then(|| self.reject(now, ticket, Code::DeadlineUnreachable, inputs));
+            let is_hopeless = !waiting.is_continued && self.backlog_outlasts(now, ticket, left);
+            return (is_expired || is_hopeless)
+                .then(|| self.reject(now, ticket, Code::DeadlineUnreachable, inputs));
         }
         let Choice {
             predicted,
@@ -225,6 +239,7 @@
         id: &EndpointId,
         predicted: Duration,
     ) -> Option<Assignment> {
+        self.leave_backlog(now, ticket, true);
         let entries = self.entries;
         let request = self.requests.get_mut(&ticket)?;
         let endpoint = self.fleet.get_mut(id)?;
@@ -278,6 +293,23 @@
         }
     }
 
+    /// Ends a request for which no endpoint serves a version that it may begin on, nor will soon.
+    fn reject_unversioned(
+        &mut self,
+        now: Instant,
+        ticket: TicketId,
+        inputs: DecisionInputs,
+    ) -> Decision {
+        let decision = self.reject(now, ticket, Code::NoEndpoint, inputs);
+        match decision {
+            Decision::Refuse(refusal, inputs) if refusal.code == Code::NoEndpoint => {
+                let wait = retry_after_change(&mut self.rng);
+                Decision::Refuse(refusal.with_retry_after(wait), inputs)
+            }
+            decision => decision,
+        }
+    }
+
     /// Ends a request for which all endpoints rest, the first one until `first_end`, or leave.
     fn reject_unaccepted(
         &mut self,
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! Dispatcher of an entry: admission, endpoint selection, attempts and their outcomes.
 
 mod assign;
+mod backlogs;
 mod crashes;
 mod outcome;
 mod recall;
@@ -9,7 +10,7 @@
 mod statements;
 mod stop;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,7 +28,7 @@
 use super::fleet::{Fleet, VersionUpdate};
 use super::notice::{CrashSign, Notice};
 use super::patterns::{
-    Mitigations, RankTraffic, RefusedCallers, max_queue_time, retry_after_overload,
+    Backlog, Mitigations, RankTraffic, RefusedCallers, max_queue_time, retry_after_overload,
     retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
@@ -36,6 +37,7 @@
 
 pub use snapshot::{EndpointView, Snapshot};
 
+use backlogs::Class;
 use recall::StartBounds;
 
 /// Number of entries assumed to share the fleet until agents report it.
@@ -126,6 +128,10 @@
     last_ticket: TicketId,
     retry_budgets: HashMap<TargetId, RetryWindow>,
     rank_traffic: HashMap<TargetId, RankTraffic>,
+    /// Waiting requests that have a rank.
+    ///
+    /// Invariant: at most one entry for each target, priority and kind of caller that has come.
+    backlogs: BTreeMap<Class, Backlog>,
     crash_watch: CrashWatch,
     suspects: Suspects,
     refused_callers: RefusedCallers,
@@ -159,6 +165,7 @@
             last_ticket: 0,
             retry_budgets: HashMap::new(),
             rank_traffic: HashMap::new(),
+            backlogs: BTreeMap::new(),
             crash_watch: CrashWatch::default(),
             suspects: Suspects::default(),
             refused_callers: RefusedCallers::default(),
@@ -392,6 +399,7 @@
         );
         self.queue.insert(place, request.latest_decision());
         self.requests.insert(self.last_ticket, request);
+        self.join_backlog(now, self.last_ticket);
         Ok(self.last_ticket)
     }
 
--- a/src/dispatch/dispatcher/outcome.rs
+++ b/src/dispatch/dispatcher/outcome.rs
@@ -244,6 +244,7 @@
     /// the request has ended before.
     pub fn finish(&mut self, now: Instant, ticket: TicketId) -> Option<Departure> {
         self.clear_start_bound(ticket);
+        self.leave_backlog(now, ticket, false);
         let request = self.requests.remove(&ticket)?;
         self.unqueue(ticket, &request);
         self.is_changed |= request.open_attempts().next().is_some();
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -308,6 +308,25 @@
         found
     }
 
+    /// True when no endpoint of the target may run a request by its version now or `within` a time: all serve
+    /// versions that have ended, or none at all, and none is changing its version. False without a recent load
+    /// report of any, as this entry then does not know.
+    pub(super) fn lacks_version(
+        &self,
+        now: Instant,
+        query: EndpointQuery,
+        grace: Duration,
+        within: Duration,
+    ) -> bool {
+        let by = now + within;
+        let endpoints = || self.in_target(now, query);
+        endpoints().any(|e| e.load_age(now).is_some())
+            && endpoints().all(|e| {
+                let changes = e.is_switching(now) || e.switch_at(now).is_some_and(|at| at <= by);
+                !changes && !self.serves_wanted(now, e, query, grace)
+            })
+    }
+
     /// True unless an endpoint wants no request of this entry.
     pub(super) fn accepts(&self, now: Instant, endpoint: &Endpoint) -> bool {
         let key = endpoint.key();
@@ -320,6 +339,19 @@
         now: Instant,
         query: EndpointQuery<'a>,
         grace: Duration,
+    ) -> impl Iterator<Item = &'a Endpoint> + 'a {
+        self.in_target(now, query).filter(move |e| {
+            query.engine.is_none_or(|engine| {
+                self.has_version(now, e, query, grace) && self.ends_in_time(now, e, engine, query)
+            })
+        })
+    }
+
+    /// Endpoints of a request's target in the regions allowed to it, whatever version they serve.
+    fn in_target<'a>(
+        &'a self,
+        now: Instant,
+        query: EndpointQuery<'a>,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
         let allows = |regions: &[RegionId], region: &RegionId| {
             regions.is_empty() || regions.contains(region)
@@ -330,10 +362,6 @@
                 && allows(query.route_regions, &e.listed.region)
                 && allows(query.customer_regions, &e.listed.region)
                 && !query.tried.contains(&e.listed.id)
-                && query.engine.is_none_or(|engine| {
-                    self.has_version(now, e, query, grace)
-                        && self.ends_in_time(now, e, engine, query)
-                })
         })
     }
 
@@ -351,9 +379,18 @@
         query: EndpointQuery,
         grace: Duration,
     ) -> bool {
-        if self.mitigations.push && endpoint.is_switching(now) {
-            return false;
-        }
+        let is_switching = self.mitigations.push && endpoint.is_switching(now);
+        !is_switching && self.serves_wanted(now, endpoint, query, grace)
+    }
+
+    /// True when an endpoint serves a version on which the request may begin now.
+    fn serves_wanted(
+        &self,
+        now: Instant,
+        endpoint: &Endpoint,
+        query: EndpointQuery,
+        grace: Duration,
+    ) -> bool {
         let model = endpoint.model(query.model);
         let Some((model, version)) = model.zip(endpoint.version(query.model)) else {
             return false;
--- a/src/dispatch/patterns/mod.rs
+++ b/src/dispatch/patterns/mod.rs
@@ -1,5 +1,6 @@
 //! Mitigations of load patterns, one module per pattern.
 
+mod backlog;
 mod burst;
 mod cold_return;
 mod departures;
@@ -13,12 +14,13 @@
 pub use departures::Occupancy;
 pub use zone_loss::Health;
 
+pub(super) use backlog::Backlog;
 pub(super) use burst::{START_SHARE, WaitingRequest, max_queue_time, should_send};
 pub(super) use hot_key::sample;
 pub(super) use push::ends_before_change;
 pub(super) use ranks::{Rank, RankTraffic, leaves_room};
 pub(super) use retry_abuse::{
-    RefusedCallers, retry_after_overload, retry_after_rest, retry_after_stop,
+    RefusedCallers, retry_after_change, retry_after_overload, retry_after_rest, retry_after_stop,
     retry_after_unavailable,
 };
 
@@ -42,6 +44,8 @@
     pub push: bool,
     /// Requests of several priorities compete for the same engines.
     pub ranks: bool,
+    /// Ranked requests wait for endpoints faster than places become free.
+    pub backlog: bool,
 }
 
 impl Default for Mitigations {
@@ -55,6 +59,7 @@
             cold_return: true,
             push: true,
             ranks: true,
+            backlog: true,
         }
     }
 }
--- a/src/dispatch/patterns/retry_abuse.rs
+++ b/src/dispatch/patterns/retry_abuse.rs
@@ -17,6 +17,11 @@
 const UNAVAILABLE_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(1_200), Duration::from_millis(2_000));
 
+/// Bounds of the Retry-After while every endpoint serves a version that has ended. Holding the next one takes
+/// seconds, and who returns meanwhile is refused again.
+const CHANGE_RETRY_AFTER: (Duration, Duration) =
+    (Duration::from_millis(1_500), Duration::from_millis(2_500));
+
 /// Bounds of the Retry-After of a stopping entry: others take its callers, who should not come at the
 /// same instant.
 const STOP_RETRY_AFTER: (Duration, Duration) =
@@ -88,6 +93,11 @@
     rng.random_range(UNAVAILABLE_RETRY_AFTER.0..UNAVAILABLE_RETRY_AFTER.1)
 }
 
+/// Random Retry-After for a caller while no endpoint serves a version that it may begin on.
+pub(in crate::dispatch) fn retry_after_change(rng: &mut SmallRng) -> Duration {
+    rng.random_range(CHANGE_RETRY_AFTER.0..CHANGE_RETRY_AFTER.1)
+}
+
 /// Random Retry-After for a caller whose entry stops.
 pub(in crate::dispatch) fn retry_after_stop(rng: &mut SmallRng) -> Duration {
     rng.random_range(STOP_RETRY_AFTER.0..STOP_RETRY_AFTER.1)
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempts;
+mod backlog;
 mod configurations;
 mod crashes;
 mod endpoint_state;
