Weights: no host owns more chunks than its even share

Owners are still the hosts of the highest score, among those that own fewer than their share.

Test: owners::each_chunk_has_one_owner... fails before.

--- a/src/weights/peers.rs
+++ b/src/weights/peers.rs
@@ -98,23 +98,41 @@
 
 /// Returns the rank of `own` among the hosts for each chunk, by rendezvous hashing.
 ///
-/// The host of rank 0 owns the chunk.
+/// The host of rank 0 owns the chunk. No host owns more than its even share, as all wait for the last chunk.
 pub fn chunk_ranks(own: &HostId, hosts: &[&Peer], version: &Digest, chunks: u32) -> Vec<u8> {
-    let seeds: Vec<u64> = hosts
-        .iter()
-        .filter(|peer| peer.host != *own)
-        .map(|peer| pair_hash(version, &peer.host))
-        .collect();
+    let seeds = host_seeds(hosts, version);
     let own_seed = pair_hash(version, own);
-    (0..chunks)
-        .map(|index| {
-            let own_score = mix(own_seed, u64::from(index));
-            let ahead = seeds
-                .iter()
-                .filter(|seed| mix(**seed, u64::from(index)) > own_score);
-            u8::try_from(ahead.count()).unwrap_or(u8::MAX)
-        })
-        .collect()
+    let owners = chunk_owners(&seeds, chunks);
+    let rank = |(index, owner): (u64, Option<usize>)| {
+        let owner_seed = owner.map(|owner| seeds[owner]);
+        if owner_seed.is_none_or(|seed| seed == own_seed) {
+            return 0;
+        }
+        let own_score = mix(own_seed, index);
+        let others = seeds.iter().filter(|seed| Some(**seed) != owner_seed);
+        let ahead = others.filter(|seed| mix(**seed, index) > own_score);
+        u8::try_from(1 + ahead.count()).unwrap_or(u8::MAX)
+    };
+    (0..).zip(owners).map(rank).collect()
+}
+
+fn host_seeds(hosts: &[&Peer], version: &Digest) -> Vec<u64> {
+    let seeds = hosts.iter().map(|peer| pair_hash(version, &peer.host));
+    seeds.collect()
+}
+
+/// Owner of each chunk, as an index into `seeds`: among the hosts that own fewer than their share, the one with the
+/// highest score.
+fn chunk_owners(seeds: &[u64], chunks: u32) -> Vec<Option<usize>> {
+    let share = (chunks as usize).div_ceil(seeds.len().max(1));
+    let mut owned = vec![0; seeds.len()];
+    let owner = |index| {
+        let free = (0..seeds.len()).filter(|host| owned[*host] < share);
+        let owner = free.max_by_key(|host| (mix(seeds[*host], index), *host))?;
+        owned[owner] += 1;
+        Some(owner)
+    };
+    (0..u64::from(chunks)).map(owner).collect()
 }
 
 fn ring_hash(ring: usize, host: &str) -> u64 {
--- a/src/weights/tests/mod.rs
+++ b/src/weights/tests/mod.rs
@@ -7,3 +7,4 @@
 mod fleet;
 mod fuzz;
 mod manifest;
+mod owners;
