Requests leave their zone only as far as its engines are too few

A request now stays where an engine of its zone starts it in good time. As the predicted starts at home come close to what callers accept, a growing share may leave; it follows with a time constant of 3 s, so that entries with reports up to a second old do not swing together. Zones with fewer than 8 engines, evacuated or lost ones, and plain services are served as before.

--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+
 use crate::codes::Code;
 use crate::dispatch::configuration::Configuration;
 use crate::dispatch::endpoint::Endpoint;
 use crate::dispatch::estimate::EngineModel;
 use crate::dispatch::fleet::{EndpointQuery, NoneAccepts};
 use crate::dispatch::patterns::{
-    Rank, START_SHARE, WaitingRequest, leaves_room, retry_after_change, retry_after_rest, sample,
-    should_send,
+    MIN_HOME_ENGINES, Rank, START_SHARE, WaitingRequest, leaves_room, retry_after_change,
+    retry_after_rest, sample, should_send,
 };
 use crate::dispatch::request::{Assignment, RequestState, RunningAttempt, TicketId};
 use crate::types::{EndpointId, Refusal};
@@ -158,8 +160,9 @@
         let (preferred, others): (Vec<&Endpoint>, Vec<&Endpoint>) = admitting
             .into_iter()
             .partition(|e| self.fleet.is_preferred(&e.listed.id));
+        let home = self.home_engines(engine, &preferred);
         let mut best: Option<Choice> = None;
-        for group in [preferred, others] {
+        for (is_home, group) in [(true, home), (false, preferred), (false, others)] {
             let compared = match self.cfg.mitigations.hot_key {
                 true => sample(&group, &mut self.rng),
                 false => group,
@@ -178,7 +181,16 @@
             });
             let choices = best.into_iter().chain(choices);
             best = choices.min_by_key(|c| (!starts_soon(c), c.cost));
-            if best.as_ref().is_some_and(starts_soon) {
+            let may_leave = match &best {
+                Some(choice) if is_home => {
+                    let key = (request.target.clone(), request.route.priority);
+                    let demand = self.zone_demands.entry(key).or_default();
+                    let share = demand.observe(now, choice.predicted_shared, start_budget);
+                    self.zone_rng.random_bool(share)
+                }
+                _ => false,
+            };
+            if !may_leave && best.as_ref().is_some_and(starts_soon) {
                 break;
             }
         }
@@ -207,6 +219,24 @@
         Some(Decision::Send(self.assign(now, ticket, &id, predicted)?))
     }
 
+    /// Engines of this entry's zone among those that a request may be sent to; none if they are too few to stay
+    /// there.
+    fn home_engines<'a>(
+        &self,
+        engine: Option<&EngineModel>,
+        endpoints: &[&'a Endpoint],
+    ) -> Vec<&'a Endpoint> {
+        if engine.is_none() || !self.cfg.mitigations.zone_demand {
+            return Vec::new();
+        }
+        let home = endpoints.iter().filter(|e| e.listed.zone == self.cfg.zone);
+        let home: Vec<&Endpoint> = home.copied().collect();
+        match home.len() >= MIN_HOME_ENGINES {
+            true => home,
+            false => Vec::new(),
+        }
+    }
+
     /// Cost of an endpoint as time: predicted start, distance, and recent failures as a share of
     /// the goal.
     fn cost(&self, endpoint: &Endpoint, predicted: Duration, goal: Duration) -> Duration {
@@ -246,6 +276,7 @@
         let assignment = Assignment {
             endpoint: id.clone(),
             addr: endpoint.listed.addr,
+            zone: endpoint.listed.zone.clone(),
             customer: request
                 .customer
                 .as_ref()
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -28,8 +28,8 @@
 use super::fleet::{Fleet, VersionUpdate};
 use super::notice::{CrashSign, Notice};
 use super::patterns::{
-    Backlog, Mitigations, RankTraffic, RefusedCallers, max_queue_time, retry_after_overload,
-    retry_after_unavailable,
+    Backlog, Mitigations, RankTraffic, RefusedCallers, ZoneDemand, max_queue_time,
+    retry_after_overload, retry_after_unavailable,
 };
 use super::request::{Assignment, CallerRequest, RequestState, TicketId};
 use super::waiting::{Place, WaitingRequests};
@@ -116,6 +116,8 @@
     rng: SmallRng,
     /// Random numbers of [`Endpoint::rounding`], which do not change the other choices.
     rounding_rng: SmallRng,
+    /// Random numbers that decide which requests may leave the zone.
+    zone_rng: SmallRng,
     configuration: Option<Arc<Configuration>>,
     fleet: Fleet,
     requests: HashMap<TicketId, RequestState>,
@@ -128,6 +130,8 @@
     last_ticket: TicketId,
     retry_budgets: HashMap<TargetId, RetryWindow>,
     rank_traffic: HashMap<TargetId, RankTraffic>,
+    /// By target and priority of the route.
+    zone_demands: HashMap<(TargetId, u8), ZoneDemand>,
     /// Waiting requests that have a rank.
     ///
     /// Invariant: at most one entry for each target, priority and kind of caller that has come.
@@ -155,6 +159,7 @@
         Self {
             rng: SmallRng::seed_from_u64(cfg.seed),
             rounding_rng: SmallRng::seed_from_u64(!cfg.seed),
+            zone_rng: SmallRng::seed_from_u64(cfg.seed.rotate_left(32)),
             fleet: Fleet::new(cfg.mitigations),
             cfg,
             configuration: None,
@@ -165,6 +170,7 @@
             last_ticket: 0,
             retry_budgets: HashMap::new(),
             rank_traffic: HashMap::new(),
+            zone_demands: HashMap::new(),
             backlogs: BTreeMap::new(),
             crash_watch: CrashWatch::default(),
             suspects: Suspects::default(),
--- a/src/dispatch/dispatcher/snapshot.rs
+++ b/src/dispatch/dispatcher/snapshot.rs
@@ -1,5 +1,6 @@
 //! State of the dispatcher for dumps and metrics.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use crate::dispatch::endpoint::Endpoint;
@@ -19,6 +20,9 @@
     pub requests: usize,
     /// Number of requests that wait for an endpoint.
     pub waiting: usize,
+    /// Share of the requests for each target of engines, by the priority of their route, that may leave the zone of
+    /// this entry, from 0 to 1.
+    pub zone_shares: BTreeMap<TargetId, BTreeMap<u8, f64>>,
     /// Endpoints on the list.
     pub endpoints: Vec<EndpointView>,
     /// Number of requests and prompt parts with crashes.
@@ -78,6 +82,11 @@
                 .until(now, &e.key())
                 .map(|until| until.saturating_duration_since(now).as_millis() as u64),
         };
+        let mut zone_shares: BTreeMap<TargetId, BTreeMap<u8, f64>> = BTreeMap::new();
+        for ((target, priority), demand) in &self.zone_demands {
+            let shares = zone_shares.entry(target.clone()).or_default();
+            shares.insert(*priority, demand.share());
+        }
         Snapshot {
             configuration: self
                 .configuration
@@ -86,6 +95,7 @@
             entries: self.entries,
             requests: self.requests.len(),
             waiting: self.queue.len(),
+            zone_shares,
             endpoints: self.fleet.endpoints().map(view).collect(),
             suspects: self.suspects.len(),
             blamed: self.suspects.blamed().map(names).collect(),
--- a/src/dispatch/patterns/mod.rs
+++ b/src/dispatch/patterns/mod.rs
@@ -8,6 +8,7 @@
 mod push;
 mod ranks;
 mod retry_abuse;
+mod zone_demand;
 mod zone_loss;
 
 pub use cold_return::ColdRateLimiter;
@@ -23,6 +24,7 @@
     RefusedCallers, retry_after_change, retry_after_overload, retry_after_rest, retry_after_stop,
     retry_after_unavailable,
 };
+pub(super) use zone_demand::{MIN_HOME_ENGINES, ZoneDemand};
 
 /// Enabled mitigations. All are enabled in production; tests and experiments disable single ones to
 /// measure their effect.
@@ -46,6 +48,8 @@
     pub ranks: bool,
     /// Ranked requests wait for endpoints faster than places become free.
     pub backlog: bool,
+    /// A zone's own engines are too few for its callers, or more than enough.
+    pub zone_demand: bool,
 }
 
 impl Default for Mitigations {
@@ -60,6 +64,7 @@
             push: true,
             ranks: true,
             backlog: true,
+            zone_demand: true,
         }
     }
 }
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::delivery::{Attempts, Suspect};
-use crate::types::{CustomerId, EndpointId, PromptPart, TargetId};
+use crate::types::{CustomerId, EndpointId, PromptPart, TargetId, ZoneId};
 
 use super::configuration::{Customer, Route, Target};
 use super::crash_watch::EndpointProcess;
@@ -96,6 +96,8 @@
     pub endpoint: EndpointId,
     /// Address of the endpoint.
     pub addr: SocketAddr,
+    /// Availability zone of the endpoint.
+    pub zone: ZoneId,
     /// Customer that the request is accounted to.
     pub customer: Option<CustomerId>,
     /// Number of this attempt, counted from 1.
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -27,3 +27,4 @@
 mod stop;
 mod subsets;
 mod versions;
+mod zone_demand;
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -451,6 +451,7 @@
             digest: digest_text(admitted.caller.fingerprint),
             route: &*admitted.route.name,
             endpoint: &*assignment.endpoint,
+            zone: &*assignment.zone,
             attempt: assignment.attempt,
             end: format!("{outcome:?}"),
             predicted_ms: assignment.predicted.as_millis() as u64,
