Command that explains where a request would go now

Operators asked for a command that says where a given request would go, and why, without sending it. limpetloom explain asks an entry at its metrics address (/explain); the entry decides on a copy of its dispatcher, so it uses the code of the decision itself, and lists the endpoints of the target with the reason for which each is left out. The filters of the fleet return these reasons now.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -43,6 +43,8 @@
     Status(StatusArgs),
     /// Print the state of one process.
     Dump(DumpArgs),
+    /// Explain where a request would go now.
+    Explain(ExplainArgs),
 }
 
 /// Run an entry, which accepts callers' requests.
@@ -186,6 +188,36 @@
     pub settings: PathBuf,
 }
 
+/// Explain where a request would go now, and why, without sending it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// status address of the entry that would take the request; its zone is the caller's
+    #[argh(positional)]
+    pub address: SocketAddr,
+    /// host name that the caller asks for
+    #[argh(option)]
+    pub host: String,
+    /// path that the caller asks for
+    #[argh(option)]
+    pub path: String,
+    /// customer that the request belongs to
+    #[argh(option)]
+    pub customer: Option<String>,
+    /// model that the request names
+    #[argh(option)]
+    pub model: Option<String>,
+    /// length of the prompt in tokens, 0 by default
+    #[argh(option, default = "0")]
+    pub prompt: u32,
+    /// expected length of the answer in tokens
+    #[argh(option)]
+    pub answer: Option<u32>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 impl Command {
     /// True if the command prints its result as JSON.
     pub fn is_json(&self) -> bool {
@@ -197,6 +229,7 @@
             Self::Zone(args) => args.json,
             Self::Status(args) => args.json,
             Self::Dump(_) => true,
+            Self::Explain(args) => args.json,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod check;
 mod dump;
 mod exit;
+mod explain;
 mod operator;
 mod output;
 mod rollout;
@@ -69,6 +70,7 @@
         Command::Zone(args) => zone::run(args, out).await,
         Command::Status(args) => status::run(&args, out).await,
         Command::Dump(args) => dump::run(&args, out).await,
+        Command::Explain(args) => explain::run(args, out).await,
     };
     finish(result, out)
 }
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -5,6 +5,7 @@
 
 mod endpoint;
 mod error;
+mod explain;
 mod hosts;
 mod http;
 mod json;
@@ -16,6 +17,8 @@
 
 pub use endpoint::{EndpointAdmin, HttpEndpoint, JobState};
 pub use error::PlatformError;
+pub use explain::explain;
+pub(crate) use explain::{EXPLAIN_PATH, parse_query};
 pub use hosts::{HostList, HttpHostList};
 pub use http::{ArrivalTimeouts, HeadArrival, HttpClient, HttpTimeouts};
 pub(crate) use http::{escape, expect_ok};
--- a/src/dispatch/configuration.rs
+++ b/src/dispatch/configuration.rs
@@ -159,6 +159,13 @@
         self.keys.get(key)
     }
 
+    /// Returns an API key of a customer; `None` when it has none.
+    pub fn key_of(&self, customer: &str) -> Option<Arc<str>> {
+        let mut keys = self.keys.iter();
+        let (key, _) = keys.find(|(_, owner)| *owner.id == *customer)?;
+        Some(key.clone())
+    }
+
     /// Number of routes over all hosts.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/src/dispatch/dispatcher/assign.rs
+++ b/src/dispatch/dispatcher/assign.rs
@@ -69,16 +69,7 @@
         let target = configuration.targets.get(&request.target);
         let target = target.unwrap_or(&request.admitted_target);
         let engine = engine_model(configuration, request);
-        let query = EndpointQuery {
-            target: &request.target,
-            model: request.model.as_deref(),
-            version: request.version,
-            answer_tokens: request.answer_tokens,
-            engine,
-            route_regions: &request.route.regions,
-            customer_regions: request.customer.as_ref().map_or(&[], |c| &c.regions),
-            tried: &request.tried,
-        };
+        let query = self.endpoint_query(configuration, request);
         let predict = |e: &Endpoint| e.predict(now, engine, request.prompt_tokens, self.entries);
         let sharing = self.fleet.sharing(now, &request.target, self.entries);
         let mut eligible: Vec<&Endpoint> = self
@@ -219,6 +210,24 @@
         Some(Decision::Send(self.assign(now, ticket, &id, predicted)?))
     }
 
+    /// Constraints of a request on its endpoint.
+    pub(super) fn endpoint_query<'a>(
+        &self,
+        configuration: &'a Configuration,
+        request: &'a RequestState,
+    ) -> EndpointQuery<'a> {
+        EndpointQuery {
+            target: &request.target,
+            model: request.model.as_deref(),
+            version: request.version,
+            answer_tokens: request.answer_tokens,
+            engine: engine_model(configuration, request),
+            route_regions: &request.route.regions,
+            customer_regions: request.customer.as_ref().map_or(&[], |c| &c.regions),
+            tried: &request.tried,
+        }
+    }
+
     /// Engines of this entry's zone among those that a request may be sent to; none if they are too few to stay
     /// there.
     fn home_engines<'a>(
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod assign;
 mod backlogs;
 mod crashes;
+mod explain;
 mod outcome;
 mod recall;
 mod silence;
@@ -35,6 +36,7 @@
 use super::waiting::{Place, WaitingRequests};
 use super::work_times::WorkTimes;
 
+pub use explain::{Candidate, ExplainQuery, Explanation, Outcome};
 pub use snapshot::{EndpointView, Snapshot};
 
 use backlogs::Class;
@@ -111,6 +113,7 @@
 }
 
 /// Sans-IO dispatcher for the requests of one entry.
+#[derive(Clone)]
 pub struct Dispatcher {
     cfg: DispatchConfig,
     rng: SmallRng,
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -10,6 +10,7 @@
 
 use super::endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 use super::estimate::EngineModel;
+use super::exclusion::Exclusion;
 use super::leaving::Leaving;
 use super::patterns::{Mitigations, ends_before_change};
 use super::rest::Rests;
@@ -283,8 +284,25 @@
         query: EndpointQuery<'a>,
         grace: Duration,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
-        self.suitable(now, query, grace)
-            .filter(move |e| !e.health.is_paused(now) && self.accepts(now, e))
+        self.of_target(query.target)
+            .filter(move |e| self.exclusion(now, e, query, grace).is_none())
+    }
+
+    /// Why an endpoint of a request's target may not run the request now, regardless of its load.
+    pub(super) fn exclusion(
+        &self,
+        now: Instant,
+        endpoint: &Endpoint,
+        query: EndpointQuery,
+        grace: Duration,
+    ) -> Option<Exclusion> {
+        if let Some(exclusion) = self.unsuitable(now, endpoint, query, grace) {
+            return Some(exclusion);
+        }
+        if endpoint.health.is_paused(now) {
+            return Some(Exclusion::Paused);
+        }
+        (!self.accepts(now, endpoint)).then_some(Exclusion::NotAccepting)
     }
 
     /// Why none of the endpoints that may run a request wants one; `None` when one does, or there are none.
@@ -319,7 +337,10 @@
         within: Duration,
     ) -> bool {
         let by = now + within;
-        let endpoints = || self.in_target(now, query);
+        let endpoints = || {
+            let endpoints = self.of_target(query.target);
+            endpoints.filter(|e| self.out_of_reach(now, e, query).is_none())
+        };
         endpoints().any(|e| e.load_age(now).is_some())
             && endpoints().all(|e| {
                 let changes = e.is_switching(now) || e.switch_at(now).is_some_and(|at| at <= by);
@@ -340,47 +361,65 @@
         query: EndpointQuery<'a>,
         grace: Duration,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
-        self.in_target(now, query).filter(move |e| {
-            query.engine.is_none_or(|engine| {
-                self.has_version(now, e, query, grace) && self.ends_in_time(now, e, engine, query)
-            })
-        })
+        self.of_target(query.target)
+            .filter(move |e| self.unsuitable(now, e, query, grace).is_none())
     }
 
-    /// Endpoints of a request's target in the regions allowed to it, whatever version they serve.
-    fn in_target<'a>(
+    /// All endpoints of a target.
+    pub(super) fn of_target<'a>(
         &'a self,
-        now: Instant,
-        query: EndpointQuery<'a>,
+        target: &'a TargetId,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
-        let allows = |regions: &[RegionId], region: &RegionId| {
-            regions.is_empty() || regions.contains(region)
-        };
-        self.endpoints.values().filter(move |e| {
-            self.is_in_service(now, e)
-                && e.listed.target == *query.target
-                && allows(query.route_regions, &e.listed.region)
-                && allows(query.customer_regions, &e.listed.region)
-                && !query.tried.contains(&e.listed.id)
-        })
+        let endpoints = self.endpoints.values();
+        endpoints.filter(move |e| e.listed.target == *target)
     }
 
-    /// True while an endpoint gets new requests: it is listed and its zone is in service.
-    pub(super) fn is_in_service(&self, now: Instant, endpoint: &Endpoint) -> bool {
-        !endpoint.is_unlisted
-            && endpoint.grace_deadline.is_none_or(|until| now < until)
-            && !self.evacuated.contains(&endpoint.listed.zone)
+    /// Why an endpoint of a request's target may not run it, whether it would accept it or not.
+    fn unsuitable(
+        &self,
+        now: Instant,
+        endpoint: &Endpoint,
+        query: EndpointQuery,
+        grace: Duration,
+    ) -> Option<Exclusion> {
+        if let Some(exclusion) = self.out_of_reach(now, endpoint, query) {
+            return Some(exclusion);
+        }
+        let engine = query.engine?;
+        if self.mitigations.push && endpoint.is_switching(now) {
+            return Some(Exclusion::Switching);
+        }
+        if !self.serves_wanted(now, endpoint, query, grace) {
+            return Some(Exclusion::Version);
+        }
+        (!self.ends_in_time(now, endpoint, engine, query)).then_some(Exclusion::SwitchingSoon)
     }
 
-    fn has_version(
+    /// Why a request may not go to an endpoint of its target, whatever that serves.
+    fn out_of_reach(
         &self,
         now: Instant,
         endpoint: &Endpoint,
         query: EndpointQuery,
-        grace: Duration,
-    ) -> bool {
-        let is_switching = self.mitigations.push && endpoint.is_switching(now);
-        !is_switching && self.serves_wanted(now, endpoint, query, grace)
+    ) -> Option<Exclusion> {
+        let allows =
+            |regions: &[RegionId]| regions.is_empty() || regions.contains(&endpoint.listed.region);
+        if !self.is_in_service(now, endpoint) {
+            Some(Exclusion::OutOfService)
+        } else if !allows(query.route_regions) || !allows(query.customer_regions) {
+            Some(Exclusion::Region)
+        } else if query.tried.contains(&endpoint.listed.id) {
+            Some(Exclusion::Tried)
+        } else {
+            None
+        }
+    }
+
+    /// True while an endpoint gets new requests: it is listed and its zone is in service.
+    pub(super) fn is_in_service(&self, now: Instant, endpoint: &Endpoint) -> bool {
+        !endpoint.is_unlisted
+            && endpoint.grace_deadline.is_none_or(|until| now < until)
+            && !self.evacuated.contains(&endpoint.listed.zone)
     }
 
     /// True when an endpoint serves a version on which the request may begin now.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod dispatcher;
 mod endpoint;
 mod estimate;
+mod exclusion;
 mod fleet;
 mod leaving;
 mod limit;
@@ -27,10 +28,12 @@
 pub use configuration::{CallerLimits, Configuration, Customer, Repeat, Route, Target};
 pub use crash_watch::{EndpointProcess, EndpointSight};
 pub use dispatcher::{
-    Decision, DecisionInputs, DispatchConfig, Dispatcher, EndpointView, NextStep, Snapshot,
+    Candidate, Decision, DecisionInputs, DispatchConfig, Dispatcher, EndpointView, ExplainQuery,
+    Explanation, NextStep, Outcome, Snapshot,
 };
 pub use endpoint::{Endpoint, EndpointLoad, ListedEndpoint};
 pub use estimate::EngineModel;
+pub use exclusion::Exclusion;
 pub use fleet::{Fleet, VersionUpdate};
 pub use notice::{BlameSource, CrashSign, Notice};
 pub use pacing::{Pass, PassPacing};
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -6,6 +6,7 @@
 mod configurations;
 mod crashes;
 mod endpoint_state;
+mod explain;
 pub(crate) mod fixture;
 mod fuzz;
 mod leaving;
--- a/src/dispatch/waiting.rs
+++ b/src/dispatch/waiting.rs
@@ -12,7 +12,7 @@
 pub(super) type Place = (Option<Rank>, bool, Instant, TicketId);
 
 /// Waiting requests in the order in which they are decided on, with the time until which each may wait.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct WaitingRequests {
     places: BTreeMap<Place, Instant>,
     /// Invariant: has the times of exactly the requests in `places`.
--- a/tests/platform/metrics.rs
+++ b/tests/platform/metrics.rs
@@ -78,3 +78,14 @@
     let count = metric_value(&text, "attempts_total", &labels);
     assert_eq!(count, Some(1.0), "{text}");
 }
+
+#[tokio::test]
+async fn explain_prints_where_a_request_would_go_and_why() {
+    let site = Site::start_serving(148, 1).await;
+    let text = site.explain("/chat/x", "customer-1").await;
+    assert!(text.starts_with("sent to engine-0"), "{text}");
+    let text = site.explain("/chat/x", "nobody").await;
+    assert!(text.contains("1011"), "{text}");
+    let text = site.explain("/nowhere/x", "customer-1").await;
+    assert!(text.contains("1010"), "{text}");
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -304,6 +304,16 @@
         scrape(ip(self.network, 1)).await
     }
 
+    /// Output of `limpetloom explain` for a request of a customer that goes to the entry.
+    pub async fn explain(&self, path: &str, customer: &str) -> String {
+        let addr = SocketAddr::new(ip(self.network, 1), INTERNAL_PORT + 1).to_string();
+        let output = Command::new(BINARY)
+            .args(["explain", &addr, "--host", "site.example", "--path", path])
+            .args(["--customer", customer, "--prompt", "1000"])
+            .output();
+        String::from_utf8(output.await.unwrap().stdout).unwrap()
+    }
+
     /// Metrics of an agent.
     pub async fn agent_metrics(&self, n: usize) -> String {
         scrape(self.engines[n].addr().ip()).await
