--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -27,8 +27,8 @@
 /// Size in bytes up to which an answer is read whatever others take.
 const SMALL_ANSWER_BYTES: usize = 16 * 1024;
 /// Number of answers above `SMALL_ANSWER_BYTES` that are read at the same time, so that they take
-/// 8 MB at most; the smallest hosts have 160 MB.
-const MAX_LARGE_ANSWERS: usize = 8;
+/// 4 MB at most; the smallest hosts have 160 MB.
+const MAX_LARGE_ANSWERS: usize = 4;
 
 /// Parts of a request that are the same in every attempt.
 #[derive(Clone, Debug)]
