--- a/src/weights/core/fetch.rs
+++ b/src/weights/core/fetch.rs
@@ -460,6 +460,10 @@
                         .origin_retry_at
                         .insert(*origin, now + self.cfg.origin_retry_delay);
                     transfer.origin_failed_at = Some(now);
+                    if error == FetchError::Unreachable {
+                        // What it took beside all other owners says nothing of its return.
+                        transfer.origin_chunk_time = Duration::ZERO;
+                    }
                 }
             }
         }
--- a/src/weights/tests/faults.rs
+++ b/src/weights/tests/faults.rs
@@ -91,6 +91,24 @@
     assert!(sent <= CHUNKS * 5 / 4, "{sent} for {CHUNKS}");
 }
 
+// Guards against takeovers that wait for as long as the origin took for a chunk when all drew on it: the chunks of
+// hosts that were gone when it returned came seconds after all others.
+#[test]
+fn chunks_of_lost_hosts_follow_soon_after_an_outage_of_the_origin() {
+    let mut fleet = busy_origin_fleet();
+    fleet.origin_chunk_time = Duration::from_millis(100);
+    fleet.want_everywhere(&wanted("m", "v1"));
+    fleet.run_for(3 * SECOND);
+    fleet.origin_up = false;
+    let lost = [5, 12, 19, 26, 33];
+    lost.into_iter().for_each(|host| fleet.kill(host));
+    fleet.run_for(6 * SECOND);
+    fleet.origin_up = true;
+    // The takeover delay, and as much for the chunks to reach all hosts.
+    let took = fleet.run_until_held("v1").unwrap();
+    assert!(took <= 2 * fleet.takeover_delay, "{took:?}");
+}
+
 /// Hosts whose takeover delay is shorter than the time that the origin takes for a chunk of each owner.
 fn busy_origin_fleet() -> Fleet {
     let mut fleet = Fleet::new(34, 3);
