Test: streams that nobody reads do not exhaust the memory of an entry

128 callers ask for streams whose engines send events as fast as they are read, and never read them.

--- a/tests/untrusted_clients/main.rs
+++ b/tests/untrusted_clients/main.rs
@@ -13,6 +13,8 @@
 use std::fs;
 
 use hyper::StatusCode;
+use limpetloom_fakes::raw::Flood;
+use limpetloom_fakes::site::SiteEngineFaults;
 use rstest::rstest;
 use serde_json::json;
 use tokio::process::Child;
@@ -39,6 +41,9 @@
 /// Connections without a request, more than `DESCRIPTORS`.
 const IDLE_CLIENTS: usize = 700;
 
+/// Engines, each with as many places as the configuration says.
+const ENGINES: u8 = 4;
+
 /// Objects of another writer, of a megabyte each.
 const LARGE_OBJECTS: usize = 12;
 
@@ -177,6 +182,33 @@
     assert_unharmed(&mut site).await;
 }
 
+// Guards against events that are kept for callers who ask for streams and never read them.
+#[tokio::test]
+async fn many_streams_that_nobody_reads_do_not_exhaust_the_memory() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut site = Site::start(114, ENGINES);
+    site.limits = json!({"linkMbps": 1_000.0, "memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS});
+    site.declare(1, &["key-1"]);
+    site.start_agents();
+    site.start_entry();
+    site.wait_until_ready().await;
+    site.wait_until_answered("chat").await;
+    for engine in &site.engines {
+        engine.set_faults(SiteEngineFaults {
+            flood: Some(Flood::NumberedEvents),
+            ..Default::default()
+        });
+    }
+    let head = b"GET /chat/x HTTP/1.1\r\nhost: site.example\r\nauthorization: Token key-1\r\n\
+        request-id: unread\r\ntoken-usage: 100,100000\r\ndeadline-ms: 20000\r\n\r\n";
+    let crowd = Crowd::connecting(site.caller_addr(), CLIENTS, head).await;
+    assert!(
+        crowd.wait_until_ended(WAIT_LIMIT).await,
+        "some are not answered"
+    );
+    assert_unharmed(&mut site).await;
+}
+
 // Guards against limits that a single client inside those of the configuration meets.
 #[rstest]
 #[case::whole(111, Upload::with_length(BODY_BYTES, BODY_BYTES))]
