--- a/src/dispatch/dispatcher/explain.rs
+++ b/src/dispatch/dispatcher/explain.rs
@@ -69,7 +69,7 @@
         code: u16,
         /// Meaning of the number.
         reason: String,
-        /// Time after which the caller may return, in milliseconds; `None` where it is told none.
+        /// Time after which the caller may return, in milliseconds; `None` without such a time.
         retry_after_ms: Option<u64>,
     },
 }
--- a/src/dispatch/patterns/zone_demand.rs
+++ b/src/dispatch/patterns/zone_demand.rs
@@ -38,7 +38,7 @@
         let used = predicted.as_secs_f64() / budget.as_secs_f64().max(0.001);
         let wanted = ((used - GOOD_START) / (TIGHT_START - GOOD_START)).clamp(0.0, 1.0);
         let weight = 1.0 - (-passed.as_secs_f64() / FOLLOW_TIME.as_secs_f64()).exp();
-        self.share += (wanted - self.share) * weight;
+        self.share = (self.share + (wanted - self.share) * weight).clamp(0.0, 1.0);
         self.share
     }
 
