--- /dev/null
+++ b/review/standin-2/crowd.rs
@@ -0,0 +1,85 @@
+//! Clients that nobody controls: each sends a body of legal size, stops just short of its end and stays
+//! open. One that is closed comes again.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// What each client announces.
+#[derive(Clone, Copy)]
+pub struct Upload {
+    /// Bytes of a header that makes the head large.
+    pub head: usize,
+    /// Bytes of the body, of which the last one is not sent.
+    pub length: usize,
+}
+
+/// A crowd, which leaves when it is dropped.
+pub struct Crowd {
+    stop: Arc<AtomicBool>,
+    /// Connections that were opened so far.
+    pub opened: Arc<AtomicU64>,
+}
+
+const THREADS: usize = 4;
+
+impl Crowd {
+    /// Starts `clients` clients. One that the entry closes comes again.
+    pub fn start(entry: SocketAddr, clients: usize, body: Upload) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let opened = Arc::new(AtomicU64::new(0));
+        for _ in 0..THREADS {
+            let (stop, opened) = (stop.clone(), opened.clone());
+            thread::spawn(move || {
+                let mut outside = clients / THREADS;
+                let mut open_clients = Vec::new();
+                while !stop.load(Ordering::SeqCst) {
+                    let before = open_clients.len();
+                    open_clients.retain_mut(|client| !has_ended(client));
+                    outside += before - open_clients.len();
+                    // Those whose channel was not established in time try again.
+                    for _ in 0..outside {
+                        let Ok(client) = open(entry, body) else { break };
+                        open_clients.push(client);
+                        outside -= 1;
+                        opened.fetch_add(1, Ordering::SeqCst);
+                    }
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        Self { stop, opened }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+    }
+}
+
+fn open(entry: SocketAddr, body: Upload) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&entry, Duration::from_millis(200))?;
+    let head = format!(
+        "POST /hold/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: crowd\r\nDeadline-Ms: 2500\r\nAuthorization: Token key-1\r\nX-Pad: {}\r\nContent-Length: {}\r\n\r\n",
+        "h".repeat(body.head),
+        body.length
+    );
+    stream.set_write_timeout(Some(Duration::from_millis(200)))?;
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(&vec![b'c'; body.length - 1])?;
+    stream.set_nonblocking(true)?;
+    Ok(stream)
+}
+
+/// True when the entry has answered or closed the connection.
+fn has_ended(stream: &mut TcpStream) -> bool {
+    let mut buf = [0; 1024];
+    match stream.read(&mut buf) {
+        Ok(_) => true,
+        Err(err) => err.kind() != ErrorKind::WouldBlock,
+    }
+}
