Bound the memory of the store's objects, whoever writes them

Cause: an object was kept as a tree of values, up to 16 times its text, until the last page of a list was read, and nothing bounded the sum. Watches and other kinds did the same.

Lists and what an entry keeps of each kind take at most 1/128 of the memory; beyond it, objects that name nothing to use are left out first, then the largest, as a page arrives. Event 213, objects_left_out_total.

Measured: tests/platform/many_objects.rs, an entry of a debug build beside 300 objects, bound 64 MB (half of the smallest host).

--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -281,6 +281,12 @@
         update
     }
 
+    /// Forgets the wanted versions of a model, so that any version of it may run.
+    pub fn forget_model(&mut self, model: &str) {
+        self.fleet.forget_model(model);
+        self.is_changed = true;
+    }
+
     /// Applies a load report from the agent of a host. Returns false when no endpoint is listed
     /// there.
     pub fn update_load(&mut self, now: Instant, host: IpAddr, load: EndpointLoad) -> bool {
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Forgets the wanted versions of a model.
+    pub fn forget_model(&mut self, model: &str) {
+        self.wanted_versions.remove(model);
+    }
+
     /// Remembered wanted versions of each model, oldest first, with the time at which each became that.
     pub fn wanted_versions(&self) -> impl Iterator<Item = (&str, u64, ChangeTime)> {
         self.wanted_versions.iter().flat_map(|(model, versions)| {
--- a/src/process/resources.rs
+++ b/src/process/resources.rs
@@ -3,6 +3,11 @@
 /// Memory that a process takes without callers: its code, the configuration, the lists of endpoints, and
 /// one answer of the store that is being read.
 const BASE_MEMORY: u64 = 32 << 20;
+/// Share of the memory that the objects of the store may take together, of all kinds: those that are kept
+/// and those of lists that arrive. At most half of `BASE_MEMORY`.
+const OBJECT_SHARE: f64 = 1.0 / 16.0;
+/// Collections among which that memory is divided: for each of four kinds, what is kept and what arrives.
+const OBJECT_COLLECTIONS: usize = 8;
 /// Share of the rest that connections may take together.
 const CONNECTION_SHARE: f64 = 0.4;
 /// Share of the rest that request bodies may take together. What remains is for answers and for memory
@@ -31,6 +36,16 @@
     pub descriptors: usize,
 }
 
+impl Default for ProcessResources {
+    /// The limits of the platform's example.
+    fn default() -> Self {
+        Self {
+            memory: 260 << 20,
+            descriptors: 4_100,
+        }
+    }
+}
+
 impl ProcessResources {
     /// Largest number of connections of callers, at most `max`.
     pub fn caller_connections(self, max: usize) -> usize {
@@ -50,6 +65,13 @@
         ((spare * BODY_SHARE) as usize).max(largest).min(most)
     }
 
+    /// Memory in bytes that the objects of the store of one kind may take, once while they are kept and once more
+    /// while a list of them arrives.
+    pub fn objects_of_a_kind(self) -> usize {
+        let all = (self.memory as f64 * OBJECT_SHARE) as usize;
+        all.min(BASE_MEMORY as usize / 2) / OBJECT_COLLECTIONS
+    }
+
     fn spare_memory(self) -> u64 {
         self.memory.saturating_sub(BASE_MEMORY)
     }
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -45,6 +45,8 @@
     StoreAnswerSlow = 211,
     /// the object API did not answer a watch in time; it is repeated on a new connection
     StoreAnswerLost = 212,
+    /// objects of the store are not held, since those of their kind would take too much memory
+    ObjectsLeftOut = 213,
     /// control connection lost
     PeerLost = 300,
     /// control connection is up
@@ -153,6 +155,7 @@
             Self::StoreEraInvalid => log::Level::Warn,
             Self::StoreAnswerSlow => log::Level::Info,
             Self::StoreAnswerLost => log::Level::Warn,
+            Self::ObjectsLeftOut => log::Level::Warn,
             Self::PeerLost => log::Level::Warn,
             Self::PeerBack => log::Level::Info,
             Self::DatagramRefused => log::Level::Warn,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -178,6 +178,7 @@
     in_flight: UpDownCounter<i64>,
     operations: Histogram<f64>,
     store_eras: Counter<u64>,
+    objects_left_out: Counter<u64>,
     set_aside: UpDownCounter<i64>,
     body_memory: Gauge<u64>,
     endpoint_signals: Counter<u64>,
@@ -230,6 +231,12 @@
                 .u64_counter("store_eras")
                 .with_description("Returns of the object API as an older copy")
                 .build(),
+            objects_left_out: meter
+                .u64_counter("objects_left_out")
+                .with_description(
+                    "Objects that are not held, since they would take too much memory",
+                )
+                .build(),
             set_aside: meter
                 .i64_up_down_counter("objects_set_aside")
                 .with_description("Objects that cannot be read or are not valid")
@@ -333,6 +340,12 @@
         self.inner.store_eras.add(1, &[]);
     }
 
+    /// Counts objects of a kind that are not held, since they would take too much memory.
+    pub fn count_objects_left_out(&self, kind: &'static str, objects: u64) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.inner.objects_left_out.add(objects, &labels);
+    }
+
     /// Adds to the number of objects of a kind that are set aside.
     pub fn add_set_aside(&self, kind: &'static str, objects: i64) {
         let labels = [KeyValue::new("kind", kind)];
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod late_configurations;
 mod lifecycle;
 mod limits;
+mod many_objects;
 mod metrics;
 mod odd_entries;
 mod recall;
