Take the order of event numbers for what it promises: they increase, by any step

Cause: a number more than one above the last one counted as a lost event, in every attempt. The protocol promises increasing numbers only. The check was meant for an event that is lost between two attempts.

Change: relay::EventOrder. Inside an attempt each number is larger than the last one. An attempt that goes on may send any larger number than the caller has; one that begins anew must repeat the caller's last event, otherwise it breaks. Numbers that stand still or fall break the attempt; before, such events were dropped without a trace, and a stream could end as whole without them. Event 410 names what did not fit.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -12,9 +12,12 @@
 
 use crate::dispatch::{Assignment, AttemptOutcome, Statement, TicketId};
 use crate::http::{AnswerBody, full};
+use crate::log_fields;
+use crate::telemetry::Event;
 
 use super::answer::{OpenedAnswer, send_attempt};
 use super::dialect::{Dialect, ResumePoint};
+use super::event_order::{EventOrder, EventPlace};
 use super::events::{EventSplitter, StreamEvent};
 use super::handle::{AdmittedRequest, Relay, next_data};
 
@@ -25,8 +28,8 @@
     stage: Stage,
     /// True for answers that are event streams, when they report success.
     is_stream: bool,
-    /// Point from which it continues a stream.
-    resume: ResumePoint,
+    request_id: Arc<str>,
+    order: EventOrder,
     /// True when the caller has events of an earlier attempt.
     is_continuation: bool,
     /// Head of the answer, once it has arrived.
@@ -37,10 +40,6 @@
     is_sent: Arc<AtomicBool>,
     /// True once the core knows that the answer has started.
     pub is_started: bool,
-    /// Number of events that the caller has already and that were sent again.
-    repeated: u64,
-    /// True once it has sent the last event that the caller has, or one behind it.
-    has_caught_up: bool,
 }
 
 enum Stage {
@@ -107,14 +106,13 @@
             relay: relay.clone(),
             stage: Stage::Opening(Box::pin(opening)),
             is_stream: admitted.route.is_stream,
-            resume,
+            request_id: admitted.caller.request_id.clone(),
+            order: EventOrder::new(resume.last_event_id.filter(|_| is_continuation)),
             is_continuation,
             head: None,
             version: None,
             is_sent,
             is_started: false,
-            repeated: 0,
-            has_caught_up: false,
         }
     }
 
@@ -144,14 +142,17 @@
                     }
                 }
                 Stage::Events(reader) => match reader.read().await {
-                    Ok(Some(event)) => match self.is_new(&event) {
-                        Ok(true) => return Received::Event(event),
-                        Ok(false) => {}
-                        Err(outcome) => return self.end(outcome),
-                    },
+                    Ok(Some(event)) => {
+                        let is_framed = reader.is_framed;
+                        match self.place(&event, is_framed) {
+                            Ok(EventPlace::New) => return Received::Event(event),
+                            Ok(EventPlace::Repeated) => {}
+                            Err(outcome) => return self.end(outcome),
+                        }
+                    }
                     Ok(None) => {
                         let is_framed = reader.is_framed;
-                        if !self.is_end_of_stream(is_framed) {
+                        if !self.order.may_end(is_framed) {
                             return self.end(AttemptOutcome::Broken);
                         }
                         self.stage = Stage::Ended;
@@ -222,39 +223,25 @@
         Received::Answer(outcome, answer)
     }
 
-    /// True when an event comes after the last one that the caller has, false when the caller has it.
-    fn is_new(&mut self, event: &StreamEvent) -> Result<bool, AttemptOutcome> {
-        let last = self.resume.last_event_id.filter(|_| self.is_continuation);
-        match (last, event.id) {
-            // An engine that begins anew sends each of them once.
-            (Some(last), Some(id)) if id <= last => {
-                self.has_caught_up |= id == last;
-                self.repeated += 1;
-                match self.repeated > last {
-                    true => Err(AttemptOutcome::Broken),
-                    false => Ok(false),
-                }
-            }
-            (Some(last), Some(id)) if id > last + 1 => Err(AttemptOutcome::Broken),
-            (last, id) => {
-                self.resume.last_event_id = id.or(last);
-                self.is_continuation = true;
-                self.has_caught_up |= id.is_some();
-                Ok(true)
-            }
-        }
-    }
-
-    /// True when the end of an answer is that of the stream. An endpoint that sent nothing from the last
-    /// event on has nothing to add if its answer shows its end by a length or chunks; a closed connection
-    /// may as well mean that it stopped behind its head.
-    fn is_end_of_stream(&self, is_framed: bool) -> bool {
-        match self.resume.last_event_id {
-            Some(_) if self.is_continuation => {
-                self.has_caught_up || (is_framed && self.repeated == 0)
-            }
-            _ => true,
-        }
+    /// Place of an event in the stream. One without a number ends the stream.
+    fn place(
+        &mut self,
+        event: &StreamEvent,
+        is_framed: bool,
+    ) -> Result<EventPlace, AttemptOutcome> {
+        let place = match event.id {
+            Some(id) => self.order.advance(id).ok(),
+            None => self.order.may_end(is_framed).then_some(EventPlace::New),
+        };
+        place.ok_or_else(|| {
+            log_fields!(Event::EventsOutOfOrder, {
+                request: &*self.request_id,
+                endpoint: &*self.assignment.endpoint,
+                id: event.id.map_or(-1, |id| id.min(i64::MAX as u64) as i64),
+                order: format!("{:?}", self.order)
+            });
+            AttemptOutcome::Broken
+        })
     }
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod dialect;
+mod event_order;
 mod events;
 mod guards;
 mod handle;
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay without processes.
 
+mod event_order;
 mod guards;
 mod race;
 
--- a/src/telemetry/events/generated.rs
+++ b/src/telemetry/events/generated.rs
@@ -73,6 +73,8 @@
     SecondAttemptRefused = 408,
     /// an attempt was taken back, since the engine has not begun it and its version ends
     AttemptRecalled = 409,
+    /// the numbers of an endpoint's events do not follow what the caller has; the attempt counts as broken
+    EventsOutOfOrder = 410,
     /// endpoint changed state
     EndpointState = 500,
     /// endpoint restarted
@@ -169,6 +171,7 @@
             Self::AttemptSilent => log::Level::Info,
             Self::SecondAttemptRefused => log::Level::Info,
             Self::AttemptRecalled => log::Level::Info,
+            Self::EventsOutOfOrder => log::Level::Warn,
             Self::EndpointState => log::Level::Info,
             Self::EndpointRestarted => log::Level::Warn,
             Self::RequestSuspected => log::Level::Warn,
