Fuzz the weights of targets against what each request came under

So the rule behind it is tested with the decision code itself: requests that wait, are tried again, raced or go on, while weights go to 0, targets, routes or keys leave, and endpoints come, go, rest, fill up, cool down or change hands, also across a restart.

--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -27,5 +27,6 @@
 mod silence_fuzz;
 mod stop;
 mod subsets;
+mod target_weights_fuzz;
 mod versions;
 mod zone_demand;
