Copy bodies that come in small pieces at the last callers that kept the pieces

Here all paths were bounded but one: an agent kept each one-byte chunk of a manifest, a chunk of weights or an answer as a piece with its buffer.

Cause: Limited bounds the data, not what holds it. The entry's and agent's whole answers of the product's own interface did the same.

Change: they use collect_bounded.

The test now prints the code.

--- a/fakes/src/raw.rs
+++ b/fakes/src/raw.rs
@@ -42,6 +42,18 @@
     InterimAnswers,
     /// A head whose header lines do not end.
     HeaderLines,
+    /// A head with one header line that does not end.
+    HeaderLine,
+    /// A body of a length that no reader waits for.
+    Length,
+    /// A body of one chunk of a size that no reader waits for.
+    HugeChunk,
+    /// A body in chunks of one byte.
+    TinyChunks,
+    /// A chunk whose extensions do not end.
+    ChunkExtensions,
+    /// Trailers that do not end, behind a body of a few bytes in chunks.
+    Trailers,
     /// A body without length, on a single line.
     Body,
     /// A body without length, in short paragraphs that are no numbered events.
@@ -59,17 +71,37 @@
     fn is_in_body(self) -> bool {
         !matches!(
             self,
-            Self::BlankLines | Self::InterimAnswers | Self::HeaderLines
+            Self::BlankLines | Self::InterimAnswers | Self::HeaderLines | Self::HeaderLine
         )
     }
 
+    /// What follows the other header lines, up to the bytes that do not end.
+    fn start(self) -> &'static str {
+        match self {
+            Self::HeaderLine => "x-noise: ",
+            Self::Length => "content-length: 9000000000000\r\n\r\n",
+            Self::HugeChunk => "transfer-encoding: chunked\r\n\r\nfffffffffff\r\n",
+            Self::TinyChunks => "transfer-encoding: chunked\r\n\r\n",
+            Self::ChunkExtensions => "transfer-encoding: chunked\r\n\r\n5;noise=",
+            Self::Trailers => "transfer-encoding: chunked\r\n\r\n3\r\nodd\r\n0\r\n",
+            _ if self.is_in_body() => "\r\n",
+            _ => "",
+        }
+    }
+
     /// The text that is repeated.
     fn text(self) -> &'static str {
         match self {
             Self::BlankLines => "\r\n",
             Self::InterimAnswers => "HTTP/1.1 102 Processing\r\n\r\n",
-            Self::HeaderLines => "x-noise: 0123456789abcdef\r\n",
-            Self::Body | Self::Drip => "0123456789abcdef",
+            Self::HeaderLines | Self::Trailers => "x-noise: 0123456789abcdef\r\n",
+            Self::TinyChunks => "1\r\n0\r\n",
+            Self::HeaderLine
+            | Self::Length
+            | Self::HugeChunk
+            | Self::ChunkExtensions
+            | Self::Body
+            | Self::Drip => "0123456789abcdef",
             Self::Paragraphs => "noise: 0123456789abcdef\n\n",
             Self::RepeatedEvent | Self::NumberedEvents => "id: 1\ndata: token 1\n\n",
         }
@@ -78,9 +110,7 @@
     /// The flood in place of the body, or of the end of the head, of `answer`.
     pub fn replacing<B>(self, answer: &Response<B>) -> RawAnswer {
         let mut start = raw_head(answer);
-        if self.is_in_body() {
-            start.extend_from_slice(b"\r\n");
-        }
+        start.extend_from_slice(self.start().as_bytes());
         if matches!(self, Self::BlankLines | Self::InterimAnswers) {
             start.clear();
         }
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -252,12 +252,11 @@
 ) -> Response<AnswerBody> {
     let (head, body) = response.into_parts();
     guard.report_started();
-    let body = Limited::new(body, cx.limits.max_answer_bytes).collect();
+    let body = http::collect_bounded(body, cx.limits.max_answer_bytes);
     let Ok(Ok(body)) = tokio::time::timeout(cx.limits.answer_timeout, body).await else {
         guard.report_broken(true);
         return refuse(Code::OutcomeUnknown, None);
     };
-    let body = body.to_bytes();
     let is_whole = event_check(request).is_none_or(|check| check.passes_completion(&body));
     if head.status.is_success() && !is_whole {
         guard.report_broken(true);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,14 +3,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 
 use crate::answer::{EventScanner, EventSplitter, StoredAnswer, is_event_stream};
 use crate::codes::Code;
-use crate::http::{TrafficClient, header_number, header_text, is_readable_answer, names};
+use crate::http::{
+    TrafficClient, collect_bounded, header_number, header_text, is_readable_answer, names,
+};
 use crate::telemetry::Metrics;
 use crate::types::{EntryAttemptOutcome, EntryId};
 use crate::wire::VersionedDocument;
@@ -227,11 +229,11 @@
         if code != Code::StaleConfiguration {
             return;
         }
-        let body = Limited::new(response.into_body(), self.limits.max_answer_bytes).collect();
+        let body = collect_bounded(response.into_body(), self.limits.max_answer_bytes);
         let Ok(Ok(body)) = tokio::time::timeout(self.limits.answer_timeout, body).await else {
             return;
         };
-        if let Ok(doc) = serde_json::from_slice::<VersionedDocument>(&body.to_bytes()) {
+        if let Ok(doc) = serde_json::from_slice::<VersionedDocument>(&body) {
             self.control.send_event(EntryEvent::ConfigReceived(doc));
         }
     }
@@ -295,13 +297,13 @@
         caller: &mut Caller,
     ) -> Result<StoredAnswer, Failure> {
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.limits.max_answer_bytes).collect();
+        let body = collect_bounded(body, self.limits.max_answer_bytes);
         let body = tokio::select! {
             () = self.caller_closed(caller) => return Err(Failure::CallerGone),
             body = tokio::time::timeout(self.limits.answer_timeout, body) => body,
         };
         let body = body.map_err(|_| Failure::Ended(EntryAttemptOutcome::TimedOut))?;
-        let body = body.map_err(|_| broken(0))?.to_bytes();
+        let body = body.map_err(|_| broken(0))?;
         self.report_started();
         Ok(StoredAnswer::new(
             head.status,
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -8,6 +8,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::MAX_ANSWER_HEAD_BYTES;
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an unused connection is closed; shorter than the listeners' own timeout.
@@ -36,5 +38,6 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle_connections)
         .retry_canceled_requests(false)
+        .http1_max_buf_size(MAX_ANSWER_HEAD_BYTES)
         .build(connector)
 }
--- a/src/weights/client.rs
+++ b/src/weights/client.rs
@@ -5,14 +5,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
-use crate::http::{is_readable_answer, too_many_interim_answers};
+use crate::http::{CollectError, collect_bounded, is_readable_answer, too_many_interim_answers};
 
 use super::bitmap::ChunkSet;
 use super::core::{Have, Source, WantedVersion};
@@ -223,10 +223,9 @@
 }
 
 async fn read_body(response: Response<Incoming>, limit: usize) -> Result<Bytes, FetchError> {
-    let body = Limited::new(response.into_body(), limit).collect().await;
-    match body {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(FetchError::Corrupt),
-        Err(_) => Err(FetchError::Unreachable),
-    }
+    let body = collect_bounded(response.into_body(), limit).await;
+    body.map_err(|err| match err {
+        CollectError::TooLarge(_) => FetchError::Corrupt,
+        CollectError::Broken(_) | CollectError::Stalled(_) => FetchError::Unreachable,
+    })
 }
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -29,9 +29,9 @@
 
 /// Checks that the caller got a complete stream and nothing else.
 fn assert_whole_stream(answer: &Answer) {
-    assert_eq!(answer.status, StatusCode::OK);
     let body = String::from_utf8_lossy(&answer.body);
     let shown: String = body.chars().take(SHOWN_CHARS).collect();
+    assert_eq!(answer.status, StatusCode::OK, "{shown}");
     assert!(body == whole_stream(), "{shown}");
     assert!(answer.is_whole);
 }
@@ -225,6 +225,11 @@
 #[case::interim_answers(217, Flood::InterimAnswers)]
 #[case::header_lines(218, Flood::HeaderLines)]
 #[case::body(219, Flood::Body)]
+#[case::header_line(38, Flood::HeaderLine)]
+#[case::length(39, Flood::Length)]
+#[case::huge_chunk(40, Flood::HugeChunk)]
+#[case::chunk_extensions(42, Flood::ChunkExtensions)]
+#[case::trailers(43, Flood::Trailers)]
 #[tokio::test]
 async fn a_request_that_runs_once_is_not_held_to_its_deadline_by_endless_bytes(
     #[case] network: u8,
@@ -247,6 +252,12 @@
 #[case::stream_of_one_line(241, "chat", Flood::Body)]
 #[case::stream_of_paragraphs(242, "chat", Flood::Paragraphs)]
 #[case::stream_of_one_event(243, "chat", Flood::RepeatedEvent)]
+#[case::header_line(62, "write", Flood::HeaderLine)]
+#[case::huge_chunk(63, "write", Flood::HugeChunk)]
+#[case::tiny_chunks(64, "write", Flood::TinyChunks)]
+#[case::chunk_extensions(65, "write", Flood::ChunkExtensions)]
+#[case::trailers(66, "write", Flood::Trailers)]
+#[case::stream_of_tiny_chunks(67, "chat", Flood::TinyChunks)]
 #[tokio::test]
 async fn many_endless_answers_take_bounded_memory_and_do_not_stop_other_requests(
     #[case] network: u8,
@@ -292,6 +303,12 @@
 #[case::interim_answers(223, Flood::InterimAnswers)]
 #[case::header_lines(224, Flood::HeaderLines)]
 #[case::body(225, Flood::Body)]
+#[case::header_line(44, Flood::HeaderLine)]
+#[case::length(45, Flood::Length)]
+#[case::huge_chunk(46, Flood::HugeChunk)]
+#[case::tiny_chunks(47, Flood::TinyChunks)]
+#[case::chunk_extensions(48, Flood::ChunkExtensions)]
+#[case::trailers(49, Flood::Trailers)]
 #[tokio::test]
 async fn an_agent_survives_endless_reports_of_its_engine(#[case] network: u8, #[case] kind: Flood) {
     let site = Site::start_serving(network, 1).await;
@@ -312,6 +329,12 @@
 #[case::interim_answers(226, Flood::InterimAnswers)]
 #[case::header_lines(227, Flood::HeaderLines)]
 #[case::body(228, Flood::Body)]
+#[case::header_line(50, Flood::HeaderLine)]
+#[case::length(51, Flood::Length)]
+#[case::huge_chunk(52, Flood::HugeChunk)]
+#[case::tiny_chunks(53, Flood::TinyChunks)]
+#[case::chunk_extensions(54, Flood::ChunkExtensions)]
+#[case::trailers(55, Flood::Trailers)]
 #[tokio::test]
 async fn an_entry_survives_endless_answers_of_the_store(#[case] network: u8, #[case] kind: Flood) {
     let site = Site::start_serving(network, 1).await;
@@ -333,6 +356,12 @@
 #[case::interim_answers(229, Flood::InterimAnswers)]
 #[case::header_lines(230, Flood::HeaderLines)]
 #[case::body(231, Flood::Body)]
+#[case::header_line(56, Flood::HeaderLine)]
+#[case::length(57, Flood::Length)]
+#[case::huge_chunk(58, Flood::HugeChunk)]
+#[case::tiny_chunks(59, Flood::TinyChunks)]
+#[case::chunk_extensions(60, Flood::ChunkExtensions)]
+#[case::trailers(61, Flood::Trailers)]
 #[tokio::test]
 async fn agents_survive_endless_answers_of_the_origin(#[case] network: u8, #[case] kind: Flood) {
     let site = Site::start_serving(network, 2).await;
