Let a stalled body give up its connection when others wait for one

Cause: when a listener is full, only connections without a request closed for new ones.

Change: connections that wait for a body's data for 0.5 s or more give way, longest first, once none idles. Their request is refused as not run, with the new code 2024 and Retry-After.

--- a/src/agent/offer.rs
+++ b/src/agent/offer.rs
@@ -46,7 +46,7 @@
 ) -> Result<OfferedRequest, Code> {
     let (head, body) = req.into_parts();
     let offer = offer(&head.headers).ok_or(Code::Malformed)?;
-    let body = read_body(body, limits, bodies).await?;
+    let body = read_body(body, limits, bodies, head.extensions.get()).await?;
     Ok(OfferedRequest {
         offer,
         method: head.method.clone(),
--- a/src/codes/generated.rs
+++ b/src/codes/generated.rs
@@ -72,6 +72,8 @@
     StateOutdated = 2022,
     /// the bodies of other requests take the memory that the body needs
     BodyMemoryShort = 2023,
+    /// the body of the request stalled while others waited for a connection
+    BodyStalled = 2024,
     /// the request may have run and its outcome is not known
     OutcomeUnknown = 3001,
     /// a request with this key is running
@@ -162,6 +164,7 @@
         Self::Overloaded,
         Self::StateOutdated,
         Self::BodyMemoryShort,
+        Self::BodyStalled,
         Self::OutcomeUnknown,
         Self::StillRunning,
         Self::AnswerBroken,
@@ -226,6 +229,7 @@
             Self::Overloaded => 503,
             Self::StateOutdated => 503,
             Self::BodyMemoryShort => 503,
+            Self::BodyStalled => 503,
             Self::OutcomeUnknown => 502,
             Self::StillRunning => 409,
             Self::AnswerBroken => 502,
@@ -291,6 +295,7 @@
             Self::Overloaded => RunState::NotRun,
             Self::StateOutdated => RunState::NotRun,
             Self::BodyMemoryShort => RunState::NotRun,
+            Self::BodyStalled => RunState::NotRun,
             Self::OutcomeUnknown => RunState::Unknown,
             Self::StillRunning => RunState::Running,
             Self::AnswerBroken => RunState::Unknown,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -51,7 +51,7 @@
 ) -> Result<ParsedRequest, Code> {
     let (head, body) = req.into_parts();
     let route = Route::parse(&head)?;
-    let body = read_body(body, limits, bodies).await?;
+    let body = read_body(body, limits, bodies, head.extensions.get()).await?;
     parse(&head, route, body)
 }
 
--- a/src/http/activity.rs
+++ b/src/http/activity.rs
@@ -1,4 +1,4 @@
-//! Which connections of a listener idle, and which of them close first when it is full.
+//! What the connections of a listener do, and which of them close first when it is full.
 
 use std::collections::BTreeMap;
 use std::pin::Pin;
@@ -17,6 +17,9 @@
 /// Shortest time for which a connection that closes for another has idled, so that a new one can send its
 /// first request.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
+/// Time without data after which a body gives its connection up for another one. Sound callers send theirs with
+/// the head, or at once behind it.
+const MIN_STALL_TIME: Duration = Duration::from_millis(500);
 /// Connections that close at once when a listener is full, so that a burst of new ones does not wait for
 /// each.
 const CLOSE_BATCH: usize = 16;
@@ -29,18 +32,28 @@
 
 #[derive(Debug)]
 struct Shared {
-    /// Time since which no request is in progress; `None` beside a request.
-    idle_since: Mutex<Option<Instant>>,
+    work: Mutex<Work>,
     /// Notified when the connection should close for another one.
     close: Notify,
 }
 
+/// What a connection does.
+#[derive(Debug)]
+enum Work {
+    /// It waits for a request, since a time.
+    Idle(Instant),
+    /// It waits for a part of a request's body, since a time. Notified when it should give up.
+    Receiving(Instant, Arc<Notify>),
+    /// A request that has arrived whole is in progress.
+    Answering,
+}
+
 impl Activity {
     /// Activity of a connection that begins to idle.
     pub fn new(now: Instant) -> Self {
         Self {
             shared: Arc::new(Shared {
-                idle_since: Mutex::new(Some(now)),
+                work: Mutex::new(Work::Idle(now)),
                 close: Notify::new(),
             }),
         }
@@ -48,10 +61,18 @@
 
     /// Marks the connection as busy until the returned guard is dropped.
     pub fn begin_request(&self) -> RequestGuard {
-        *self.lock() = None;
+        *self.lock() = Work::Answering;
         RequestGuard(self.clone())
     }
 
+    /// Arrival of the body of the request in progress.
+    pub fn arrival(&self) -> BodyArrival {
+        BodyArrival {
+            activity: self.clone(),
+            give_up: Arc::default(),
+        }
+    }
+
     /// Completes when the connection should close and has no request in progress. `is_writing` is asked
     /// whether the end of an answer is still to be written.
     pub async fn closed_while_idle(&self, is_writing: impl Fn() -> bool) {
@@ -64,17 +85,54 @@
     }
 
     fn idle_since(&self) -> Option<Instant> {
-        *self.lock()
+        match *self.lock() {
+            Work::Idle(since) => Some(since),
+            Work::Receiving(..) | Work::Answering => None,
+        }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<Instant>> {
+    /// Time since which it waits for a part of a body, and what makes it give up.
+    fn receiving_since(&self) -> Option<(Instant, Arc<Notify>)> {
+        match &*self.lock() {
+            Work::Receiving(since, give_up) => Some((*since, give_up.clone())),
+            Work::Idle(_) | Work::Answering => None,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Work> {
         self.shared
-            .idle_since
+            .work
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Arrival of a request's body, an extension of the request. A body that stalls gives its connection up when others
+/// wait for one.
+#[derive(Clone, Debug)]
+pub struct BodyArrival {
+    activity: Activity,
+    give_up: Arc<Notify>,
+}
+
+impl BodyArrival {
+    /// Records that the next part of the body is waited for from now on.
+    pub fn wait_for_data(&self) {
+        let work = Work::Receiving(Instant::now(), self.give_up.clone());
+        *self.activity.lock() = work;
+    }
+
+    /// Records that nothing more of the body is waited for.
+    pub fn complete(&self) {
+        *self.activity.lock() = Work::Answering;
+    }
+
+    /// Completes when the body has to give its connection up.
+    pub async fn given_up(&self) {
+        self.give_up.notified().await;
+    }
+}
+
 /// A request in progress, up to the end of its answer.
 #[derive(Debug)]
 pub(super) struct RequestGuard(Activity);
@@ -94,7 +152,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        *self.0.lock() = Some(Instant::now());
+        *self.0.lock() = Work::Idle(Instant::now());
     }
 }
 
@@ -149,19 +207,29 @@
         }
     }
 
-    /// Closes the connections that have idled longest, as soon as their tasks run.
-    pub fn close_idle(&self, now: Instant) {
+    /// Closes the connections that have idled longest, or else those whose body has stalled longest, as soon as
+    /// their tasks run.
+    pub fn close_unused(&self, now: Instant) {
         let registry = self.lock();
-        let mut idle: Vec<_> = registry
-            .activities
-            .values()
+        let activities = || registry.activities.values();
+        let is_older = |since: Instant, time| now.saturating_duration_since(since) >= time;
+        let mut idle: Vec<_> = activities()
             .filter_map(|activity| Some((activity.idle_since()?, activity)))
-            .filter(|(since, _)| now.saturating_duration_since(*since) >= MIN_IDLE_TIME)
+            .filter(|(since, _)| is_older(*since, MIN_IDLE_TIME))
             .collect();
-        idle.sort_by_key(|(since, _)| *since);
-        for (_, activity) in idle.into_iter().take(CLOSE_BATCH) {
-            activity.shared.close.notify_one();
+        if !idle.is_empty() {
+            idle.sort_by_key(|(since, _)| *since);
+            let first = idle.into_iter().take(CLOSE_BATCH);
+            first.for_each(|(_, activity)| activity.shared.close.notify_one());
+            return;
         }
+        let mut stalled: Vec<_> = activities()
+            .filter_map(Activity::receiving_since)
+            .filter(|(since, _)| is_older(*since, MIN_STALL_TIME))
+            .collect();
+        stalled.sort_by_key(|(since, _)| *since);
+        let first = stalled.into_iter().take(CLOSE_BATCH);
+        first.for_each(|(_, give_up)| give_up.notify_one());
     }
 
     fn lock(&self) -> MutexGuard<'_, Registry> {
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -53,9 +53,10 @@
     {
         let unframed_answer = self.unframed_answer.clone();
         let activity = self.activity.clone();
-        let handler = Arc::new(move |req: Request<Incoming>| {
+        let handler = Arc::new(move |mut req: Request<Incoming>| {
             let (version, unframed_answer) = (req.version(), unframed_answer.clone());
             let request = activity.begin_request();
+            req.extensions_mut().insert(activity.arrival());
             let answer = handler(req);
             async move { request.attach(unframed_answer.watch(version, answer.await)) }
         });
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -32,8 +32,9 @@
 /// Limits of a traffic listener.
 #[derive(Clone, Copy, Debug)]
 pub struct ListenerLimits {
-    /// Largest number of open connections. For a further one, those that have idled longest close; while
-    /// none idles it waits, and others behind it in the accept queue.
+    /// Largest number of open connections. For a further one, those that have idled longest close, or else those
+    /// whose request's body has stalled longest; while there are none it waits, and others behind it in the accept
+    /// queue.
     pub connections: usize,
     /// Largest head of a request, in bytes.
     pub header_bytes: usize,
@@ -176,12 +177,12 @@
         }
     }
 
-    /// Waits for the permit of an accepted connection, and closes idle ones for it; `None` when the listener
+    /// Waits for the permit of an accepted connection, and closes unused ones for it; `None` when the listener
     /// is killed.
     async fn permit(&self, permits: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
         let mut permit = permits.clone().try_acquire_owned();
         while permit.is_err() {
-            self.open.close_idle(Instant::now());
+            self.open.close_unused(Instant::now());
             let free = tokio::time::timeout(CLOSE_INTERVAL, permits.clone().acquire_owned());
             tokio::select! {
                 () = self.kill.cancelled() => return None,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -19,6 +19,7 @@
 mod unframed;
 mod write_timeout;
 
+pub use activity::BodyArrival;
 pub use body::{AnswerBody, BodyError, BodySender, channel, empty, full};
 pub use body_budget::BodyBudget;
 pub use client::{TrafficClient, endpoint_client, traffic_client};
--- a/src/http/read.rs
+++ b/src/http/read.rs
@@ -12,6 +12,7 @@
 use crate::settings::LimitsSettings;
 use crate::types::Refusal;
 
+use super::activity::BodyArrival;
 use super::body_budget::{BodyBudget, BodyShare, BudgetExhausted};
 
 /// Limits of a request body.
@@ -36,31 +37,52 @@
 /// while large ones exhaust it. The number of connections bounds what such bodies take together.
 const SMALL_BODY_BYTES: usize = 8 * 1024;
 
-/// Reads a whole request body into memory of the budget.
+/// Reads a whole request body into memory of the budget. `arrival` is that of the request.
 ///
 /// # Errors
 ///
-/// Returns the code of the refusal: too large, too slow, malformed, or no memory for it.
+/// Returns the code of the refusal: too large, too slow, malformed, or no memory or connection for it.
 pub async fn read_body(
     body: Incoming,
     limits: BodyLimits,
     budget: &BodyBudget,
+    arrival: Option<&BodyArrival>,
 ) -> Result<Bytes, Code> {
     if body.size_hint().lower() > limits.bytes as u64 {
         return Err(Code::TooLarge);
     }
-    tokio::time::timeout(limits.timeout, read_into(body, limits.bytes, budget))
-        .await
-        .unwrap_or(Err(Code::CallerTooSlow))
+    let given_up = async {
+        match arrival {
+            Some(arrival) => arrival.given_up().await,
+            None => std::future::pending().await,
+        }
+    };
+    let read = tokio::select! {
+        read = read_into(body, limits.bytes, budget, arrival) => read,
+        () = given_up => Err(Code::BodyStalled),
+        () = tokio::time::sleep(limits.timeout) => Err(Code::CallerTooSlow),
+    };
+    if let Some(arrival) = arrival {
+        arrival.complete();
+    }
+    read
 }
 
 /// Reads a whole body of at most `max` bytes. They are copied: chunks of a few bytes would each keep the
 /// buffer that they arrived in.
-async fn read_into(mut body: Incoming, max: usize, budget: &BodyBudget) -> Result<Bytes, Code> {
+async fn read_into(
+    mut body: Incoming,
+    max: usize,
+    budget: &BodyBudget,
+    arrival: Option<&BodyArrival>,
+) -> Result<Bytes, Code> {
     let announced = body.size_hint().exact().map(|bytes| bytes as usize);
     let mut bytes = Vec::new();
     let mut share: Option<BodyShare> = None;
     loop {
+        if let Some(arrival) = arrival {
+            arrival.wait_for_data();
+        }
         let next = match &share {
             None => body.frame().await,
             Some(share) => tokio::select! {
@@ -114,7 +136,7 @@
 pub fn refuse_body(code: Code) -> Refusal {
     let refusal = Refusal::new(code);
     match code {
-        Code::BodyMemoryShort => refusal.with_retry_after(BODY_RETRY_AFTER),
+        Code::BodyMemoryShort | Code::BodyStalled => refusal.with_retry_after(BODY_RETRY_AFTER),
         _ => refusal,
     }
 }
--- a/src/relay/handle.rs
+++ b/src/relay/handle.rs
@@ -280,7 +280,7 @@
                     .max(configuration.limits.header_timeout),
             });
         let body = tokio::select! {
-            body = read_body(body, limits, self.guards().bodies()) => body,
+            body = read_body(body, limits, self.guards().bodies(), parts.extensions.get()) => body,
             () = self.stop().passed() => {
                 let refusal = self.core().refuse_stopping();
                 return self.refuse(arrived, Some(&head.req), "", &refusal);
--- a/tests/untrusted_clients/main.rs
+++ b/tests/untrusted_clients/main.rs
@@ -40,6 +40,8 @@
 const TINY_CHUNK_BODY: usize = 256 * 1024;
 /// Connections without a request, more than `DESCRIPTORS`.
 const IDLE_CLIENTS: usize = 700;
+/// Connections in the middle of a body, more than an entry with `MEMORY_MB` takes.
+const STALLED_CLIENTS: usize = 400;
 
 /// Engines, each with as many places as the configuration says.
 const ENGINES: u8 = 4;
@@ -162,6 +164,26 @@
     assert_unharmed(&mut site).await;
 }
 
+/// Regression: bodies that stop short of their end kept all connections until their time was over, and ordinary callers
+/// waited behind them.
+#[rstest]
+#[case::in_a_body(113, Upload::with_length(32 * 1024, 32 * 1024 - 1))]
+#[case::in_a_small_body(114, Upload::with_length(600, 599))]
+#[case::in_a_chunk(115, Upload::in_chunks(16 * 1024, 32 * 1024))]
+#[tokio::test]
+async fn many_stalled_bodies_do_not_keep_ordinary_callers_out(
+    #[case] network: u8,
+    #[case] upload: Upload,
+) {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    // The bodies may take twice as long as an ordinary request is waited for.
+    let millis = 2 * WAIT_LIMIT.as_millis() as u64;
+    let mut site = start_with_head_time(network, millis).await;
+    let _crowd = Crowd::uploading(site.caller_addr(), STALLED_CLIENTS, &upload).await;
+    let unharmed = tokio::time::timeout(WAIT_LIMIT, assert_unharmed(&mut site)).await;
+    unharmed.expect("ordinary callers wait behind stalled bodies");
+}
+
 // Guards against objects of another writer among the servers, whose parsed form takes many times their text.
 #[tokio::test]
 async fn large_objects_of_another_writer_do_not_exhaust_the_memory() {
