Count what a connection in the middle of a body takes

Cause: a connection counted as 48 KB: its task, the buffer for a head and a small body. While a body is read there is a second buffer beside the one that the head came in.

Change: it counts as 64 KB, so an entry of 260 MB takes 1,459 connections in place of 1,945.

--- a/src/process/resources.rs
+++ b/src/process/resources.rs
@@ -17,8 +17,9 @@
 const MAX_BODY_SHARE: f64 = 0.55;
 /// Memory for request bodies however little a process has, in bytes: one body of the usual limit.
 const MIN_BODY_MEMORY: usize = 4 << 20;
-/// Memory of one connection: its task, the buffer for a head, and a body too small for the budget of bodies.
-const CONNECTION_BYTES: u64 = 48 * 1024;
+/// Memory of one connection in the middle of a body: its task, a head of 24 KB in the buffer that it came in, a buffer
+/// for what follows, and a body too small for the budget of bodies.
+const CONNECTION_BYTES: u64 = 64 * 1024;
 /// Descriptors for files, which the platform counts apart from sockets.
 const FILE_DESCRIPTORS: usize = 200;
 /// Share of the other descriptors that connections of callers may take; the rest is for endpoints, the
