--- a/src/http/headers.rs
+++ b/src/http/headers.rs
@@ -65,8 +65,9 @@
     (200..600).contains(&status.as_u16())
 }
 
-/// True when an answer with this head is one of the protocol, and its body is read as it was written. Of the transfer codings, the HTTP
-/// library decodes chunks only: others, also one whose name was cut, would pass as bytes of the body.
+/// True when an answer with this head is one of the protocol, and its body is read as it was written. Of the
+/// transfer codings, the HTTP library decodes chunks only: others, also one whose name was cut, would pass as bytes
+/// of the body.
 pub fn is_readable_answer(status: StatusCode, headers: &HeaderMap) -> bool {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     let is_chunked = codings
